--- /dev/null
+++ b/packages/cli/main/carobtide.cpp
@@ -0,0 +1,13 @@
+#include "carobtide/base.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <string>
+
+int main(int argc, char** argv)
+{
+  CLI::App app{ "carobtide, the operators' tool" };
+  app.set_version_flag("--version", std::string(carobtide::Version()));
+  CLI11_PARSE(app, argc, argv);
+  return 0;
+}
--- /dev/null
+++ b/packages/placement/include/carobtide/placement.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+/**
+ * @file
+ * Umbrella header of package placement: which model is resident on which
+ * target, and the orders that bring it about.
+ */
+
+#include "carobtide/placement/announcement.hpp"
+#include "carobtide/placement/order.hpp"
+#include "carobtide/placement/placement.hpp"
+#include "carobtide/placement/planner.hpp"
+#include "carobtide/placement/target_registry.hpp"
--- /dev/null
+++ b/packages/routing/include/carobtide/routing.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+/**
+ * @file
+ * Umbrella header of package routing: admission, choice of target, retries,
+ * hedges and quarantine on one daemon.
+ */
+
+#include "carobtide/routing/policy.hpp"
+#include "carobtide/routing/router.hpp"
+#include "carobtide/routing/types.hpp"
--- /dev/null
+++ b/packages/transport/include/carobtide/transport.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+/**
+ * @file
+ * Umbrella header of package transport: HTTP server and client, frames and
+ * datagrams between daemons. Beast stays out of these headers.
+ */
+
+#include "carobtide/transport/frame.hpp"
+#include "carobtide/transport/http_client.hpp"
+#include "carobtide/transport/http_server.hpp"
+#include "carobtide/transport/http_types.hpp"
+#include "carobtide/transport/peer_channel.hpp"
--- /dev/null
+++ b/packages/transport/include/carobtide/transport/http_client.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+/**
+ * @file
+ * An HTTP/1.1 client connection and a pool of idle ones.
+ */
+
+#include "carobtide/transport/http_types.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <string>
+
+namespace carobtide {
+
+/**
+ * One connection; one request at a time.
+ *
+ * Errors: ConnectRefused only where no byte of a request was sent;
+ * ConnectionLost, Timeout and Malformed afterwards.
+ *
+ * Thread safety: one coroutine at a time; Cancel from the same executor.
+ */
+class HttpConnection
+{
+public:
+  virtual ~HttpConnection() = default;
+
+  /** Sends a request and reads the head of the response. */
+  virtual boost::asio::awaitable<Result<HttpResponseHead>> Send(
+    const HttpRequest& aRequest, Duration aTimeout) = 0;
+
+  /**
+   * Reads the next bytes of the body into aOut (replaced). True while more
+   * may follow, false at the end of a whole body. A body that ends early is
+   * ConnectionLost.
+   */
+  virtual boost::asio::awaitable<Result<bool>> ReadSome(std::string& aOut,
+                                                        Duration aTimeout) = 0;
+
+  /** Reads the rest of the body, at most aLimit bytes. */
+  virtual boost::asio::awaitable<Result<std::string>> ReadAll(
+    Bytes aLimit, Duration aTimeout) = 0;
+
+  /** True if the last body was read whole and the peer keeps it open. */
+  virtual bool IsReusable() const = 0;
+
+  /** Ends whatever is under way with ErrorCode::Cancelled. */
+  virtual void Cancel() = 0;
+};
+
+/**
+ * Connects to a target. ConnectRefused where it cannot be reached; no byte
+ * was sent in that case.
+ */
+boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> ConnectHttp(
+  Endpoint aAddress, Duration aTimeout);
+
+/**
+ * Idle connections by address. Thread safety: any thread.
+ */
+class HttpPool
+{
+public:
+  explicit HttpPool(std::size_t aMaxIdlePerAddress = 64);
+  ~HttpPool();
+
+  /**
+   * An idle connection if there is one, else a new one. A pooled connection
+   * may turn out closed by the peer: then Send fails with ConnectionLost.
+   * Non-idempotent requests use ConnectHttp instead.
+   */
+  boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> Acquire(
+    Endpoint aAddress, Duration aTimeout);
+
+  /** Takes a connection back; closes it unless it is reusable. */
+  void Release(const Endpoint& aAddress,
+               std::unique_ptr<HttpConnection> aConnection);
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+/** Connects, sends, reads a whole response, closes. */
+boost::asio::awaitable<Result<HttpResponse>> FetchOnce(Endpoint aAddress,
+                                                       HttpRequest aRequest,
+                                                       Duration aTimeout,
+                                                       Bytes aLimit = 8 * kMiB);
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/transport/include/carobtide/transport/peer_channel.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+/**
+ * @file
+ * Calls and one-way messages between daemons: frames over TCP, datagrams
+ * over UDP.
+ */
+
+#include "carobtide/transport/frame.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace carobtide {
+
+/** Handles a call; its result is the reply's payload. */
+using PeerCallHandler = std::function<boost::asio::awaitable<std::string>(
+  std::uint16_t aType, std::string aPayload, std::string aPeer)>;
+
+/** Handles a one-way frame or a datagram. Must not block. */
+using PeerMessageHandler = std::function<void(
+  std::uint16_t aType, std::string aPayload, const std::string& aPeer)>;
+
+/**
+ * The TCP and UDP side of one daemon towards its peers.
+ *
+ * A connection per peer address is opened when first needed and again after
+ * it breaks. Messages to a peer that cannot be reached are dropped, never
+ * queued without bound.
+ *
+ * Thread safety: all methods from any thread; handlers run concurrently.
+ */
+class PeerNetwork
+{
+public:
+  PeerNetwork(boost::asio::any_io_executor aExecutor,
+              PeerCallHandler aCallHandler, PeerMessageHandler aMessageHandler);
+  ~PeerNetwork();
+
+  /** Binds TCP and UDP to one address. Port 0 takes a free one. */
+  Result<Unit> Listen(const Endpoint& aAddress);
+  Endpoint Address() const;
+
+  /** Calls a peer and waits for its reply. */
+  boost::asio::awaitable<Result<std::string>> Call(Endpoint aPeer,
+                                                   std::uint16_t aType,
+                                                   std::string aPayload,
+                                                   Duration aTimeout);
+
+  /** Sends a one-way frame over TCP; may be lost. */
+  void Send(const Endpoint& aPeer, std::uint16_t aType, std::string aPayload);
+
+  /** Sends a datagram over UDP; may be lost. At most 1,400 bytes. */
+  void SendDatagram(const Endpoint& aPeer, std::uint16_t aType,
+                    const std::string& aPayload);
+
+  /** Bytes and messages sent so far, for metrics. */
+  std::uint64_t BytesSent() const;
+  std::uint64_t MessagesSent() const;
+
+  /** Closes everything. */
+  void Stop();
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> mImpl;
+};
+
+} // namespace carobtide
