--- /dev/null
+++ b/packages/routing/src/policy.cpp
@@ -0,0 +1,151 @@
+#include "carobtide/routing/policy.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cmath>
+
+namespace carobtide {
+
+namespace {
+
+/** Half-life of what a load report says. */
+constexpr double kReportHalfLifeSeconds = 0.5;
+/** Extra occupancy that a target in another failure domain is charged. */
+constexpr double kRemotePenalty = 0.1;
+/** Most occupancy that a cached prefix or a resident adapter is worth. */
+constexpr double kPrefixBonus = 0.25;
+constexpr double kAdapterBonus = 0.25;
+
+double ReportWeight(Duration aAge)
+{
+  const double seconds = std::chrono::duration<double>(aAge).count();
+  return std::exp2(-std::max(0.0, seconds) / kReportHalfLifeSeconds);
+}
+
+/**
+ * Expected occupancy after taking one more, scaled by slowness; lower is
+ * better. Own attempts and peers' hints count in full; a report counts only
+ * for what it shows beyond them, and the less the older it is.
+ */
+double Score(const Candidate& aCandidate)
+{
+  const double known = aCandidate.mOwnInFlight + aCandidate.mPeerInFlight;
+  const double unseen = std::max(0.0, aCandidate.mReported - known);
+  const double load = known + unseen * ReportWeight(aCandidate.mReportAge);
+  const double slots = std::max(1U, aCandidate.mSlots);
+  double score = (load + 1.0) / slots * aCandidate.mSlowness;
+  score += aCandidate.mSameFailureDomain ? 0.0 : kRemotePenalty;
+  score -= kPrefixBonus * std::clamp(aCandidate.mPrefixHit, 0.0, 1.0);
+  score -= aCandidate.mAdapterResident ? kAdapterBonus : 0.0;
+  return score;
+}
+
+/**
+ * The better of two random candidates (power of two choices, Mitzenmacher),
+ * unless the slower of them is avoidable.
+ */
+class TwoChoicesPolicy final : public TargetPolicy
+{
+public:
+  std::string_view Name() const override { return "two-choices"; }
+
+  std::size_t Choose(std::span<const Candidate> aCandidates,
+                     RandomEngine& aRandom) override
+  {
+    assert(!aCandidates.empty());
+    const std::size_t count = aCandidates.size();
+    if (count == 1) {
+      return 0;
+    }
+    const std::size_t first = aRandom() % count;
+    const std::size_t skip = 1 + aRandom() % (count - 1);
+    const std::size_t second = (first + skip) % count;
+    return Score(aCandidates[second]) < Score(aCandidates[first]) ? second
+                                                                  : first;
+  }
+};
+
+/** Each target in turn: the candidate that was chosen longest ago. */
+class RoundRobinPolicy final : public TargetPolicy
+{
+public:
+  std::string_view Name() const override { return "round-robin"; }
+
+  std::size_t Choose(std::span<const Candidate> aCandidates,
+                     RandomEngine& /*aRandom*/) override
+  {
+    assert(!aCandidates.empty());
+    const auto it =
+      std::ranges::min_element(aCandidates, {}, [this](const Candidate& aIt) {
+        return aIt.mIndex < mTurns.size() ? mTurns[aIt.mIndex] : 0;
+      });
+    if (it->mIndex >= mTurns.size()) {
+      mTurns.resize(it->mIndex + 1, 0);
+    }
+    mTurns[it->mIndex] = ++mTurn;
+    return static_cast<std::size_t>(it - aCandidates.begin());
+  }
+
+private:
+  std::vector<std::uint64_t> mTurns;
+  std::uint64_t mTurn = 0;
+};
+
+/** The least load as last reported; ties are broken at random. */
+class LeastReportedPolicy final : public TargetPolicy
+{
+public:
+  std::string_view Name() const override { return "least-reported"; }
+
+  std::size_t Choose(std::span<const Candidate> aCandidates,
+                     RandomEngine& aRandom) override
+  {
+    assert(!aCandidates.empty());
+    const std::size_t start = aRandom() % aCandidates.size();
+    std::size_t best = start;
+    for (std::size_t it = 0; it < aCandidates.size(); ++it) {
+      const std::size_t place = (start + it) % aCandidates.size();
+      if (aCandidates[place].mReported < aCandidates[best].mReported) {
+        best = place;
+      }
+    }
+    return best;
+  }
+};
+
+template<class Policy>
+std::unique_ptr<TargetPolicy> MakePolicy()
+{
+  return std::make_unique<Policy>();
+}
+
+struct PolicyRow
+{
+  std::string_view mName;
+  std::unique_ptr<TargetPolicy> (*mMake)();
+};
+
+constexpr std::array<PolicyRow, 3> kPolicies{ {
+  { "two-choices", &MakePolicy<TwoChoicesPolicy> },
+  { "round-robin", &MakePolicy<RoundRobinPolicy> },
+  { "least-reported", &MakePolicy<LeastReportedPolicy> },
+} };
+
+} // namespace
+
+std::vector<std::string_view> TargetPolicyNames()
+{
+  std::vector<std::string_view> names;
+  std::ranges::transform(kPolicies, std::back_inserter(names),
+                         &PolicyRow::mName);
+  return names;
+}
+
+std::unique_ptr<TargetPolicy> MakeTargetPolicy(std::string_view aName)
+{
+  const auto it = std::ranges::find(kPolicies, aName, &PolicyRow::mName);
+  return it == kPolicies.end() ? nullptr : it->mMake();
+}
+
+} // namespace carobtide
