Place models: registry, record, controller and planners

The record keeps a memory account per incarnation of a target and refuses, when it is applied, any order that could overcommit memory or remove a replica that another unload relied on. A term begins by a command of its own, so that what a deposed leader proposed and is committed late is refused. Unloads free memory only when settled: at once on targets that check fencing (tokens grow over the orders of one leader too), after the order lifetime on others.

What dies later than any announcement can tell is excused by the checker.

--- a/packages/placement/include/carobtide/placement.hpp
+++ b/packages/placement/include/carobtide/placement.hpp
@@ -10,4 +10,5 @@
 #include "carobtide/placement/order.hpp"
 #include "carobtide/placement/placement.hpp"
 #include "carobtide/placement/planner.hpp"
+#include "carobtide/placement/target_account.hpp"
 #include "carobtide/placement/target_registry.hpp"
--- a/packages/placement/include/carobtide/placement/planner.hpp
+++ b/packages/placement/include/carobtide/placement/planner.hpp
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,6 +38,8 @@
   std::string mPool;
   /** Memory for weights. */
   Bytes mMemory = 0;
+  /** Accelerator-seconds that it serves per second. */
+  double mCapacity = 1.0;
   bool mLeaving = false;
   /** Resident now, or being loaded under a committed order. */
   std::vector<ResidentModel> mHolds;
@@ -51,7 +54,10 @@
   TargetName mTarget;
 };
 
-/** What a planner wants; held copies that it does not name may be unloaded. */
+/**
+ * What a planner wants, most urgent first: a model's weights before its
+ * adapters, first replicas before further ones. Held copies that it does not
+ * name may be unloaded. */
 struct Plan
 {
   std::vector<WantedCopy> mCopies;
--- a/packages/placement/include/carobtide/placement/target_registry.hpp
+++ b/packages/placement/include/carobtide/placement/target_registry.hpp
@@ -35,6 +35,8 @@
   /** When its figures were taken, by this process's clock. */
   Instant mLoadAsOf;
   TargetState mState = TargetState::Live;
+  /** Earlier incarnations, the latest last; their reports are ignored. */
+  std::vector<Incarnation> mReplaced;
 };
 
 /** What an announcement changed. */
@@ -73,6 +75,11 @@
   const std::map<TargetName, TargetRecord>& All() const { return mTargets; }
 
 private:
+  static TargetChange Refresh(Instant aNow, TargetRecord& aRecord,
+                              const Announcement& aAnnouncement);
+  TargetChange Replace(Instant aNow, TargetRecord& aRecord,
+                       const Announcement& aAnnouncement) const;
+
   Duration mTimeout;
   std::map<TargetName, TargetRecord> mTargets;
 };
--- /dev/null
+++ b/packages/placement/src/order_tracker.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+/**
+ * @file
+ * What one leader knows about the delivery of open orders: when it sent them,
+ * under which fencing token, and when no copy of them can be on its way.
+ */
+
+#include "carobtide/placement/placement.hpp"
+
+#include <map>
+#include <optional>
+
+namespace carobtide {
+
+/**
+ * Sends of the open orders, by one leader.
+ *
+ * Thread safety: none; the owner guards it.
+ */
+class OrderTracker
+{
+public:
+  OrderTracker(FencingToken aTerm, Duration aResendInterval,
+               Duration aLifetime);
+
+  /** Follows the record: notes new open orders, forgets settled ones. */
+  void Follow(Instant aNow, const Placement& aPlacement);
+
+  /** True if this leader, or an earlier one, may have sent the order. */
+  bool MayBeSent(const Order& aOrder) const;
+  bool IsSentByThisLeader(OrderId aId) const;
+
+  /** True if the order is due to be sent, for the first time or again. */
+  bool IsDue(Instant aNow, OrderId aId) const;
+
+  /** Notes a send and returns the order with its fencing token. */
+  Order Stamp(Instant aNow, const Order& aOrder);
+
+  /**
+   * True if what was heard at `aHeardAt` tells the final effect of the order:
+   * no copy sent before was still on its way then.
+   */
+  bool IsQuiet(const Order& aOrder, Instant aHeardAt) const;
+
+private:
+  struct Track
+  {
+    TargetIncarnation mTarget;
+    bool mIsUnload = false;
+    Instant mSeenAt;
+    std::optional<Instant> mSentAt;
+    unsigned mSends = 0;
+  };
+
+  FencingToken mTerm;
+  Duration mResendInterval;
+  Duration mLifetime;
+  std::map<OrderId, Track> mTracks;
+  std::map<TargetIncarnation, std::uint64_t> mFenceCounts;
+};
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/placement/src/reconciler.cpp
@@ -0,0 +1,380 @@
+#include "reconciler.hpp"
+
+#include <algorithm>
+
+namespace carobtide {
+
+Reconciler::Reconciler(const Bundle& aBundle, const Plan& aPlan,
+                       ClusterView& aView, LoadAllowance aAllowance,
+                       FencingToken aFence)
+  : mBundle(aBundle)
+  , mPlan(aPlan)
+  , mView(aView)
+  , mAllowance(aAllowance)
+  , mFence(aFence)
+  , mWanted(aView.Targets().size())
+{
+  IndexBundle();
+  IndexPlan();
+}
+
+std::vector<CommitOrder> Reconciler::Run()
+{
+  mIsSettled = mPlan.mUnplaced.empty();
+  PlaceWanted();
+  for (const ModelName& model : mBlocked) {
+    Relocate(model);
+  }
+  CleanUp();
+  return std::move(mOrders);
+}
+
+void Reconciler::IndexBundle()
+{
+  for (const ModelSpec& model : mBundle.mModels) {
+    mSpecs[{ model.mName, {} }] = { model.mVersion, model.mMemory };
+    for (const AdapterSpec& adapter : model.mAdapters) {
+      mSpecs[{ model.mName, adapter.mName }] = { adapter.mVersion,
+                                                 adapter.mMemory };
+    }
+  }
+}
+
+void Reconciler::IndexPlan()
+{
+  for (const WantedCopy& copy : mPlan.mCopies) {
+    if (const auto index = mView.Find(copy.mTarget)) {
+      mWanted[*index].insert({ copy.mModel, copy.mAdapter, copy.mVersion });
+      if (copy.mAdapter.IsEmpty()) {
+        mWantedOn[copy.mModel].push_back(*index);
+      }
+    }
+  }
+}
+
+bool Reconciler::IsWanted(const TargetName& aTarget, const CopyKey& aKey) const
+{
+  const auto index = mView.Find(aTarget);
+  return index && IsWantedAt(*index, aKey);
+}
+
+bool Reconciler::IsWantedAt(Index aTarget, const CopyKey& aKey) const
+{
+  return mWanted[aTarget].contains(aKey);
+}
+
+const Reconciler::SpecOf* Reconciler::Find(const ModelName& aModel,
+                                           const AdapterName& aAdapter) const
+{
+  const auto it = mSpecs.find({ aModel, aAdapter });
+  return it == mSpecs.end() ? nullptr : &it->second;
+}
+
+void Reconciler::PlaceWanted()
+{
+  for (const WantedCopy& copy : mPlan.mCopies) {
+    PlaceCopy(copy);
+  }
+}
+
+void Reconciler::PlaceCopy(const WantedCopy& aCopy)
+{
+  const CopyKey key{ aCopy.mModel, aCopy.mAdapter, aCopy.mVersion };
+  const auto index = mView.Find(aCopy.mTarget);
+  const SpecOf* spec = Find(aCopy.mModel, aCopy.mAdapter);
+  if (!index || spec == nullptr) {
+    mIsSettled = false;
+    return;
+  }
+  const ViewTarget& target = mView.Target(*index);
+  if (const ViewCopy* copy = target.Find(key)) {
+    mIsSettled = mIsSettled && mView.IsServing(*index, *copy);
+    return;
+  }
+  mIsSettled = false;
+  if (!target.IsLive() || !target.mIsFresh) {
+    return;
+  }
+  if (!aCopy.mAdapter.IsEmpty()) {
+    const std::uint32_t version = Find(aCopy.mModel, {})->mVersion;
+    const ViewCopy* weights = target.Find({ aCopy.mModel, {}, version });
+    if (weights == nullptr || !mView.IsServing(*index, *weights)) {
+      return;
+    }
+  }
+  if (target.Free() >= spec->mMemory) {
+    Load(*index, key, spec->mMemory);
+    return;
+  }
+  MakeRoom(*index, spec->mMemory);
+}
+
+void Reconciler::MakeRoom(Index aTarget, Bytes aNeed)
+{
+  const ViewTarget& target = mView.Target(aTarget);
+  Bytes missing = aNeed - target.Free() - target.Unloading();
+  while (missing > 0) {
+    // Obsolete copies first, then the smallest one that is enough.
+    const ViewCopy* victim = nullptr;
+    std::tuple<bool, bool, Bytes> bestRank;
+    for (const ViewCopy& copy : target.mCopies) {
+      if (copy.mState != CopyState::Held || IsWantedAt(aTarget, copy.mKey)) {
+        continue;
+      }
+      if (!MayUnloadWithAdapters(aTarget, copy)) {
+        mBlocked.insert(copy.mKey.mModel);
+        continue;
+      }
+      const bool isEnough = copy.mMemory >= missing;
+      const std::tuple<bool, bool, Bytes> rank{ IsObsolete(aTarget, copy),
+                                                isEnough,
+                                                isEnough ? -copy.mMemory
+                                                         : copy.mMemory };
+      if (victim == nullptr || rank > bestRank) {
+        victim = &copy;
+        bestRank = rank;
+      }
+    }
+    if (victim == nullptr) {
+      return;
+    }
+    const CopyKey key = victim->mKey;
+    if (!Unload(aTarget, key)) {
+      return;
+    }
+    missing = aNeed - target.Free() - target.Unloading();
+  }
+}
+
+Bytes Reconciler::Removable(Index aTarget) const
+{
+  Bytes sum = 0;
+  for (const ViewCopy& copy : mView.Target(aTarget).mCopies) {
+    if (copy.mState == CopyState::Held && !IsWantedAt(aTarget, copy.mKey) &&
+        MayUnloadWithAdapters(aTarget, copy)) {
+      sum += copy.mMemory;
+    }
+  }
+  return sum;
+}
+
+void Reconciler::Relocate(const ModelName& aModel)
+{
+  const ModelSpec* spec = nullptr;
+  const auto it = std::ranges::find(mBundle.mModels, aModel, &ModelSpec::mName);
+  if (it == mBundle.mModels.end()) {
+    return;
+  }
+  spec = &*it;
+  // A load under way will become the witness that is missing.
+  const bool isLoading =
+    std::ranges::any_of(mView.Holders(aModel, {}), [&](Index aTarget) {
+      const ViewCopy* copy =
+        mView.Target(aTarget).Find({ aModel, {}, spec->mVersion });
+      return copy != nullptr && copy->mState == CopyState::Loading;
+    });
+  if (isLoading) {
+    return;
+  }
+  for (const bool hasRoomNow : { true, false }) {
+    for (Index n = 0; n < mView.Targets().size(); ++n) {
+      const ViewTarget& target = mView.Target(n);
+      const bool isInPool = spec->mPool.empty() ||
+                            spec->mPool == target.mRecord->mAnnouncement.mPool;
+      if (!isInPool || !target.IsLive() || !target.mIsFresh ||
+          target.Find({ aModel, {}, spec->mVersion }) != nullptr) {
+        continue;
+      }
+      if (hasRoomNow ? RelocateTo(n, *spec)
+                     : target.Free() + target.Unloading() + Removable(n) >=
+                         spec->mMemory) {
+        if (!hasRoomNow) {
+          MakeRoom(n, spec->mMemory);
+        }
+        return;
+      }
+    }
+  }
+}
+
+bool Reconciler::RelocateTo(Index aTarget, const ModelSpec& aSpec)
+{
+  return mView.Target(aTarget).Free() >= aSpec.mMemory &&
+         Load(aTarget, { aSpec.mName, {}, aSpec.mVersion }, aSpec.mMemory);
+}
+
+bool Reconciler::IsModelDone(const ModelName& aModel) const
+{
+  const auto it = mWantedOn.find(aModel);
+  const SpecOf* spec = Find(aModel, {});
+  return it != mWantedOn.end() && spec != nullptr &&
+         std::ranges::all_of(it->second, [&](Index aTarget) {
+           const ViewCopy* copy =
+             mView.Target(aTarget).Find({ aModel, {}, spec->mVersion });
+           return copy != nullptr && mView.IsServing(aTarget, *copy);
+         });
+}
+
+bool Reconciler::IsObsolete(Index aTarget, const ViewCopy& aCopy) const
+{
+  const SpecOf* spec = Find(aCopy.mKey.mModel, aCopy.mKey.mAdapter);
+  if (spec == nullptr || spec->mVersion != aCopy.mKey.mVersion) {
+    return true;
+  }
+  const bool isOrphan =
+    !aCopy.mKey.mAdapter.IsEmpty() &&
+    std::ranges::none_of(mView.Target(aTarget).mCopies,
+                         [&](const ViewCopy& aOther) {
+                           return aOther.mKey.mModel == aCopy.mKey.mModel &&
+                                  aOther.mKey.mAdapter.IsEmpty();
+                         });
+  return isOrphan;
+}
+
+void Reconciler::CleanUp()
+{
+  for (Index n = 0; n < mView.Targets().size(); ++n) {
+    const ViewTarget& target = mView.Target(n);
+    if (!target.IsLive() || !target.mIsFresh) {
+      continue;
+    }
+    std::vector<CopyKey> obsolete;
+    for (const ViewCopy& copy : target.mCopies) {
+      if (IsObsolete(n, copy)) {
+        mIsSettled = false;
+        const bool isServed = Find(copy.mKey.mModel, {}) != nullptr;
+        if (copy.mState == CopyState::Held &&
+            (!isServed || IsModelDone(copy.mKey.mModel))) {
+          obsolete.push_back(copy.mKey);
+        }
+      }
+    }
+    for (const CopyKey& key : obsolete) {
+      Unload(n, key);
+    }
+  }
+}
+
+Reconciler::Decision Reconciler::MayUnload(Index aTarget,
+                                           const ViewCopy& aCopy) const
+{
+  const ViewTarget& target = mView.Target(aTarget);
+  if (aCopy.mState != CopyState::Held || !target.IsLive() || !target.mIsFresh) {
+    return {};
+  }
+  const SpecOf* spec = Find(aCopy.mKey.mModel, aCopy.mKey.mAdapter);
+  if (spec == nullptr) {
+    return { Permission::Free, std::nullopt };
+  }
+  auto witness = mView.FindWitness(aTarget, aCopy.mKey, spec->mVersion);
+  if (!witness && spec->mVersion != aCopy.mKey.mVersion) {
+    // Before the new version serves anywhere, another old one may stand in.
+    witness = mView.FindWitness(aTarget, aCopy.mKey, std::nullopt);
+  }
+  if (witness) {
+    return { Permission::Witnessed, witness };
+  }
+  const bool isServing = mView.IsServing(aTarget, aCopy);
+  const bool isOrphan =
+    !aCopy.mKey.mAdapter.IsEmpty() && IsObsolete(aTarget, aCopy);
+  if (!isServing && isOrphan) {
+    return { Permission::Free, std::nullopt };
+  }
+  return {};
+}
+
+std::vector<CopyKey> Reconciler::AdaptersBeside(Index aTarget,
+                                                const CopyKey& aKey) const
+{
+  std::vector<CopyKey> adapters;
+  if (!aKey.mAdapter.IsEmpty()) {
+    return adapters;
+  }
+  for (const ViewCopy& copy : mView.Target(aTarget).mCopies) {
+    if (copy.mKey.mModel != aKey.mModel || copy.mKey == aKey) {
+      continue;
+    }
+    if (copy.mKey.mAdapter.IsEmpty()) {
+      if (copy.mState == CopyState::Held) {
+        return {}; // Other weights of the model carry the adapters.
+      }
+    } else if (copy.mState != CopyState::Unloading) {
+      adapters.push_back(copy.mKey);
+    }
+  }
+  return adapters;
+}
+
+bool Reconciler::MayUnloadWithAdapters(Index aTarget,
+                                       const ViewCopy& aCopy) const
+{
+  if (MayUnload(aTarget, aCopy).mPermission == Permission::No) {
+    return false;
+  }
+  const auto adapters = AdaptersBeside(aTarget, aCopy.mKey);
+  return std::ranges::all_of(adapters, [&](const CopyKey& aKey) {
+    const ViewCopy* copy = mView.Target(aTarget).Find(aKey);
+    return MayUnload(aTarget, *copy).mPermission != Permission::No;
+  });
+}
+
+bool Reconciler::Unload(Index aTarget, const CopyKey& aKey)
+{
+  const ViewCopy* copy = mView.Target(aTarget).Find(aKey);
+  if (copy == nullptr || !MayUnloadWithAdapters(aTarget, *copy)) {
+    return false;
+  }
+  std::vector<CopyKey> keys = AdaptersBeside(aTarget, aKey);
+  keys.push_back(aKey);
+  std::vector<CommitOrder> orders;
+  for (const CopyKey& key : keys) {
+    const Decision decision =
+      MayUnload(aTarget, *mView.Target(aTarget).Find(key));
+    orders.push_back({ MakeOrder(aTarget, key, OrderAction::Unload),
+                       SeenOf(aTarget), decision.mWitness });
+  }
+  for (const CopyKey& key : keys) {
+    mView.Target(aTarget).Find(key)->mState = CopyState::Unloading;
+  }
+  std::ranges::move(orders, std::back_inserter(mOrders));
+  return true;
+}
+
+bool Reconciler::Load(Index aTarget, const CopyKey& aKey, Bytes aMemory)
+{
+  std::size_t& left =
+    aKey.mAdapter.IsEmpty() ? mAllowance.mModels : mAllowance.mAdapters;
+  if (left == 0) {
+    return false;
+  }
+  --left;
+  Order order = MakeOrder(aTarget, aKey, OrderAction::Load);
+  order.mMemory = aMemory;
+  mOrders.push_back({ std::move(order), SeenOf(aTarget), std::nullopt });
+  mView.AddLoad(aTarget, aKey, aMemory);
+  return true;
+}
+
+Order Reconciler::MakeOrder(Index aTarget, const CopyKey& aKey,
+                            OrderAction aAction) const
+{
+  const ViewTarget& target = mView.Target(aTarget);
+  Order order;
+  order.mFence = mFence;
+  order.mTarget = target.mId.mTarget;
+  order.mIncarnation = target.mId.mIncarnation;
+  order.mAction = aAction;
+  order.mModel = aKey.mModel;
+  order.mAdapter = aKey.mAdapter;
+  order.mVersion = aKey.mVersion;
+  return order;
+}
+
+TargetView Reconciler::SeenOf(Index aTarget) const
+{
+  const ViewTarget& target = mView.Target(aTarget);
+  return { target.Memory(), target.mRecord->mAnnouncement.mSequence,
+           target.mUnaccounted };
+}
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/placement/tests/placement_fault_test.cpp
@@ -0,0 +1,125 @@
+#include "placement_pump.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace carobtide;
+
+namespace {
+
+constexpr std::size_t kEngines = 6;
+
+Bundle MakeBundle(std::size_t aModels, std::uint32_t aVersion = 1)
+{
+  Bundle bundle;
+  bundle.mName = "desk";
+  bundle.mVersion = aVersion;
+  for (std::size_t n = 0; n < aModels; ++n) {
+    ModelSpec model;
+    model.mName = ModelName("m" + std::to_string(n));
+    model.mVersion = aVersion;
+    model.mPool = "pool";
+    model.mMemory = 20 + static_cast<Bytes>(n % 3) * 5;
+    for (std::size_t i = 0; i < n % 3; ++i) {
+      model.mAdapters.push_back(
+        { AdapterName("a" + std::to_string(i)), aVersion, 1 });
+    }
+    bundle.mModels.push_back(model);
+  }
+  bundle.mStore.mMaxConcurrentLoads = 3;
+  bundle.mStore.mAdapterConcurrency = 5;
+  return bundle;
+}
+
+void AddEngines(PlacementPump& aPump, Bytes aMemory, bool aMixed = true)
+{
+  for (std::size_t n = 0; n < kEngines; ++n) {
+    FakeEngineOptions options;
+    options.mMemory = aMemory;
+    options.mDomain = FailureDomain(std::string(1, "abc"[n % 3]));
+    options.mChecksFencing = aMixed && n % 2 == 0;
+    aPump.AddEngine("t" + std::to_string(n), options);
+  }
+}
+
+DemandTable MakeDemand(std::uint64_t aSeed, std::size_t aModels)
+{
+  RandomEngine random(aSeed);
+  std::uniform_real_distribution<double> load(0.0, 1.2);
+  DemandTable demand;
+  for (std::size_t n = 0; n < aModels; ++n) {
+    const double fast = load(random);
+    demand[ModelName("m" + std::to_string(n))] = { fast, fast };
+  }
+  return demand;
+}
+
+PumpFaults MakeFaults()
+{
+  PumpFaults faults;
+  faults.mOrderLost = 0.2;
+  faults.mOrderTwice = 0.3;
+  faults.mReportLost = 0.2;
+  faults.mRefused = 0.05;
+  faults.mLeaderChange = 0.1;
+  faults.mTargetRestart = 0.005;
+  faults.mTargetSilence = 0.01;
+  faults.mDrain = 0.005;
+  faults.mMaxOrderDelay = std::chrono::seconds(6);
+  faults.mMaxReportDelay = std::chrono::seconds(3);
+  faults.mMaxCommitDelay = std::chrono::seconds(2);
+  return faults;
+}
+
+std::string Join(const std::vector<std::string>& aLines)
+{
+  std::string text = aLines.empty() ? "none" : "";
+  for (std::size_t n = 0; n < std::min<std::size_t>(5, aLines.size()); ++n) {
+    text += aLines[n] + "; ";
+  }
+  return text;
+}
+
+} // namespace
+
+TEST_CASE("a bundle becomes resident without faults")
+{
+  for (const std::string_view planner : PlannerNames()) {
+    PlacementOptions options;
+    options.mPlanner = planner;
+    PlacementPump pump(1, options);
+    AddEngines(pump, 100);
+    pump.SetBundle(MakeBundle(10));
+    INFO(planner);
+    CHECK(pump.RunUntilSettled(120s));
+    CHECK(pump.IsBundleResident());
+    CHECK(Join(pump.Violations()) == "none");
+  }
+}
+
+TEST_CASE("memory, serving and store limits hold under faults")
+{
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    PlacementPump pump(seed);
+    AddEngines(pump, 60 + static_cast<Bytes>(seed % 4) * 15);
+    const Bundle first = MakeBundle(9);
+    pump.SetBundle(first);
+    pump.SetFaults(MakeFaults());
+    for (std::uint64_t n = 0; n < 6; ++n) {
+      pump.SetDemand(MakeDemand(seed * 100 + n, 9));
+      pump.Run(15s);
+    }
+    pump.SetBundle(MakeBundle(9, 2));
+    pump.Run(30s);
+    pump.SetBundle(MakeBundle(9, 3));
+    pump.Run(30s);
+    INFO("seed " << seed);
+    CHECK(Join(pump.Violations()) == "none");
+    pump.SetFaults({});
+    pump.SetDemand({});
+    pump.Run(30s); // Drains under way end, late messages arrive.
+    CHECK(pump.RunUntilSettled(400s));
+    CHECK(pump.IsBundleResident());
+    CHECK(pump.IsCleanedUp());
+    CHECK(Join(pump.Violations()) == "none");
+  }
+}
--- /dev/null
+++ b/packages/placement/tests/placement_pump.cpp
@@ -0,0 +1,372 @@
+#include "placement_pump.hpp"
+
+namespace carobtide {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(100);
+constexpr std::uint64_t kTicksPerReport = 10;
+/** A deposed leader goes on sending for this long. */
+constexpr Duration kLease = std::chrono::seconds(2);
+/** From the start of a drain to the end of the process. */
+constexpr Duration kDrainTime = std::chrono::seconds(20);
+
+/** Greatest age of the announcement that an unload relies on. */
+constexpr Duration kWitnessAge = std::chrono::milliseconds(1500);
+
+double PerTick(double aPerSecond)
+{
+  return aPerSecond * std::chrono::duration<double>(kTick).count();
+}
+
+} // namespace
+
+PlacementPump::PlacementPump(std::uint64_t aSeed, PlacementOptions aOptions)
+  : mRandom(aSeed)
+  , mOptions(std::move(aOptions))
+{
+  ChangeLeader();
+}
+
+FakeEngine& PlacementPump::AddEngine(const std::string& aName,
+                                     FakeEngineOptions aOptions)
+{
+  return mEngines.emplace_back(TargetName(aName), std::move(aOptions));
+}
+
+FakeEngine& PlacementPump::Engine(const std::string& aName)
+{
+  return *std::ranges::find(mEngines, TargetName(aName), &FakeEngine::Name);
+}
+
+void PlacementPump::ChangeLeader()
+{
+  PumpLeader next;
+  next.mTerm = mLeaders.empty() ? 1 : mLeaders.back().mTerm + 1;
+  next.mController =
+    std::make_unique<PlacementController>(mOptions, FencingToken(next.mTerm));
+  if (!mLeaders.empty()) {
+    PumpLeader& last = mLeaders.back();
+    last.mDeposedAt = mNow;
+    last.mStaleRecord = mRecord;
+    // A new leader has heard most of what the last one heard, some later.
+    next.mRegistry = last.mRegistry;
+  }
+  mLeaders.push_back(std::move(next));
+}
+
+void PlacementPump::Run(Duration aTime)
+{
+  for (const Instant end = mNow + aTime; mNow < end;) {
+    Tick();
+  }
+}
+
+bool PlacementPump::RunUntilSettled(Duration aLimit)
+{
+  for (const Instant end = mNow + aLimit; mNow < end;) {
+    Tick();
+    if (mIsSettled && mProposals.empty() && mRecord.OpenOrders().empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::size_t PlacementPump::Sent(OrderAction aAction) const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    mSentOrders, [&](const auto& aEntry) { return aEntry.second == aAction; }));
+}
+
+std::size_t PlacementPump::Replicas(const ModelName& aModel) const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(mEngines, [&](const FakeEngine& aEngine) {
+      return aEngine.Serves(aModel);
+    }));
+}
+
+bool PlacementPump::IsBundleResident() const
+{
+  const auto isHeld = [&](const CopyKey& aKey) {
+    return std::ranges::any_of(
+      mEngines, [&](const FakeEngine& aEngine) { return aEngine.Holds(aKey); });
+  };
+  return std::ranges::all_of(mBundle.mModels, [&](const ModelSpec& aModel) {
+    return isHeld({ aModel.mName, {}, aModel.mVersion }) &&
+           std::ranges::all_of(aModel.mAdapters, [&](const AdapterSpec&
+                                                       aAdapter) {
+             return isHeld({ aModel.mName, aAdapter.mName, aAdapter.mVersion });
+           });
+  });
+}
+
+bool PlacementPump::IsCleanedUp() const
+{
+  const auto isNamed = [&](const ResidentModel& aCopy) {
+    return std::ranges::any_of(mBundle.mModels, [&](const ModelSpec& aModel) {
+      if (aModel.mName != aCopy.mModel) {
+        return false;
+      }
+      if (aCopy.mAdapter.IsEmpty()) {
+        return aModel.mVersion == aCopy.mVersion;
+      }
+      return std::ranges::any_of(aModel.mAdapters,
+                                 [&](const AdapterSpec& aAdapter) {
+                                   return aAdapter.mName == aCopy.mAdapter &&
+                                          aAdapter.mVersion == aCopy.mVersion;
+                                 });
+    });
+  };
+  return std::ranges::all_of(mEngines, [&](const FakeEngine& aEngine) {
+    return std::ranges::all_of(aEngine.Resident(), isNamed);
+  });
+}
+
+bool PlacementPump::Chance(double aProbability)
+{
+  return std::uniform_real_distribution<double>(0.0, 1.0)(mRandom) <
+         aProbability;
+}
+
+Duration PlacementPump::Delay(Duration aMax)
+{
+  return Duration(
+    std::uniform_int_distribution<std::int64_t>(0, aMax.count())(mRandom));
+}
+
+void PlacementPump::Tick()
+{
+  mNow += kTick;
+  ++mTick;
+  InjectFaults();
+  for (FakeEngine& engine : mEngines) {
+    engine.Advance(mNow);
+  }
+  DeliverOrders();
+  if (mTick % kTicksPerReport == 0) {
+    Announce();
+  }
+  DeliverReports();
+  Commit();
+  StepLeaders();
+  Check();
+}
+
+void PlacementPump::InjectFaults()
+{
+  if (Chance(PerTick(mFaults.mLeaderChange))) {
+    ChangeLeader();
+  }
+  for (FakeEngine& engine : mEngines) {
+    const TargetName& name = engine.Name();
+    const bool isDrained = mStopAt.contains(name) && mNow >= mStopAt[name];
+    if (engine.IsUp() &&
+        (isDrained || Chance(PerTick(mFaults.mTargetRestart)))) {
+      Excuse(engine);
+      engine.Stop();
+      mStopAt.erase(name);
+      mStartAt[name] = mNow + std::chrono::seconds(5);
+    }
+    if (!engine.IsUp() && mNow >= mStartAt[name]) {
+      engine.Start();
+    }
+    if (Chance(PerTick(mFaults.mTargetSilence))) {
+      mMutedUntil[name] = mNow + std::chrono::seconds(6);
+    }
+    if (engine.IsUp() && !engine.IsLeaving() &&
+        Chance(PerTick(mFaults.mDrain))) {
+      engine.SetLeaving(true);
+      mStopAt[name] = mNow + kDrainTime;
+    }
+  }
+}
+
+void PlacementPump::Announce()
+{
+  for (FakeEngine& engine : mEngines) {
+    if (!engine.IsUp()) {
+      continue;
+    }
+    const Announcement said = engine.Announce();
+    if (mNow < mMutedUntil[engine.Name()] || Chance(mFaults.mReportLost)) {
+      continue;
+    }
+    mReports.push_back({ mNow + Delay(mFaults.mMaxReportDelay), said });
+  }
+}
+
+void PlacementPump::DeliverReports()
+{
+  std::erase_if(mReports, [&](const ReportInFlight& aReport) {
+    if (aReport.mAt > mNow) {
+      return false;
+    }
+    for (PumpLeader& leader : mLeaders) {
+      leader.mRegistry.Apply(mNow, aReport.mSaid);
+    }
+    return true;
+  });
+  for (PumpLeader& leader : mLeaders) {
+    leader.mRegistry.Expire(mNow);
+  }
+}
+
+void PlacementPump::Commit()
+{
+  std::erase_if(mProposals, [&](const Proposal& aProposal) {
+    if (aProposal.mAt > mNow) {
+      return false;
+    }
+    mRecord.Apply(++mIndex, aProposal.mCommand);
+    return true;
+  });
+}
+
+void PlacementPump::StepLeaders()
+{
+  std::erase_if(mLeaders, [&](const PumpLeader& aLeader) {
+    return aLeader.mStaleRecord && mNow - aLeader.mDeposedAt > kLease;
+  });
+  for (PumpLeader& leader : mLeaders) {
+    StepLeader(leader, leader.mStaleRecord ? *leader.mStaleRecord : mRecord);
+  }
+}
+
+void PlacementPump::StepLeader(PumpLeader& aLeader, const Placement& aRecord)
+{
+  PlacementEffects effects = aLeader.mController->Step(
+    mNow, mBundle, aLeader.mRegistry, aRecord, mDemand);
+  // What a deposed leader proposes just before it learns so may be committed
+  // after the next one has begun.
+  for (PlacementCommand& command : effects.mPropose) {
+    mProposals.push_back(
+      { mNow + Delay(mFaults.mMaxCommitDelay), std::move(command) });
+  }
+  for (const Order& order : effects.mSend) {
+    if (!mSentOrders.contains(order.mId) &&
+        order.mAction == OrderAction::Load && order.mAdapter.IsEmpty()) {
+      mModelSends.push_back(mNow);
+    }
+    mSentOrders[order.mId] = order.mAction;
+    Send(order);
+  }
+  if (!aLeader.mStaleRecord) {
+    mIsSettled = effects.mSettled;
+  }
+}
+
+void PlacementPump::Send(const Order& aOrder)
+{
+  if (!Chance(mFaults.mOrderLost)) {
+    mOrders.push_back({ mNow + Delay(mFaults.mMaxOrderDelay), mNow, aOrder,
+                        Chance(mFaults.mRefused) });
+  }
+  if (Chance(mFaults.mOrderTwice)) {
+    mOrders.push_back({ mNow + Delay(mFaults.mMaxOrderDelay), mNow, aOrder,
+                        Chance(mFaults.mRefused) });
+  }
+}
+
+void PlacementPump::DeliverOrders()
+{
+  std::erase_if(mOrders, [&](const OrderInFlight& aOrder) {
+    if (aOrder.mAt > mNow) {
+      return false;
+    }
+    const auto it =
+      std::ranges::find(mEngines, aOrder.mOrder.mTarget, &FakeEngine::Name);
+    ExcuseUnload(aOrder, *it);
+    it->Deliver(mNow, aOrder.mOrder, aOrder.mIsRefused);
+    return true;
+  });
+}
+
+void PlacementPump::Excuse(const FakeEngine& aEngine)
+{
+  for (const ModelSpec& model : mBundle.mModels) {
+    if (aEngine.Serves(model.mName)) {
+      mLosses.push_back({ model.mName, mNow });
+    }
+  }
+  // Replicas that a committed unload may remove at any time do not count.
+  const auto isStaying = [&](const FakeEngine& aOther,
+                             const ModelName& aModel) {
+    if (&aOther == &aEngine || !aOther.Serves(aModel)) {
+      return false;
+    }
+    return std::ranges::none_of(mRecord.OpenOrders(), [&](const auto& aEntry) {
+      const Order& order = aEntry.second;
+      return order.mTarget == aOther.Name() && order.mModel == aModel &&
+             order.mAction == OrderAction::Unload;
+    });
+  };
+  std::erase_if(mServed, [&](const ModelName& aModel) {
+    return aEngine.Serves(aModel) &&
+           std::ranges::none_of(mEngines, [&](const FakeEngine& aOther) {
+             return isStaying(aOther, aModel);
+           });
+  });
+}
+
+void PlacementPump::ExcuseUnload(const OrderInFlight& aOrder,
+                                 const FakeEngine& aEngine)
+{
+  // No leader can know of a replica that was lost after its target made the
+  // announcement on which the leader relied when it sent the unload.
+  const ModelName& model = aOrder.mOrder.mModel;
+  const Instant known = aOrder.mSentAt - kWitnessAge - mMaxReportDelay;
+  const bool isUnknown = std::ranges::any_of(mLosses, [&](const Loss& aLoss) {
+    return aLoss.mModel == model && aLoss.mAt >= known;
+  });
+  if (isUnknown && aOrder.mOrder.mAction == OrderAction::Unload &&
+      aEngine.Serves(model) && Replicas(model) == 1) {
+    mServed.erase(model);
+  }
+}
+
+void PlacementPump::Check()
+{
+  std::size_t models = 0;
+  std::size_t adapters = 0;
+  const std::string when =
+    " at " + std::to_string(mNow.time_since_epoch() / 1ms) + " ms";
+  for (const FakeEngine& engine : mEngines) {
+    models += engine.ModelLoads();
+    adapters += engine.AdapterLoads();
+    if (engine.IsOvercommitted()) {
+      mViolations.push_back("overcommitted: " + engine.Name().Text() + when);
+    }
+  }
+  if (models > mBundle.mStore.mMaxConcurrentLoads) {
+    mViolations.push_back("too many loads at once" + when);
+  }
+  if (adapters > mBundle.mStore.mAdapterConcurrency) {
+    mViolations.push_back("too many adapter loads at once" + when);
+  }
+  const auto recent = std::ranges::count_if(
+    mModelSends, [&](Instant aAt) { return mNow - aAt < 10s; });
+  const double most = 10.0 * mBundle.mStore.mLoadsPerSecond +
+                      std::max(1.0, mBundle.mStore.mLoadsPerSecond);
+  if (static_cast<double>(recent) > most) {
+    mViolations.push_back("too many loads in ten seconds" + when);
+  }
+  CheckServing();
+}
+
+void PlacementPump::CheckServing()
+{
+  for (const ModelSpec& model : mBundle.mModels) {
+    if (Replicas(model.mName) != 0) {
+      mServed.insert(model.mName);
+    } else if (mServed.contains(model.mName)) {
+      mServed.erase(model.mName);
+      mViolations.push_back("not served: " + model.mName.Text() + " at " +
+                            std::to_string(mNow.time_since_epoch() / 1ms) +
+                            " ms");
+    }
+  }
+}
+
+} // namespace carobtide
