Settings and bundles: checked YAML, registry of bundle versions

Cause: the daemon needs its settings, the bundle's lookups and the replicated decisions on bundle versions.

Change: a YAML reader over yaml-cpp's events that collects every fault with line, column, path and expectation; it refuses unknown and duplicate keys, anchors, aliases, tags and further documents, and bounds size, depth, nodes and faults. ParseDaemonSettings and ParseBundle check ranges, names, addresses and tokens. BundleRegistry: first commit wins, sign-off binds to the digest, successful commands are idempotent, a lower version of a rolled name is superseded and never rolled. Texts of superseded versions are dropped except the last one; waiting versions and remembered digests are bounded.

--- a/packages/bundle/include/carobtide/bundle/bundle.hpp
+++ b/packages/bundle/include/carobtide/bundle/bundle.hpp
@@ -9,8 +9,8 @@
 #include "carobtide/base.hpp"
 #include "carobtide/settings/yaml_reader.hpp"
 
+#include <array>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -71,7 +71,10 @@
   ServiceName mName;
   /** Pool of targets that serve it, e.g. "order-desk". */
   std::string mPool;
-  /** Path prefixes and methods whose calls are idempotent. */
+  /**
+   * Calls that may be repeated: "METHOD /prefix", or "/prefix" for any
+   * method. See IsIdempotentCall.
+   */
   std::vector<std::string> mIdempotentPaths;
   /** True lets a non-idempotent call without a key be tried exactly once. */
   bool mKeyOptional = false;
@@ -117,10 +120,22 @@
   std::uint32_t mAdapterConcurrency = 70;
 };
 
+/** SHA-256 digest of a bearer token and the caller that it names. */
+struct TokenDigest
+{
+  std::array<std::uint8_t, 32> mDigest{};
+  /** Index into Bundle::mCallers. */
+  std::uint32_t mCaller = 0;
+};
+
 /**
  * One version of a bundle.
  *
- * Thread safety: immutable; safe from any thread.
+ * ParseBundle returns it with its indexes built. Whoever fills or changes one
+ * by hand calls BuildIndexes() last; until then lookups scan the lists.
+ *
+ * Thread safety: immutable once the indexes are built; then safe from any
+ * thread.
  */
 struct Bundle
 {
@@ -134,10 +149,15 @@
   std::vector<ClassSpec> mClasses;
   StoreSpec mStore;
 
+  /** Builds the indexes of the lookups below; takes the lists as they are. */
+  void BuildIndexes();
+
+  /** Lookups by name; null if there is none of that name. */
   const ModelSpec* FindModel(const ModelName& aName) const;
   const AdapterSpec* FindAdapter(const ModelName& aModel,
                                  const AdapterName& aAdapter) const;
   const ServiceSpec* FindService(const ServiceName& aName) const;
+  /** Deadlines of a class; defaults if the bundle states none. */
   const ClassSpec& ClassFor(PriorityClass aClass) const;
 
   /**
@@ -145,6 +165,11 @@
    * token in constant time.
    */
   const CallerSpec* FindCallerByToken(std::string_view aToken) const;
+
+  /** Indexes into the lists, ordered by name. */
+  std::vector<std::uint32_t> mModelIndex;
+  std::vector<std::uint32_t> mServiceIndex;
+  std::vector<TokenDigest> mTokenDigests;
 };
 
 /** True if the caller may use the model. */
@@ -154,6 +179,20 @@
 bool IsEntitledToService(const CallerSpec& aCaller,
                          const ServiceName& aService);
 
+/**
+ * True if the bundle lists a call of the service as idempotent.
+ *
+ * `aPath` is the path below the service, with or without query. A prefix
+ * covers whole segments only: "/stock" covers "/stock" and "/stock/7", not
+ * "/stockroom". No method is idempotent unless listed. A path with a percent
+ * escape, a backslash, an empty or a dot segment matches nothing, because the
+ * service may read it as another path than the one compared here.
+ *
+ * Thread safety: any thread.
+ */
+bool IsIdempotentCall(const ServiceSpec& aService, std::string_view aMethod,
+                      std::string_view aPath);
+
 /** Parses and checks a bundle text; either a bundle or every fault. */
 std::variant<Bundle, std::vector<YamlFault>> ParseBundle(
   std::string_view aText);
--- a/packages/bundle/include/carobtide/bundle/registry.hpp
+++ b/packages/bundle/include/carobtide/bundle/registry.hpp
@@ -9,6 +9,8 @@
 #include "carobtide/base.hpp"
 #include "carobtide/bundle/bundle.hpp"
 
+#include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -110,18 +112,49 @@
 /** One stored version. */
 struct BundleRecord
 {
+  /**
+   * The text as submitted. A superseded version loses it, except the one that
+   * was in force last.
+   */
   std::string mText;
+  /** Null where the text is gone. */
   std::shared_ptr<const Bundle> mBundle;
+  Digest mDigest;
   BundleState mState = BundleState::Draft;
   std::string mSubmittedBy;
   std::string mSignedOffBy;
+  std::string mRolledBy;
   /** Set once rolled. */
   Epoch mEpoch;
+
+  /** Everything but the parsed bundle, which is parsed again. */
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mText, mDigest, mState, mSubmittedBy, mSignedOffBy, mRolledBy,
+             mEpoch);
+  }
+};
+
+/** Bounds of the registry. They are part of the replicated decisions. */
+struct BundleLimits
+{
+  /** Most versions that are submitted or signed off and not rolled. */
+  static constexpr std::size_t kMaxOpenVersions = 32;
+  /** Most text of those versions together. */
+  static constexpr Bytes kMaxOpenBytes = 16 * kMiB;
+  /** Most superseded versions whose digests are remembered. */
+  static constexpr std::size_t kMaxSuperseded = 4096;
 };
 
 /**
  * All bundle versions and the one in force.
  *
+ * Every successful command is idempotent: a resend is given the answer that
+ * the first one was given. What is in force never goes back to a lower epoch,
+ * nor to a lower version of the same name. A version below the highest rolled
+ * one of its name is superseded, whether or not it was ever in force.
+ *
  * Thread safety: none; the owner guards it. The bundles handed out are
  * immutable and may outlive the registry.
  */
@@ -136,7 +169,9 @@
 
   /**
    * Rolls to a bundle heard from a peer instead of the log (daemons without a
-   * disk). Returns false and changes nothing unless the epoch is higher.
+   * disk). Returns false and changes nothing unless the epoch is higher and
+   * the text parses. Kept beside the replicated state: snapshots lack it, and
+   * it yields once the log reaches its epoch.
    */
   bool Adopt(Epoch aEpoch, const std::string& aText);
 
@@ -162,9 +197,34 @@
 private:
   using Key = std::pair<std::string, std::uint64_t>;
 
+  /** A version taken from a peer; its epoch is zero if there is none. */
+  struct Adopted
+  {
+    Key mKey;
+    BundleRecord mRecord;
+  };
+
+  BundleOutcome Decide(std::uint64_t aIndex, const SubmitBundle& aCommand);
+  BundleOutcome Decide(std::uint64_t aIndex, const SignOffBundle& aCommand);
+  BundleOutcome Decide(std::uint64_t aIndex, const RollBundle& aCommand);
+  BundleOutcome Decide(std::uint64_t aIndex, const FinishRoll& aCommand);
+
+  /** The highest rolled version of a name; zero if none was. */
+  std::uint64_t HighestRolled(const std::string& aName) const;
+  /** True if another open version of that many bytes would exceed a bound. */
+  bool IsFull(std::size_t aTextBytes) const;
+  void PutInForce(const Key& aKey, std::uint64_t aIndex);
+  void ForgetOldest();
+  const BundleRecord* CurrentRecord() const;
+
   std::map<Key, BundleRecord> mRecords;
+  /** Superseded versions, oldest first. */
+  std::deque<Key> mSuperseded;
+  /** Names ever rolled and the highest version of each. */
+  std::map<std::string, std::uint64_t> mHighestRolled;
   Key mCurrentKey;
   Epoch mEpoch;
+  Adopted mAdopted;
 };
 
 } // namespace carobtide
--- a/packages/settings/include/carobtide/settings/daemon_settings.hpp
+++ b/packages/settings/include/carobtide/settings/daemon_settings.hpp
@@ -79,6 +79,10 @@
   Duration mLedgerRetention = std::chrono::hours(24);
   /** Most keys that the ledger keeps. */
   std::int64_t mLedgerMaxKeys = 1'000'000;
+  /** Largest answer that the ledger stores for replay. */
+  Bytes mLedgerMaxAnswerBytes = 256 * kKiB;
+  /** Most memory of all keys and stored answers together. */
+  Bytes mLedgerMaxTotalBytes = 512 * kMiB;
   /** Seed of this daemon's random choices; 0 takes one from the system. */
   std::uint64_t mSeed = 0;
 };
--- a/packages/settings/include/carobtide/settings/yaml_reader.hpp
+++ b/packages/settings/include/carobtide/settings/yaml_reader.hpp
@@ -9,6 +9,7 @@
 #include "carobtide/base.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -39,7 +40,8 @@
  * Every accessor records a fault in the document when the text does not have
  * what is asked for, and returns the default; callers check Faults() once at
  * the end. Each map key that no accessor asked for is reported as unknown by
- * YamlDocument::Faults().
+ * YamlDocument::Faults(). Anchors, aliases, tags and several documents are
+ * faults, as are duplicate keys; size, depth and nodes of a text are bounded.
  *
  * Thread safety: none.
  */
@@ -72,16 +74,33 @@
   bool BooleanOr(bool aDefault) const;
 
   /** A duration with unit: "250us", "20ms", "3s", "5m", "8h". */
-  Duration DurationOr(Duration aDefault) const;
+  Duration DurationOr(Duration aDefault, Duration aMin = Duration::zero(),
+                      Duration aMax = Duration::max()) const;
 
   /** A size with unit: "512B", "64KiB", "10MiB", "24GiB". */
-  Bytes RequiredSize() const;
-  Bytes SizeOr(Bytes aDefault) const;
+  Bytes RequiredSize(Bytes aMin = 0,
+                     Bytes aMax = std::numeric_limits<Bytes>::max()) const;
+  Bytes SizeOr(Bytes aDefault, Bytes aMin = 0,
+               Bytes aMax = std::numeric_limits<Bytes>::max()) const;
+
+  /**
+   * A name: 1 to 128 letters, digits, dots, hyphens and underscores. Records
+   * a fault if it is absent or has other characters.
+   */
+  std::string RequiredName() const;
+
+  /** An "IP:PORT" address; records a fault if it is absent or none. */
+  Endpoint RequiredEndpoint() const;
+
+  /** The elements of a list of texts; empty if absent. */
+  std::vector<std::string> TextItems() const;
 
   /** Records a fault at this node. */
   void AddFault(std::string aExpected) const;
 
 private:
+  friend class YamlDocument;
+
   std::shared_ptr<State> mState;
 };
 
@@ -102,8 +121,7 @@
   std::vector<YamlFault> Faults() const;
 
 private:
-  struct State;
-  std::unique_ptr<State> mState;
+  std::shared_ptr<YamlNode::State> mRoot;
 };
 
 } // namespace carobtide
