Ledger: claim, settle and expire idempotency keys

Cause: a reservation, order or refund runs at most once, whichever daemon its resends reach.

Change: the replicated state machine. A claim that is committed twice is granted to the same attempt only; a release also bars a claim of its attempt that is committed later; the claims of a process that is gone become unknown and it is granted no more. Open claims never expire. Settled keys expire in the order of settling, by ledger time: only the growth of the leader's clock counts, at most ten minutes a command, so that a wrong clock cannot drop keys early. Limits are replicated (SetLedgerLimits), because replicas with different settings would decide differently. Answers above the bounds complete their key without a body.

--- a/packages/ledger/include/carobtide/ledger/ledger.hpp
+++ b/packages/ledger/include/carobtide/ledger/ledger.hpp
@@ -8,12 +8,13 @@
 
 #include "carobtide/base.hpp"
 
+#include <cstddef>
 #include <cstdint>
-#include <list>
-#include <map>
+#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -40,13 +41,15 @@
   std::uint16_t mStatus = 0;
   std::string mContentType;
   std::string mBody;
+  /** True if the body was too large to store; then it is empty. */
+  bool mBodyOmitted = false;
 
   bool operator==(const StoredAnswer&) const = default;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mStatus, mContentType, mBody);
+    aArchive(mStatus, mContentType, mBody, mBodyOmitted);
   }
 };
 
@@ -73,7 +76,7 @@
   ClaimantId mClaimant;
   /** Distinguishes the attempts of one claimant. */
   std::uint64_t mAttempt = 0;
-  /** Wall time in microseconds, for retention only. */
+  /** Wall time in microseconds, for people who read the log. */
   std::int64_t mWallMicros = 0;
 
   template<class Archive>
@@ -98,7 +101,11 @@
   }
 };
 
-/** Frees a key: no byte of the request can have reached a target. */
+/**
+ * Frees a key: no byte of the request can have reached a target, now or later.
+ * Also keeps a claim of this attempt from being granted if it is committed
+ * after the release.
+ */
 struct ReleaseKey
 {
   LedgerKey mKey;
@@ -126,9 +133,16 @@
   }
 };
 
-/** Drops keys claimed before a wall time (retention). */
+/**
+ * Lets the ledger's time pass and drops settled keys past their retention.
+ *
+ * The leader commits one at least every kMaxExpiryStep. Only the growth of the
+ * given time since the last such command counts, and at most kMaxExpiryStep of
+ * it, so that a leader whose clock is wrong cannot drop keys early.
+ */
 struct ExpireKeys
 {
+  /** The leader's wall time in microseconds, with any constant offset. */
   std::int64_t mBeforeWallMicros = 0;
 
   template<class Archive>
@@ -138,8 +152,67 @@
   }
 };
 
+/** Most ledger time that one ExpireKeys lets pass. */
+inline constexpr Duration kMaxExpiryStep = std::chrono::minutes(10);
+
+/**
+ * Settles all open claims of a daemon process that is gone as unknown, and
+ * grants it no further claim. A process that was taken for gone claims again
+ * under a new incarnation.
+ */
+struct AbandonClaimant
+{
+  ClaimantId mClaimant;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mClaimant);
+  }
+};
+
+/** Bounds of the store. */
+struct LedgerLimits
+{
+  std::size_t mMaxKeys = 1'000'000;
+  /** Larger bodies are not stored; see StoredAnswer::mBodyOmitted. */
+  Bytes mMaxAnswerBytes = 256 * kKiB;
+  /** Most memory of all keys and answers together. */
+  Bytes mMaxTotalBytes = 512 * kMiB;
+  /** Settled keys are kept for this long in ledger time. */
+  Duration mRetention = std::chrono::hours(24);
+
+  bool operator==(const LedgerLimits&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    auto maxKeys = static_cast<std::uint64_t>(mMaxKeys);
+    std::int64_t retention = mRetention.count();
+    aArchive(maxKeys, mMaxAnswerBytes, mMaxTotalBytes, retention);
+    mMaxKeys = static_cast<std::size_t>(maxKeys);
+    mRetention = Duration(retention);
+  }
+};
+
+/**
+ * Replaces the bounds on every replica at once. A leader commits it when
+ * Ledger::Limits() differ from its settings. Nothing is dropped for it.
+ */
+struct SetLedgerLimits
+{
+  LedgerLimits mLimits;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mLimits);
+  }
+};
+
 using LedgerCommand =
-  std::variant<ClaimKey, CompleteKey, ReleaseKey, AbandonKey, ExpireKeys>;
+  std::variant<ClaimKey, CompleteKey, ReleaseKey, AbandonKey, ExpireKeys,
+               AbandonClaimant, SetLedgerLimits>;
 
 /** What a command came to. */
 enum class LedgerVerdict : std::uint8_t
@@ -154,9 +227,12 @@
   Conflict,
   /** The store is full; nothing was claimed. */
   Full,
-  /** Complete, release or abandon took effect. */
+  /** The command took effect, now or when it was first applied. */
   Settled,
-  /** The attempt no longer holds the key; nothing changed. */
+  /**
+   * The attempt does not hold the key, or its claimant was abandoned or the
+   * attempt released; nothing changed.
+   */
   Stale,
 };
 
@@ -184,27 +260,32 @@
   }
 };
 
-/** Bounds of the store. All replicas must use the same. */
-struct LedgerLimits
-{
-  std::size_t mMaxKeys = 1'000'000;
-  Bytes mMaxAnswerBytes = 256 * kKiB;
-  Bytes mMaxTotalBytes = 512 * kMiB;
-};
-
 /**
  * The record of idempotency keys.
  *
- * Invariants: at most one Granted verdict between a key's first claim and its
- * release or expiry; a released key was never dispatched; a completed key
- * never changes until it expires.
+ * Invariants: between a key's first claim and its release or expiry, Granted
+ * is given to one attempt only (again to that very attempt if its claim is
+ * committed twice); a released key was never dispatched; a completed key never
+ * changes until it expires; an open claim never expires.
+ *
+ * All replicas start from the same limits and apply the same commands.
  *
  * Thread safety: none; the owner guards it.
  */
 class Ledger
 {
 public:
+  /** Takes one block of a snapshot. */
+  using BlockSink = std::function<void(std::string_view aBlock)>;
+  /** Gives the next block of a snapshot; nothing after the last one. */
+  using BlockSource = std::function<std::optional<std::string_view>()>;
+
   explicit Ledger(LedgerLimits aLimits = {});
+  ~Ledger();
+  Ledger(Ledger&&) noexcept;
+  Ledger& operator=(Ledger&&) noexcept;
+  Ledger(const Ledger&) = delete;
+  Ledger& operator=(const Ledger&) = delete;
 
   /** Applies a committed command. Deterministic. */
   LedgerOutcome Apply(const LedgerCommand& aCommand);
@@ -212,30 +293,35 @@
   /** Number of keys held. */
   std::size_t Size() const;
 
+  /** Number of claims that are not settled. */
+  std::size_t OpenClaims() const;
+
+  /** Processes with open claims, for the search for those that are gone. */
+  std::vector<ClaimantId> OpenClaimants() const;
+
+  /** Memory of all keys and answers as counted against the limits. */
+  Bytes TotalBytes() const;
+
+  const LedgerLimits& Limits() const;
+
   /** Serializes the whole state for a snapshot, and restores it. */
   std::string Save() const;
   Result<Unit> Load(const std::string& aSnapshot);
 
+  /**
+   * The same in blocks of about kLedgerBlockBytes, so that neither side needs
+   * the snapshot in one piece. A failed load changes nothing.
+   */
+  void SaveBlocks(const BlockSink& aSink) const;
+  Result<Unit> LoadBlocks(const BlockSource& aSource);
+
 private:
-  enum class KeyState : std::uint8_t
-  {
-    Claimed,
-    Completed,
-    Unknown,
-  };
-  struct Entry
-  {
-    KeyState mState = KeyState::Claimed;
-    Digest mContent;
-    ClaimantId mClaimant;
-    std::uint64_t mAttempt = 0;
-    std::int64_t mWallMicros = 0;
-    StoredAnswer mAnswer;
-  };
+  class Store;
 
-  LedgerLimits mLimits;
-  std::map<LedgerKey, Entry> mEntries;
-  Bytes mTotalBytes = 0;
+  std::unique_ptr<Store> mStore;
 };
 
+/** Size from which on a block of a ledger snapshot is closed. */
+inline constexpr std::size_t kLedgerBlockBytes = 64 * kKiB;
+
 } // namespace carobtide
