--- a/packages/consensus/include/carobtide/consensus/messages.hpp
+++ b/packages/consensus/include/carobtide/consensus/messages.hpp
@@ -68,12 +68,17 @@
   bool mSuccess = false;
   /** On success the last index known to match, else a hint to back off to. */
   std::uint64_t mMatchIndex = 0;
+  /** On failure the previous index that did not match. */
+  std::uint64_t mRejectedIndex = 0;
   std::int64_t mSentAtMicros = 0;
+  /** False from a replica whose disk failed: it counts in no quorum. */
+  bool mDurable = true;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mTerm, mSuccess, mMatchIndex, mSentAtMicros);
+    aArchive(mTerm, mSuccess, mMatchIndex, mRejectedIndex, mSentAtMicros,
+             mDurable);
   }
 };
 
--- a/packages/consensus/include/carobtide/consensus/replicated_log.hpp
+++ b/packages/consensus/include/carobtide/consensus/replicated_log.hpp
@@ -35,6 +35,10 @@
   Bytes mSnapshotChunkBytes = 256 * kKiB;
   /** A snapshot is asked for once this many entries were applied. */
   std::uint64_t mSnapshotInterval = 10'000;
+  /** Entries kept in memory behind a snapshot, for followers that lag. */
+  std::uint64_t mTrailingEntries = 1'000;
+  /** A learner that lags by more entries than this is not promoted. */
+  std::uint64_t mPromotionLag = 1'000;
   /** A dead voter is replaced by a spare after this long. */
   Duration mDeadVoterTimeout = std::chrono::seconds(10);
 };
@@ -86,13 +90,14 @@
 {
 public:
   /**
-   * Starts a replica from what its disk holds. `aInitial` is used only when
+   * Starts a replica from what its disk holds. The first effects carry the
+   * recovered snapshot, if any, as mRestore. `aInitial` is used only when
    * the disk holds neither snapshot nor entries; every initial voter must be
    * given the same. Precondition: `aRecovered.mReplica` is not zero.
    */
-  ReplicatedLog(GroupId aGroup, RecoveredState aRecovered, Membership aInitial,
-                ReplicatedLogOptions aOptions, Instant aNow,
-                std::uint64_t aSeed);
+  ReplicatedLog(GroupId aGroup, RecoveredState aRecovered,
+                const Membership& aInitial, ReplicatedLogOptions aOptions,
+                Instant aNow, std::uint64_t aSeed);
   ~ReplicatedLog();
   ReplicatedLog(ReplicatedLog&&) noexcept;
   ReplicatedLog& operator=(ReplicatedLog&&) noexcept;
@@ -125,7 +130,8 @@
    * or role). InvalidState while another is under way, or where a learner to
    * be promoted has not caught up.
    */
-  Result<std::uint64_t> ProposeMembership(Instant aNow, Membership aMembership,
+  Result<std::uint64_t> ProposeMembership(Instant aNow,
+                                          const Membership& aMembership,
                                           LogEffects& aEffects);
 
   /** Hands leadership to the most caught-up voter, or to a given one. */
@@ -156,7 +162,10 @@
    */
   bool HasLease(Instant aNow) const;
 
-  /** On the leader: when a member last answered; nothing if never. */
+  /**
+   * On the leader: when a member with a working disk last answered; nothing
+   * if never since this replica became leader.
+   */
   std::optional<Instant> LastContact(ReplicaId aReplica) const;
 
   /** On the leader: the last index known to be stored by a member. */
