--- /dev/null
+++ b/packages/placement/benchmark/placement_attainment.cpp
@@ -0,0 +1,49 @@
+/**
+ * @file
+ * Attainment and moves of the planners over a seeded demand trace, with the
+ * store's limits, against bounds that know the whole trace in advance. Serving
+ * is idealized (a maximum flow from models to targets, each second), equally
+ * for all planners: this compares placements, not routing.
+ */
+
+#include "attainment.hpp"
+
+#include <cstdio>
+#include <cstdlib>
+
+using namespace carobtide;
+
+namespace {
+
+constexpr std::size_t kSeconds = 3600;
+constexpr std::uint64_t kSeeds = 5;
+
+void Compare(const Deployment& aDeployment, double aUtilization)
+{
+  std::printf("%s: %zu models, %zu targets, mean demand %.0f %% of capacity\n",
+              aDeployment.mName.c_str(), aDeployment.mModels,
+              aDeployment.mTargets, 100.0 * aUtilization);
+  std::printf("  %-14s %10s %9s %9s %9s %8s %9s\n", "planner", "attainment",
+              "of bound", "per acc.", "crest", "moves", "of bound");
+  for (const std::string_view planner : PlannerNames()) {
+    AttainmentSum sum;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      sum.Add(RunTrace(planner, aDeployment, aUtilization, kSeconds, seed));
+    }
+    std::printf("  %-14s %10.4f %9.4f %9.4f %9.4f %8.1f %9.2f\n",
+                std::string(planner).c_str(), sum.Attainment(),
+                sum.Attainment() / sum.Bound(), sum.PerAccelerator(),
+                sum.Crest(), sum.Moves(), sum.Moves() / sum.MoveBound());
+  }
+}
+
+} // namespace
+
+int main()
+{
+  for (const double utilization : { 0.5, 0.7, 0.85 }) {
+    Compare(Sanglerie(), utilization);
+    Compare(LanternReef(), utilization);
+  }
+  return 0;
+}
--- a/packages/placement/src/greedy_planner.cpp
+++ b/packages/placement/src/greedy_planner.cpp
@@ -2,12 +2,15 @@
 #include "planners.hpp"
 
 #include <algorithm>
+#include <queue>
 
 namespace carobtide {
 
 namespace {
 
-/** Places replicas in proportion to the last demand, on empty targets. */
+using Index = Packing::Index;
+
+/** Replicas in proportion to the last demand, counted anew each time. */
 class GreedyPlanner final : public Planner
 {
 public:
@@ -15,11 +18,23 @@
 
   Plan MakePlan(const PlannerInput& aInput) override
   {
-    Packing packing(aInput, false);
+    Packing packing(aInput, true);
+    DropExcess(packing);
+    const std::vector<std::size_t> counts = CountReplicas(packing, aInput);
+    for (Index m = 0; m < packing.Models().size(); ++m) {
+      while (packing.Models()[m].mTargets.size() > counts[m]) {
+        packing.Remove(m, packing.Models()[m].mTargets.back());
+      }
+    }
     PlaceFirstReplicas(packing);
-    bool hasGrown = true;
-    while (hasGrown) {
-      hasGrown = AddMostLoaded(packing, aInput);
+    for (const Index m : packing.BySize()) {
+      while (packing.Models()[m].mTargets.size() < counts[m]) {
+        const auto room = FindRoom(packing, m);
+        if (!room) {
+          break;
+        }
+        packing.Add(m, *room);
+      }
     }
     return packing.ToPlan();
   }
@@ -34,36 +49,33 @@
     return it == aInput.mDemand->end() ? 0.0 : it->second.mFast;
   }
 
-  /** One round: a replica more for each model above the mean per replica. */
-  static bool AddMostLoaded(Packing& aPacking, const PlannerInput& aInput)
+  /** Hands out the memory of all targets to the highest load per replica. */
+  static std::vector<std::size_t> CountReplicas(const Packing& aPacking,
+                                                const PlannerInput& aInput)
   {
-    std::vector<std::pair<double, Packing::Index>> order;
-    for (const Packing::Index m : aPacking.BySize()) {
-      const Packing::Model& model = aPacking.Models()[m];
-      const std::size_t n = model.mTargets.size();
-      const double load = LoadOf(aInput, model.mSpec->mName);
-      if (n != 0 && n < model.mMaxReplicas && load > 0.0) {
-        order.emplace_back(load / static_cast<double>(n), m);
-      }
+    Bytes memory = 0;
+    for (const Packing::Target& target : aPacking.Targets()) {
+      memory += target.mTarget->mMemory;
     }
-    std::ranges::stable_sort(order, [](const auto& aLeft, const auto& aRight) {
-      return aLeft.first > aRight.first;
-    });
-    if (order.empty()) {
-      return false;
+    std::vector<std::size_t> counts(aPacking.Models().size(), 1);
+    std::priority_queue<std::pair<double, Index>> queue;
+    for (Index m = 0; m < counts.size(); ++m) {
+      memory -= aPacking.Models()[m].mFootprint;
+      queue.emplace(LoadOf(aInput, aPacking.Models()[m].mSpec->mName), m);
     }
-    const double bar = order.front().first / 2;
-    bool hasGrown = false;
-    for (const auto& [load, m] : order) {
-      if (hasGrown && load < bar) {
-        break;
-      }
-      if (const auto room = FindRoom(aPacking, m)) {
-        aPacking.Add(m, *room);
-        hasGrown = true;
+    while (!queue.empty()) {
+      const auto [load, m] = queue.top();
+      queue.pop();
+      const Packing::Model& model = aPacking.Models()[m];
+      if (load <= 0.0 || counts[m] >= model.mMaxReplicas ||
+          model.mFootprint > memory) {
+        continue;
       }
+      const auto n = static_cast<double>(counts[m]++);
+      memory -= model.mFootprint;
+      queue.emplace(load * n / (n + 1.0), m);
     }
-    return hasGrown;
+    return counts;
   }
 };
 
