Demand planner: give up replicas relative to the needier model

A replica could be taken only where the rest stayed below 60 % utilization; at high load none did, so that saturated models got nothing. Now the rest may rise to 0.2 below the level of the model that takes the place.

--- a/packages/placement/benchmark/placement_attainment.cpp
+++ b/packages/placement/benchmark/placement_attainment.cpp
@@ -18,14 +18,15 @@
 constexpr std::size_t kSeconds = 3600;
 constexpr std::uint64_t kSeeds = 5;
 
-void Compare(const Deployment& aDeployment, double aUtilization)
+void Compare(const Deployment& aDeployment, double aUtilization,
+             const std::vector<std::string_view>& aPlanners)
 {
   std::printf("%s: %zu models, %zu targets, mean demand %.0f %% of capacity\n",
               aDeployment.mName.c_str(), aDeployment.mModels,
               aDeployment.mTargets, 100.0 * aUtilization);
   std::printf("  %-14s %10s %9s %9s %9s %8s %9s\n", "planner", "attainment",
               "of bound", "per acc.", "crest", "moves", "of bound");
-  for (const std::string_view planner : PlannerNames()) {
+  for (const std::string_view planner : aPlanners) {
     AttainmentSum sum;
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
       sum.Add(RunTrace(planner, aDeployment, aUtilization, kSeconds, seed));
@@ -39,11 +40,16 @@
 
 } // namespace
 
-int main()
+/** Arguments, if any, name the planners to run. */
+int main(int argc, char** argv)
 {
+  std::vector<std::string_view> planners(argv + 1, argv + argc);
+  if (planners.empty()) {
+    planners = PlannerNames();
+  }
   for (const double utilization : { 0.5, 0.7, 0.85 }) {
-    Compare(Sanglerie(), utilization);
-    Compare(LanternReef(), utilization);
+    Compare(Sanglerie(), utilization, planners);
+    Compare(LanternReef(), utilization, planners);
   }
   return 0;
 }
--- a/packages/placement/src/demand_planner.cpp
+++ b/packages/placement/src/demand_planner.cpp
@@ -17,6 +17,9 @@
 /** Utilization below which a replica may be taken away. */
 constexpr double kLowLevel = 0.6;
 
+/** How far below the model that takes its place a model must stay. */
+constexpr double kSwapMargin = 0.2;
+
 /** Least fall of a model's utilization that is worth a load. */
 constexpr double kLeastGain = 0.1;
 
@@ -161,14 +164,18 @@
     }
   }
 
-  /** True if the others can carry the model's load without this replica. */
-  bool IsReclaimable(Index aModel, Index aTarget) const
+  /**
+   * True if the others can carry the model's load without this replica, and
+   * stay clearly below the level of the model that takes its place.
+   */
+  bool IsReclaimable(Index aModel, Index aTarget, double aLevel) const
   {
     const Packing::Model& model = mPacking.Models()[aModel];
     const std::size_t least =
       std::max<std::size_t>(1, model.mSpec->mMinReplicas);
     if (model.mTargets.size() <= least ||
-        mSplit.LevelWithout(aModel, aTarget) > kLowLevel) {
+        mSplit.LevelWithout(aModel, aTarget) >
+          std::max(kLowLevel, aLevel - kSwapMargin)) {
       return false;
     }
     // The rest must not fall back into one failure domain.
@@ -184,13 +191,14 @@
 
   bool CanMakeRoom(Index aModel, Index aTarget) const
   {
+    const double level = mSplit.Level(aModel);
     Bytes free = mPacking.Targets()[aTarget].mFree;
     const Bytes need = mPacking.Models()[aModel].mFootprint;
     if (free >= need) {
       return true;
     }
     for (const Index victim : mPacking.Targets()[aTarget].mModels) {
-      if (IsReclaimable(victim, aTarget)) {
+      if (IsReclaimable(victim, aTarget, level)) {
         free += mPacking.Models()[victim].mFootprint;
       }
     }
@@ -203,10 +211,11 @@
    */
   bool MakeRoom(Index aModel, Index aTarget)
   {
+    const double level = mSplit.Level(aModel);
     while (!mPacking.Fits(aModel, aTarget)) {
       std::optional<Index> victim;
       for (const Index m : mPacking.Targets()[aTarget].mModels) {
-        if (IsReclaimable(m, aTarget) &&
+        if (IsReclaimable(m, aTarget, level) &&
             (!victim ||
              mSplit.Share(m, aTarget) < mSplit.Share(*victim, aTarget))) {
           victim = m;
