--- a/packages/placement/src/demand_planner.cpp
+++ b/packages/placement/src/demand_planner.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <queue>
+#include <tuple>
 
 namespace carobtide {
 
@@ -54,6 +56,7 @@
     while (mMovesLeft > 0 && Grow()) {
       mSplit.Settle(1);
     }
+    Fill();
     return mPacking.ToPlan();
   }
 
@@ -155,6 +158,34 @@
     return true;
   }
 
+  /**
+   * Puts further replicas into memory that nothing else takes: second ones
+   * first, then by load per replica. They widen what each target can serve.
+   */
+  void Fill()
+  {
+    std::priority_queue<std::tuple<bool, double, Index>> queue;
+    const auto push = [&](Index aModel) {
+      const Packing::Model& model = mPacking.Models()[aModel];
+      const std::size_t n = model.mTargets.size();
+      if (n != 0 && n < model.mMaxReplicas) {
+        queue.emplace(n == 1, mSplit.Load(aModel) / static_cast<double>(n),
+                      aModel);
+      }
+    };
+    for (Index m = 0; m < mPacking.Models().size(); ++m) {
+      push(m);
+    }
+    while (mMovesLeft > 0 && !queue.empty()) {
+      const Index m = std::get<Index>(queue.top());
+      queue.pop();
+      if (const auto room = FindRoom(mPacking, m)) {
+        AddReplica(m, *room);
+        push(m);
+      }
+    }
+  }
+
   void AddReplica(Index aModel, Index aTarget)
   {
     mPacking.Add(aModel, aTarget);
