Demand planner: settled load estimate, smaller margins; tests and model

The estimate of how load spreads was taken after three rounds, before it had settled, so that margins had to cover its error. With ten rounds a replica is added from 90 % utilization on and for a gain of 0.05, and taken for a margin of 0.1. A model with less than 0.05 accelerators of load makes way for any other: a test at a crest found that quiet models held their second replicas since the saturated model itself filled their targets.

--- a/packages/placement/src/demand_planner.cpp
+++ b/packages/placement/src/demand_planner.cpp
@@ -14,19 +14,22 @@
 using Index = Packing::Index;
 
 /** Utilization above which a model gets another replica. */
-constexpr double kHighLevel = 0.8;
+constexpr double kHighLevel = 0.9;
 
 /** Utilization below which a replica may be taken away. */
 constexpr double kLowLevel = 0.6;
 
 /** How far below the model that takes its place a model must stay. */
-constexpr double kSwapMargin = 0.2;
+constexpr double kSwapMargin = 0.1;
+
+/** Load, in accelerators, below which a model makes way for any other. */
+constexpr double kQuietLoad = 0.05;
 
 /** Least fall of a model's utilization that is worth a load. */
-constexpr double kLeastGain = 0.1;
+constexpr double kLeastGain = 0.05;
 
 /** Rounds over all models in which the estimated split settles. */
-constexpr unsigned kSplitRounds = 3;
+constexpr unsigned kSplitRounds = 10;
 
 /** Loads that one plan may add beyond first replicas, per target. */
 constexpr double kMovesPerTarget = 1.0 / 16;
@@ -204,9 +207,10 @@
     const Packing::Model& model = mPacking.Models()[aModel];
     const std::size_t least =
       std::max<std::size_t>(1, model.mSpec->mMinReplicas);
+    const bool isQuiet = mSplit.Load(aModel) < kQuietLoad;
     if (model.mTargets.size() <= least ||
-        mSplit.LevelWithout(aModel, aTarget) >
-          std::max(kLowLevel, aLevel - kSwapMargin)) {
+        (!isQuiet && mSplit.LevelWithout(aModel, aTarget) >
+                       std::max(kLowLevel, aLevel - kSwapMargin))) {
       return false;
     }
     // The rest must not fall back into one failure domain.
