--- a/packages/consensus/include/carobtide/consensus/messages.hpp
+++ b/packages/consensus/include/carobtide/consensus/messages.hpp
@@ -106,7 +106,9 @@
 {
   std::uint64_t mTerm = 0;
   std::uint64_t mIndex = 0;
-  /** The offset that the follower wants next. */
+  /** The offset of the chunk that this answers. */
+  std::uint64_t mOffset = 0;
+  /** The offset that the follower wants next; lower after its restart. */
   std::uint64_t mNextOffset = 0;
   bool mDone = false;
   std::int64_t mSentAtMicros = 0;
@@ -114,7 +116,7 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mTerm, mIndex, mNextOffset, mDone, mSentAtMicros);
+    aArchive(mTerm, mIndex, mOffset, mNextOffset, mDone, mSentAtMicros);
   }
 };
 
--- a/packages/consensus/src/replica.hpp
+++ b/packages/consensus/src/replica.hpp
@@ -69,7 +69,7 @@
   struct IncomingSnapshot
   {
     std::uint64_t mIndex = 0;
-    std::uint64_t mTerm = 0;
+    std::uint64_t mLeaderTerm = 0;
     std::string mState;
   };
 
--- a/packages/consensus/src/snapshot_transfer.cpp
+++ b/packages/consensus/src/snapshot_transfer.cpp
@@ -80,9 +80,10 @@
     return;
   }
   const bool complete = TakeChunk(aRequest);
-  SendOnceDurable(aFrom, SnapshotReply{ Term(), aRequest.mIndex,
-                                        mIncoming->mState.size(), complete,
-                                        aRequest.mSentAtMicros });
+  SendOnceDurable(aFrom,
+                  SnapshotReply{ Term(), aRequest.mIndex, aRequest.mOffset,
+                                 mIncoming->mState.size(), complete,
+                                 aRequest.mSentAtMicros });
   if (complete) {
     Install(aRequest);
     Acknowledge(aFrom, aRequest.mIndex, aRequest.mSentAtMicros, false);
@@ -91,10 +92,11 @@
 
 bool ReplicatedLog::Impl::TakeChunk(const SnapshotRequest& aRequest)
 {
+  // Two leaders may encode the same state differently.
   const bool same = mIncoming && mIncoming->mIndex == aRequest.mIndex &&
-                    mIncoming->mTerm == aRequest.mSnapshotTerm;
+                    mIncoming->mLeaderTerm == aRequest.mTerm;
   if (!same) {
-    mIncoming = IncomingSnapshot{ aRequest.mIndex, aRequest.mSnapshotTerm, {} };
+    mIncoming = IncomingSnapshot{ aRequest.mIndex, aRequest.mTerm, {} };
   }
   if (aRequest.mOffset != mIncoming->mState.size()) {
     return false;
@@ -143,9 +145,10 @@
     return;
   }
   SnapshotTransfer& transfer = progress.Transfer();
-  const bool advanced = aReply.mNextOffset > transfer.mOffset;
+  // Only the answer to the latest chunk tells where the follower stands.
+  const bool current = aReply.mOffset == transfer.mOffset;
   const bool valid = aReply.mNextOffset <= transfer.mSnapshot->mState.size();
-  if (valid && (advanced || aReply.mNextOffset == 0)) {
+  if (current && valid) {
     transfer.mOffset = aReply.mNextOffset;
     SendChunk(aFrom, progress);
   }
