Admit, classify, share, hedge and quarantine

A FIFO queue alone lets long and patient work delay short interactive work, and a slowed or crashing target drags its callers along. Splits the router into parts with one job each: target table, selector, callers' limits and shares, queue, work classes, length predictor, budgets, latency tracker, prefix index, crash watch, suspects and quarantine.

--- a/packages/routing/include/carobtide/routing/router.hpp
+++ b/packages/routing/include/carobtide/routing/router.hpp
@@ -37,6 +37,11 @@
   double mShortReserve = 0.1;
   /** Daemons that share the targets, for limits kept per daemon. */
   std::uint32_t mDaemons = 1;
+  /**
+   * True turns admission off, as a baseline: every request goes out at once,
+   * whatever is in flight, and is neither classed, hedged nor refused early.
+   */
+  bool mPlainFifo = false;
 };
 
 /** Counters for metrics and tests. */
@@ -46,7 +51,10 @@
   std::uint64_t mRefused = 0;
   std::uint64_t mRetries = 0;
   std::uint64_t mHedges = 0;
+  std::uint64_t mProbes = 0;
   std::uint64_t mQuarantined = 0;
+  /** Refused after they were queued. */
+  std::uint64_t mDropped = 0;
   std::size_t mQueued = 0;
   std::size_t mInFlight = 0;
 };
@@ -79,7 +87,10 @@
   /** The first byte of an attempt's answer arrived. */
   RouterEffects OnFirstByte(Instant aNow, AttemptId aAttempt);
 
-  /** Some generated tokens of an attempt arrived. */
+  /**
+   * Some generated tokens of an attempt arrived. An answer that is not
+   * streamed is reported once, whole, before OnFinished.
+   */
   void OnTokens(Instant aNow, AttemptId aAttempt, std::uint32_t aTokens);
 
   /**
--- a/packages/routing/include/carobtide/routing/target_table.hpp
+++ b/packages/routing/include/carobtide/routing/target_table.hpp
@@ -48,14 +48,16 @@
   std::uint32_t mReported = 0;
   Instant mReportedAt;
   Instant mHeardAt;
-  /** This daemon's attempts there; long and batch ones also counted apart. */
+  /** This daemon's attempts there; long ones also counted apart. */
   std::uint32_t mOwnInFlight = 0;
   std::uint32_t mOwnLong = 0;
-  std::uint32_t mOwnBatch = 0;
-  /** Sum of what peers hinted. */
+  /** Sums of what peers hinted. */
   std::uint32_t mPeerInFlight = 0;
+  std::uint32_t mPeerLong = 0;
   /** After refused connections nothing is sent before this time. */
   Instant mAvoidUntil;
+  /** When a shunned target was last tried again. */
+  Instant mProbedAt;
   /** Consecutive refused connections. */
   std::uint32_t mRefusals = 0;
   LatencyTracker mLatency;
@@ -136,6 +138,9 @@
   /** Usable targets of a route. Spans are valid until the next change. */
   RouteTargets Targets(RouteIndex aRoute);
 
+  /** Appends the routes of a model's adapters; nothing for other routes. */
+  void AppendAdapters(RouteIndex aBase, std::vector<RouteIndex>& aOut) const;
+
   TargetEntry& At(TargetIndex aIndex) { return mTargets[aIndex]; }
   const TargetEntry& At(TargetIndex aIndex) const { return mTargets[aIndex]; }
   TargetIndex Find(const TargetName& aName) const;
@@ -162,6 +167,8 @@
     std::uint32_t mWantedVersion = 0;
     /** For an adapter, its model's route; used while nothing holds it. */
     RouteIndex mBase = kNoRoute;
+    /** For a model, the routes of its adapters. */
+    std::vector<RouteIndex> mAdapters;
     bool mDirty = true;
   };
 
--- a/packages/routing/include/carobtide/routing/types.hpp
+++ b/packages/routing/include/carobtide/routing/types.hpp
@@ -52,6 +52,8 @@
   Endpoint mAddress;
   /** True if another attempt of the request is still running. */
   bool mHedge = false;
+  /** Goes with the request to the target; 0 is most urgent. */
+  std::uint8_t mUrgency = 0;
 };
 
 /** Answer the caller that the request was not run. */
@@ -119,11 +121,13 @@
 {
   TargetName mTarget;
   std::uint32_t mInFlight = 0;
+  /** How many of them are long. */
+  std::uint32_t mLong = 0;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mTarget, mInFlight);
+    aArchive(mTarget, mInFlight, mLong);
   }
 };
 
--- a/packages/routing/src/latency_tracker.cpp
+++ b/packages/routing/src/latency_tracker.cpp
@@ -8,9 +8,12 @@
 namespace {
 
 constexpr double kFastWeight = 0.3;
+/** Weight of a sample that is far better than the average: a recovery. */
+constexpr double kRecoveryWeight = 0.6;
+constexpr double kRecoveryFactor = 0.5;
 constexpr double kSlowWeight = 0.03;
 /** Time constants, in seconds, of the drift without samples. */
-constexpr double kFastDrift = 1.5;
+constexpr double kFastDrift = 5.0;
 constexpr double kSlowDrift = 60.0;
 
 double DriftTowards(double aValue, double aGoal, double aSeconds,
@@ -42,7 +45,9 @@
   const double ratio = std::clamp(aRatio, kFastest, kSlowest);
   const double fast = FastAt(aNow);
   const double slow = SlowAt(aNow);
-  mFast = fast + kFastWeight * (ratio - fast);
+  const bool isRecovery = ratio < kRecoveryFactor * fast;
+  const double weight = isRecovery ? kRecoveryWeight : kFastWeight;
+  mFast = fast + weight * (ratio - fast);
   mSlow = slow + kSlowWeight * (ratio - slow);
   mUpdated = std::max(mUpdated, aNow);
   mSamples = std::min<std::uint32_t>(mSamples + 1, 1'000'000);
--- /dev/null
+++ b/packages/routing/src/peer_hints.cpp
@@ -0,0 +1,52 @@
+#include "carobtide/routing/peer_hints.hpp"
+
+#include <algorithm>
+
+namespace carobtide {
+
+void PeerHints::Replace(Instant aNow, const DaemonName& aPeer,
+                        const std::vector<InFlightHint>& aHints,
+                        TargetTable& aTargets)
+{
+  Peer& peer = mPeers[aPeer];
+  Withdraw(peer, aTargets);
+  peer.mHeardAt = aNow;
+  peer.mRows.clear();
+  for (const InFlightHint& hint : aHints) {
+    const TargetIndex index = aTargets.Find(hint.mTarget);
+    if (index == kNoTarget) {
+      continue;
+    }
+    TargetEntry& target = aTargets.At(index);
+    target.mPeerInFlight += hint.mInFlight;
+    target.mPeerLong += hint.mLong;
+    peer.mRows.push_back({ index, hint.mTarget, hint.mInFlight, hint.mLong });
+  }
+}
+
+bool PeerHints::Expire(Instant aNow, TargetTable& aTargets)
+{
+  const auto count = std::erase_if(mPeers, [&](const auto& aPeer) {
+    if (aPeer.second.mHeardAt + kLifetime > aNow) {
+      return false;
+    }
+    Withdraw(aPeer.second, aTargets);
+    return true;
+  });
+  return count > 0;
+}
+
+void PeerHints::Withdraw(const Peer& aPeer, TargetTable& aTargets)
+{
+  for (const Row& it : aPeer.mRows) {
+    TargetEntry& target = aTargets.At(it.mTarget);
+    // The entry may have been given to another target since.
+    if (target.mName != it.mName) {
+      continue;
+    }
+    target.mPeerInFlight -= std::min(target.mPeerInFlight, it.mInFlight);
+    target.mPeerLong -= std::min(target.mPeerLong, it.mLong);
+  }
+}
+
+} // namespace carobtide
--- a/packages/routing/src/policy.cpp
+++ b/packages/routing/src/policy.cpp
@@ -31,7 +31,8 @@
 double Score(const Candidate& aCandidate)
 {
   const double known = aCandidate.mOwnInFlight + aCandidate.mPeerInFlight;
-  const double unseen = std::max(0.0, aCandidate.mReported - known);
+  const double unseen =
+    std::max(0.0, static_cast<double>(aCandidate.mReported) - known);
   const double load = known + unseen * ReportWeight(aCandidate.mReportAge);
   const double slots = std::max(1U, aCandidate.mSlots);
   double score = (load + 1.0) / slots * aCandidate.mSlowness;
@@ -42,8 +43,9 @@
 }
 
 /**
- * The better of two random candidates (power of two choices, Mitzenmacher),
- * unless the slower of them is avoidable.
+ * The better of two random candidates (power of two choices, Mitzenmacher).
+ * The first is drawn from this failure domain if it has any; a candidate that
+ * holds more of the prompt than both is weighed as a third.
  */
 class TwoChoicesPolicy final : public TargetPolicy
 {
@@ -58,11 +60,39 @@
     if (count == 1) {
       return 0;
     }
-    const std::size_t first = aRandom() % count;
+    const std::size_t first = DrawFirst(aCandidates, aRandom);
     const std::size_t skip = 1 + aRandom() % (count - 1);
     const std::size_t second = (first + skip) % count;
-    return Score(aCandidates[second]) < Score(aCandidates[first]) ? second
-                                                                  : first;
+    const std::size_t better = Better(aCandidates, first, second);
+    const auto cached =
+      std::ranges::max_element(aCandidates, {}, &Candidate::mPrefixHit);
+    return Better(aCandidates, better,
+                  static_cast<std::size_t>(cached - aCandidates.begin()));
+  }
+
+private:
+  static std::size_t Better(std::span<const Candidate> aCandidates,
+                            std::size_t aFirst, std::size_t aSecond)
+  {
+    const bool isSecond =
+      Score(aCandidates[aSecond]) < Score(aCandidates[aFirst]);
+    return isSecond ? aSecond : aFirst;
+  }
+
+  static std::size_t DrawFirst(std::span<const Candidate> aCandidates,
+                               RandomEngine& aRandom)
+  {
+    const auto local = static_cast<std::size_t>(
+      std::ranges::count(aCandidates, true, &Candidate::mSameFailureDomain));
+    if (local == 0) {
+      return aRandom() % aCandidates.size();
+    }
+    std::size_t left = aRandom() % local;
+    const auto it =
+      std::ranges::find_if(aCandidates, [&left](const Candidate& aCandidate) {
+        return aCandidate.mSameFailureDomain && left-- == 0;
+      });
+    return static_cast<std::size_t>(it - aCandidates.begin());
   }
 };
 
--- /dev/null
+++ b/packages/routing/src/route_stats.cpp
@@ -0,0 +1,80 @@
+#include "carobtide/routing/route_stats.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace carobtide {
+
+namespace {
+
+constexpr double kLearningWeight = 0.05;
+/** Deviations above the mean that count as late. */
+constexpr double kLateDeviations = 4.0;
+/** Windows of the demand, in seconds. */
+constexpr double kFastWindow = 10.0;
+constexpr double kSlowWindow = 300.0;
+constexpr double kLeastSeconds = 1e-6;
+
+/** The first samples weigh more, so that the initial guess soon fades. */
+double WeightOf(std::uint32_t aSamples)
+{
+  return std::max(kLearningWeight, 1.0 / (aSamples + 1.0));
+}
+
+double Decayed(double aRate, Instant aAsOf, Instant aNow, double aWindow)
+{
+  const double seconds = std::chrono::duration<double>(aNow - aAsOf).count();
+  return aRate * std::exp(-std::max(0.0, seconds) / aWindow);
+}
+
+} // namespace
+
+void RouteStats::LearnFirstByte(double aSeconds)
+{
+  const double weight = WeightOf(mFirstBytes++);
+  const double error = aSeconds - mFirstByte;
+  mFirstByte = std::max(kLeastSeconds, mFirstByte + weight * error);
+  mFirstByteDeviation += weight * (std::abs(error) - mFirstByteDeviation);
+}
+
+void RouteStats::Learn(const AttemptTiming& aTiming)
+{
+  const double weight = WeightOf(mSamples++);
+  mMean += weight * (aTiming.mWholeSeconds - mMean);
+  mMean = std::max(kLeastSeconds, mMean);
+  if (aTiming.mTokens > 0.0) {
+    const double generating =
+      std::max(0.0, aTiming.mWholeSeconds - aTiming.mFirstByteSeconds);
+    const double perToken = generating / aTiming.mTokens;
+    mToken = std::max(kLeastSeconds, mToken + weight * (perToken - mToken));
+  }
+}
+
+double RouteStats::LateFirstByteSeconds() const
+{
+  return mFirstByte + kLateDeviations * mFirstByteDeviation;
+}
+
+double RouteStats::ExpectedSeconds(double aTokens) const
+{
+  return mFirstByte + aTokens * mToken;
+}
+
+void DemandMeter::Add(Instant aNow, double aAcceleratorSeconds)
+{
+  mFast = Fast(aNow) + aAcceleratorSeconds / kFastWindow;
+  mSlow = Slow(aNow) + aAcceleratorSeconds / kSlowWindow;
+  mAsOf = std::max(mAsOf, aNow);
+}
+
+double DemandMeter::Fast(Instant aNow) const
+{
+  return Decayed(mFast, mAsOf, aNow, kFastWindow);
+}
+
+double DemandMeter::Slow(Instant aNow) const
+{
+  return Decayed(mSlow, mAsOf, aNow, kSlowWindow);
+}
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/routing/src/router_impl.hpp
@@ -0,0 +1,180 @@
+#pragma once
+
+/**
+ * @file
+ * The router's parts and how they act together. Split over router_admission,
+ * router_attempts, router_hedging and router_suspects.
+ */
+
+#include "carobtide/routing/caller_table.hpp"
+#include "carobtide/routing/crash_watch.hpp"
+#include "carobtide/routing/length_predictor.hpp"
+#include "carobtide/routing/peer_hints.hpp"
+#include "carobtide/routing/prefix_cache_index.hpp"
+#include "carobtide/routing/quarantine.hpp"
+#include "carobtide/routing/request_queue.hpp"
+#include "carobtide/routing/route_stats.hpp"
+#include "carobtide/routing/router.hpp"
+#include "carobtide/routing/suspect_queue.hpp"
+#include "carobtide/routing/target_selector.hpp"
+#include "carobtide/routing/target_table.hpp"
+#include "carobtide/routing/traffic_budget.hpp"
+#include "request_table.hpp"
+
+#include <map>
+#include <string_view>
+#include <vector>
+
+namespace carobtide {
+
+class Router::Impl
+{
+public:
+  explicit Impl(RouterOptions aOptions);
+
+  // Admission and queue.
+  void SetBundle(std::shared_ptr<const Bundle> aBundle);
+  RouterEffects OnAnnouncement(Instant aNow, const Announcement& aTarget);
+  RouterEffects OnTargetSilent(Instant aNow, const TargetName& aTarget);
+  RouterEffects Admit(Instant aNow, const RequestFacts& aFacts);
+  RouterEffects OnCallerGone(Instant aNow, RequestId aRequest);
+  RouterEffects Tick(Instant aNow);
+
+  // Attempts.
+  RouterEffects OnFirstByte(Instant aNow, AttemptId aAttempt);
+  void OnTokens(Instant aNow, AttemptId aAttempt, std::uint32_t aTokens);
+  RouterEffects OnFinished(Instant aNow, AttemptId aAttempt, AttemptEnd aEnd,
+                           bool aDelivered);
+
+  // Suspects.
+  RouterEffects OnQuarantine(Instant aNow, const Digest& aFingerprint);
+
+  // Views.
+  void OnPeerHints(Instant aNow, const DaemonName& aPeer,
+                   const std::vector<InFlightHint>& aHints);
+  std::vector<InFlightHint> Hints() const;
+  void OnCacheEvent(Instant aNow, const CacheEvent& aEvent);
+  DemandTable Demand(Instant aNow) const;
+  bool IsReachable(const ModelName& aModel);
+  RouterStats Stats() const;
+
+private:
+  /** A target that is being cleared for a suspect. */
+  struct Isolation
+  {
+    RequestId mRequest;
+    TargetIndex mTarget = kNoTarget;
+    Instant mSince;
+  };
+
+  // Admission and queue: router_admission.cpp.
+  RouteIndex FindRoute(const RequestFacts& aFacts) const;
+  void Refuse(RequestId aRequest, ErrorCode aCode, Duration aRetryAfter,
+              std::string_view aDetail, RouterEffects& aEffects);
+  /** Refuses if nothing of it ever ran, else fails; then forgets it. */
+  void EndUnanswered(Instant aNow, RequestId aRequest, ErrorCode aCode,
+                     std::string_view aDetail, RouterEffects& aEffects);
+  RequestRecord& Record(Instant aNow, const RequestFacts& aFacts,
+                        RouteIndex aRoute, CallerIndex aCaller);
+  void Enqueue(RequestRecord& aRequest, bool aFront);
+  bool MakeRoom(Instant aNow, const QueueKey& aKey, RouterEffects& aEffects);
+  double WaitSeconds(const RequestRecord& aRequest) const;
+  double ShareAmongWaiting(const QueueKey& aKey) const;
+  bool CanMeetDeadlines(Instant aNow, const RequestRecord& aRequest,
+                        double aWaitSeconds) const;
+  Duration RetryAfter(double aWaitSeconds);
+  /** Dispatches what waits, of one target's routes or, with kNoTarget, all. */
+  void Drain(Instant aNow, TargetIndex aTarget, RouterEffects& aEffects);
+  void DrainClass(Instant aNow, WorkClass aClass, RouterEffects& aEffects);
+  bool DispatchFront(Instant aNow, const QueueKey& aKey,
+                     RouterEffects& aEffects);
+  void DropExpired(Instant aNow, RouterEffects& aEffects);
+  void PromoteBatch(Instant aNow);
+  void NoteDemand(Instant aNow, const RequestRecord& aRequest);
+
+  // Attempts: router_attempts.cpp.
+  TargetIndex Select(Instant aNow, const RequestRecord& aRequest);
+  AttemptId Dispatch(Instant aNow, RequestRecord& aRequest, TargetIndex aTarget,
+                     RouterEffects& aEffects);
+  void RemoveAttempt(Instant aNow, AttemptId aAttempt);
+  void CancelOthers(Instant aNow, RequestRecord& aRequest, AttemptId aWinner,
+                    RouterEffects& aEffects);
+  void EndRequest(Instant aNow, RequestId aRequest, RouterEffects& aEffects);
+  void LearnFromWhole(Instant aNow, const AttemptRecord& aAttempt,
+                      const RequestRecord& aRequest);
+  void NoteRefused(Instant aNow, TargetIndex aTarget, RouterEffects& aEffects);
+  void RetryOrFail(Instant aNow, RequestRecord& aRequest, AttemptEnd aEnd,
+                   bool aDelivered, RouterEffects& aEffects);
+  /** Puts a request back in front, or among the suspects if it is one. */
+  void Requeue(Instant aNow, RequestRecord& aRequest, RouterEffects& aEffects);
+  void Fail(Instant aNow, RequestId aRequest, ErrorCode aCode,
+            std::string_view aDetail, RouterEffects& aEffects);
+  double ExpectedFirstByte(const RequestRecord& aRequest) const;
+  RouteStats& StatsOf(RouteIndex aRoute);
+  const RouteStats& StatsOf(RouteIndex aRoute) const;
+
+  // Hedges and probes: router_hedging.cpp.
+  void NotePending(Instant aNow);
+  void StartHedges(Instant aNow, RouterEffects& aEffects);
+  bool MayHedge(const RequestRecord& aRequest) const;
+  Duration HedgeDelay(const RequestRecord& aRequest) const;
+  void StartProbe(Instant aNow, RequestRecord& aRequest,
+                  RouterEffects& aEffects);
+
+  // Suspects: router_suspects.cpp.
+  void NoteLost(Instant aNow, const AttemptRecord& aAttempt,
+                RequestRecord& aRequest, bool aDelivered,
+                RouterEffects& aEffects);
+  void Apply(Instant aNow, const CrashVerdict& aVerdict,
+             RouterEffects& aEffects);
+  void Convict(Instant aNow, const Digest& aFingerprint,
+               RouterEffects& aEffects);
+  void EndQuarantined(Instant aNow, const Digest& aFingerprint,
+                      RouterEffects& aEffects);
+  void MakeSuspect(Instant aNow, RequestRecord& aRequest, bool aHadFirstByte,
+                   RouterEffects& aEffects);
+  void RunSuspects(Instant aNow, RouterEffects& aEffects);
+  TargetIndex ChooseIsolated(Instant aNow, const RequestRecord& aRequest);
+  void ReleaseIsolation(RequestId aRequest);
+
+  RouterOptions mOptions;
+  RandomEngine mRandom;
+  std::shared_ptr<const Bundle> mBundle;
+  TargetTable mTargets;
+  TargetSelector mSelector;
+  CallerTable mCallers;
+  LengthPredictor mLengths;
+  PrefixCacheIndex mPrefixes;
+  PeerHints mPeers;
+  RequestQueue mQueue;
+  TrafficBudget mRetryBudget;
+  TrafficBudget mHedgeBudget;
+  Quarantine mQuarantine;
+  CrashWatch mCrashes;
+  SuspectQueue mSuspects;
+  std::optional<Isolation> mIsolation;
+  RequestTable mRequests;
+  AttemptTable mAttempts;
+  std::vector<RouteStats> mRouteStats;
+  std::map<ModelName, DemandMeter> mDemand;
+  std::vector<QueueKey> mKeys;
+  std::vector<RouteIndex> mDrainRoutes;
+  std::uint64_t mLastAttempt = 0;
+  RouterStats mStats;
+};
+
+/** Seconds of a duration, for rates and expectations. */
+inline double ToSeconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+/** A duration from seconds, at most a year. */
+inline Duration FromSeconds(double aSeconds)
+{
+  constexpr double kYear = 365.0 * 24 * 3600;
+  const double seconds = aSeconds < kYear ? aSeconds : kYear;
+  return Duration(static_cast<std::int64_t>(seconds * 1e6));
+}
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/routing/src/router_views.cpp
@@ -0,0 +1,67 @@
+// What the router shares with others and takes from them: hints, cache
+// events, demand and counters.
+#include "router_impl.hpp"
+
+#include <algorithm>
+
+namespace carobtide {
+
+void Router::Impl::OnPeerHints(Instant aNow, const DaemonName& aPeer,
+                               const std::vector<InFlightHint>& aHints)
+{
+  mPeers.Replace(aNow, aPeer, aHints, mTargets);
+}
+
+std::vector<InFlightHint> Router::Impl::Hints() const
+{
+  std::vector<InFlightHint> hints;
+  for (TargetIndex it = 0; it < mTargets.Size(); ++it) {
+    const TargetEntry& target = mTargets.At(it);
+    // Peers see an exclusive target as full, so that they leave it alone.
+    const std::uint32_t inFlight =
+      target.mExclusive ? std::max(target.mSlots, target.mOwnInFlight)
+                        : target.mOwnInFlight;
+    if (inFlight > 0) {
+      hints.push_back({ target.mName, inFlight, target.mOwnLong });
+    }
+  }
+  return hints;
+}
+
+void Router::Impl::OnCacheEvent(Instant aNow, const CacheEvent& aEvent)
+{
+  const TargetIndex target = mTargets.Find(aEvent.mTarget);
+  if (target == kNoTarget) {
+    return;
+  }
+  if (aEvent.mEvicted) {
+    mPrefixes.Erase(target, aEvent.mPrefixHash);
+  } else {
+    mPrefixes.Insert(aNow, target, aEvent.mPrefixHash);
+  }
+}
+
+DemandTable Router::Impl::Demand(Instant aNow) const
+{
+  DemandTable table;
+  for (const auto& [model, meter] : mDemand) {
+    table[model] = ModelDemand{ meter.Fast(aNow), meter.Slow(aNow) };
+  }
+  return table;
+}
+
+bool Router::Impl::IsReachable(const ModelName& aModel)
+{
+  const RouteIndex route = mTargets.FindModelRoute(aModel, AdapterName());
+  return route != kNoRoute && !mTargets.Targets(route).IsEmpty();
+}
+
+RouterStats Router::Impl::Stats() const
+{
+  RouterStats stats = mStats;
+  stats.mQueued = mQueue.Size();
+  stats.mInFlight = mAttempts.size();
+  return stats;
+}
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/routing/src/target_selector.cpp
@@ -0,0 +1,155 @@
+#include "carobtide/routing/target_selector.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace carobtide {
+
+namespace {
+
+/** Candidates of both lists that fit without another allocation. */
+constexpr std::size_t kReserve = 2 * TargetSelector::kWindow;
+
+SlotUse UseOf(const TargetEntry& aTarget, double aSlowness)
+{
+  const double speed = aSlowness >= TargetSelector::kShunned ? aSlowness : 1.0;
+  const double slots = std::floor(aTarget.mSlots / speed);
+  SlotUse use;
+  use.mSlots = std::max(1U, static_cast<std::uint32_t>(slots));
+  use.mOwn = aTarget.mOwnInFlight;
+  use.mOwnLong = aTarget.mOwnLong;
+  use.mOthers = aTarget.mPeerInFlight;
+  use.mOthersLong = aTarget.mPeerLong;
+  return use;
+}
+
+bool Contains(std::span<const TargetIndex> aList, TargetIndex aIndex)
+{
+  return std::ranges::find(aList, aIndex) != aList.end();
+}
+
+} // namespace
+
+TargetSelector::TargetSelector(std::string_view aPolicy, SlotRules aRules,
+                               std::uint64_t aSeed)
+  : mPolicy(MakeTargetPolicy(aPolicy))
+  , mRules(aRules)
+  , mRandom(aSeed)
+{
+  if (mPolicy == nullptr) {
+    mPolicy = MakeTargetPolicy("two-choices");
+  }
+  mCandidates.reserve(kReserve);
+}
+
+TargetIndex TargetSelector::Choose(Instant aNow,
+                                   const SelectionRequest& aRequest,
+                                   TargetTable& aTargets,
+                                   const PrefixCacheIndex& aPrefixes)
+{
+  const RouteTargets lists = aTargets.Targets(aRequest.mRoute);
+  const PrefixMatches prefixes = aPrefixes.Find(aNow, aRequest.mPrefixHashes);
+  mCandidates.clear();
+  bool hasHealthy = Gather(aNow, aRequest, lists.mLocal, aTargets, prefixes);
+  hasHealthy |= Gather(aNow, aRequest, lists.mRemote, aTargets, prefixes);
+  if (mCandidates.empty()) {
+    hasHealthy |= Gather(aNow, aRequest, lists.mFallback, aTargets, prefixes);
+  }
+  if (hasHealthy) {
+    DropShunned(aRequest);
+  }
+  if (mCandidates.empty()) {
+    return kNoTarget;
+  }
+  return mCandidates[mPolicy->Choose(mCandidates, mRandom)].mIndex;
+}
+
+bool TargetSelector::Gather(Instant aNow, const SelectionRequest& aRequest,
+                            std::span<const TargetIndex> aList,
+                            const TargetTable& aTargets,
+                            const PrefixMatches& aPrefixes)
+{
+  const std::size_t count = aList.size();
+  const std::size_t first = mCandidates.size();
+  const std::size_t start = count > kWindow ? mRandom() % count : 0;
+  bool hasHealthy = false;
+  for (std::size_t it = 0; it < count; ++it) {
+    const bool isEnough = it >= kWindow && mCandidates.size() > first;
+    if (isEnough && !aRequest.mIgnoreSlots) {
+      break;
+    }
+    const TargetIndex index = aList[(start + it) % count];
+    const TargetEntry& target = aTargets.At(index);
+    const double slowness = target.mLatency.Slowness(aNow);
+    hasHealthy |= slowness < kShunned && !target.mExclusive;
+    if (IsUsable(aNow, aRequest, target, slowness) &&
+        !Contains(aRequest.mTried, index)) {
+      Add(aNow, index, target, slowness, aPrefixes.ShareOf(index));
+    }
+  }
+  return hasHealthy;
+}
+
+void TargetSelector::Add(Instant aNow, TargetIndex aIndex,
+                         const TargetEntry& aTarget, double aSlowness,
+                         double aPrefixHit)
+{
+  Candidate& candidate = mCandidates.emplace_back();
+  candidate.mIndex = aIndex;
+  candidate.mOwnInFlight = aTarget.mOwnInFlight;
+  candidate.mPeerInFlight = aTarget.mPeerInFlight;
+  candidate.mReported = aTarget.mReported;
+  candidate.mReportAge = aNow - aTarget.mReportedAt;
+  candidate.mSlots = aTarget.mSlots;
+  candidate.mSlowness = aSlowness;
+  candidate.mPrefixHit = aPrefixHit;
+  candidate.mSameFailureDomain = aTarget.mLocal;
+}
+
+bool TargetSelector::IsUsable(Instant aNow, const SelectionRequest& aRequest,
+                              const TargetEntry& aTarget,
+                              double aSlowness) const
+{
+  if (!aTarget.TakesWork() || aTarget.mExclusive ||
+      aTarget.mAvoidUntil > aNow) {
+    return false;
+  }
+  return aRequest.mIgnoreSlots ||
+         mRules.HasRoom(aRequest.mClass, UseOf(aTarget, aSlowness));
+}
+
+void TargetSelector::DropShunned(const SelectionRequest& aRequest)
+{
+  if (aRequest.mIgnoreSlots || aRequest.mClass == WorkClass::Batch) {
+    return;
+  }
+  std::erase_if(mCandidates, [&](const Candidate& aCandidate) {
+    return aCandidate.mSlowness >= kShunned &&
+           aCandidate.mSlowness > aRequest.mWaitedRatio;
+  });
+}
+
+TargetIndex TargetSelector::FindProbe(Instant aNow,
+                                      const SelectionRequest& aRequest,
+                                      TargetTable& aTargets) const
+{
+  const RouteTargets lists = aTargets.Targets(aRequest.mRoute);
+  const Duration interval = kProbeInterval * std::max(1U, mRules.mDaemons);
+  for (const auto& list : { lists.mLocal, lists.mRemote }) {
+    const std::size_t count = std::min(list.size(), kWindow);
+    const auto it =
+      std::ranges::find_if(list.first(count), [&](TargetIndex aIndex) {
+        const TargetEntry& target = aTargets.At(aIndex);
+        return target.mLatency.Slowness(aNow) >= kShunned &&
+               target.mProbedAt + interval <= aNow &&
+               target.mOwnInFlight == 0 && !target.mExclusive &&
+               target.mAvoidUntil <= aNow && !Contains(aRequest.mTried, aIndex);
+      });
+    if (it != list.begin() + static_cast<std::ptrdiff_t>(count)) {
+      return *it;
+    }
+  }
+  return kNoTarget;
+}
+
+} // namespace carobtide
--- a/packages/routing/src/target_table.cpp
+++ b/packages/routing/src/target_table.cpp
@@ -169,6 +169,13 @@
   return { route->mLocal, route->mRemote, route->mFallback };
 }
 
+void TargetTable::AppendAdapters(RouteIndex aBase,
+                                 std::vector<RouteIndex>& aOut) const
+{
+  const std::vector<RouteIndex>& adapters = mRoutes[aBase].mAdapters;
+  aOut.insert(aOut.end(), adapters.begin(), adapters.end());
+}
+
 TargetIndex TargetTable::Find(const TargetName& aName) const
 {
   const auto it = mByName.find(aName);
@@ -195,6 +202,7 @@
   if (isNew) {
     it->second = NewRoute();
     mRoutes[it->second].mBase = model.mBase;
+    mRoutes[model.mBase].mAdapters.push_back(it->second);
   }
   return it->second;
 }
--- a/packages/routing/tests/routing_fixture.hpp
+++ b/packages/routing/tests/routing_fixture.hpp
@@ -8,6 +8,7 @@
 #include "carobtide/routing.hpp"
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <vector>
 
