--- a/packages/routing/src/router_admission.cpp
+++ b/packages/routing/src/router_admission.cpp
@@ -325,8 +325,8 @@
       mTargets.AppendAdapters(it, mDrainRoutes);
     }
     std::ranges::sort(mDrainRoutes);
-    const auto rest = std::ranges::unique(mDrainRoutes);
-    mDrainRoutes.erase(rest.begin(), rest.end());
+    const auto rest = std::unique(mDrainRoutes.begin(), mDrainRoutes.end());
+    mDrainRoutes.erase(rest, mDrainRoutes.end());
   }
   for (const WorkClass it : kByUrgency) {
     if (mQueue.CountOf(it) > 0) {
