--- a/packages/ledger/include/carobtide/ledger.hpp
+++ b/packages/ledger/include/carobtide/ledger.hpp
@@ -6,4 +6,5 @@
  * requests, which keeps each from running more than once.
  */
 
+#include "carobtide/ledger/claim_flow.hpp"
 #include "carobtide/ledger/ledger.hpp"
--- a/packages/settings/tests/yaml_reader_test.cpp
+++ b/packages/settings/tests/yaml_reader_test.cpp
@@ -138,6 +138,10 @@
   CHECK(YamlDocument(deep).Faults().size() == 1);
   const std::string deepMap = "a: " + std::string(1'000, '{');
   CHECK(YamlDocument(deepMap).Faults().size() == 1);
+  const std::string seventeen = std::string(17, '[') + std::string(17, ']');
+  CHECK(YamlDocument(seventeen).Faults().size() == 1);
+  const std::string sixteen = std::string(16, '[') + std::string(16, ']');
+  CHECK(YamlDocument(sixteen).Faults().empty());
   const std::string large(3 * kMiB, 'x');
   CHECK(YamlDocument(large).Faults().size() == 1);
   std::string many = "[";
