HTTP server and client, calls and datagrams between daemons

Cause: nothing carried a request or a message yet.

Change: worker pool with one event loop a thread, so that a connection needs no strand; HTTP/1.1 server with limits, timeouts and notice of a client that went away; client connections and a pool; frames over TCP with calls, one-way messages and datagrams. Coroutines return errors through MakeError and name what they await: g++ 12 destroyed string temporaries of co_return and co_await expressions twice (seen as a crash in ~basic_string in the first peer call; address sanitizer pointed at the payload's copy in the frame).

--- a/packages/base/include/carobtide/base/endpoint.hpp
+++ b/packages/base/include/carobtide/base/endpoint.hpp
@@ -10,12 +10,20 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace carobtide {
 
 /** A TCP or UDP address by IP number. */
 struct Endpoint
 {
+  Endpoint() = default;
+  Endpoint(std::string aHost, std::uint16_t aPort)
+    : mHost(std::move(aHost))
+    , mPort(aPort)
+  {
+  }
+
   std::string mHost;
   std::uint16_t mPort = 0;
 
--- a/packages/base/include/carobtide/base/error.hpp
+++ b/packages/base/include/carobtide/base/error.hpp
@@ -10,6 +10,7 @@
 
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace carobtide {
 
@@ -84,6 +85,16 @@
 /** An error with the step that failed and the peer it concerned. */
 struct Error
 {
+  Error() = default;
+  Error(ErrorCode aCode, std::string aStep, std::string aPeer = {},
+        std::string aDetail = {})
+    : mCode(aCode)
+    , mStep(std::move(aStep))
+    , mPeer(std::move(aPeer))
+    , mDetail(std::move(aDetail))
+  {
+  }
+
   ErrorCode mCode = ErrorCode::Internal;
   /** The operation that failed, e.g. "log.append" or "http.read-header". */
   std::string mStep;
@@ -96,4 +107,11 @@
   std::string ToString() const;
 };
 
+/**
+ * Builds an Error from views. Coroutines use it in place of braces: g++ 12
+ * destroys string temporaries of a `co_return` expression twice.
+ */
+Error MakeError(ErrorCode aCode, std::string_view aStep,
+                std::string_view aPeer = {}, std::string_view aDetail = {});
+
 } // namespace carobtide
--- a/packages/base/include/carobtide/base/result.hpp
+++ b/packages/base/include/carobtide/base/result.hpp
@@ -52,6 +52,12 @@
 class [[nodiscard]] Result
 {
 public:
+  /** An error without step or peer; coroutine machinery needs it. */
+  Result()
+    : mState(std::in_place_index<1>)
+  {
+  }
+
   Result(T aValue)
     : mState(std::in_place_index<0>, std::move(aValue))
   {
--- a/packages/base/src/error.cpp
+++ b/packages/base/src/error.cpp
@@ -16,4 +16,11 @@
   return text;
 }
 
+Error MakeError(ErrorCode aCode, std::string_view aStep, std::string_view aPeer,
+                std::string_view aDetail)
+{
+  return Error(aCode, std::string(aStep), std::string(aPeer),
+               std::string(aDetail));
+}
+
 } // namespace carobtide
--- a/packages/transport/include/carobtide/transport.hpp
+++ b/packages/transport/include/carobtide/transport.hpp
@@ -11,3 +11,4 @@
 #include "carobtide/transport/http_server.hpp"
 #include "carobtide/transport/http_types.hpp"
 #include "carobtide/transport/peer_channel.hpp"
+#include "carobtide/transport/worker_pool.hpp"
--- a/packages/transport/include/carobtide/transport/frame.hpp
+++ b/packages/transport/include/carobtide/transport/frame.hpp
@@ -15,6 +15,7 @@
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace carobtide {
 
@@ -43,13 +44,22 @@
 /** A frame with its payload. */
 struct Frame
 {
+  Frame() = default;
+  Frame(std::uint16_t aType, std::uint64_t aCorrelation, std::string aPayload)
+    : mType(aType)
+    , mCorrelation(aCorrelation)
+    , mPayload(std::move(aPayload))
+  {
+  }
+
   std::uint16_t mType = 0;
   std::uint64_t mCorrelation = 0;
   std::string mPayload;
 };
 
 /** Encodes a frame. Precondition: the payload is within kMaxFramePayload. */
-std::string EncodeFrame(const Frame& aFrame);
+std::string EncodeFrame(std::uint16_t aType, std::uint64_t aCorrelation,
+                        std::string_view aPayload);
 
 /**
  * Decodes a header of kFrameHeaderBytes bytes. Malformed on a wrong magic
--- a/packages/transport/include/carobtide/transport/http_client.hpp
+++ b/packages/transport/include/carobtide/transport/http_client.hpp
@@ -68,8 +68,9 @@
   ~HttpPool();
 
   /**
-   * An idle connection if there is one, else a new one. A pooled connection
-   * may turn out closed by the peer: then Send fails with ConnectionLost.
+   * An idle connection made on the same executor if there is one, else a new
+   * one. Connections that the peer has closed are dropped first; one may
+   * still break before Send, which then fails with ConnectionLost.
    * Non-idempotent requests use ConnectHttp instead.
    */
   boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> Acquire(
--- a/packages/transport/include/carobtide/transport/http_server.hpp
+++ b/packages/transport/include/carobtide/transport/http_server.hpp
@@ -6,6 +6,7 @@
  */
 
 #include "carobtide/transport/http_types.hpp"
+#include "carobtide/transport/worker_pool.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -81,8 +82,11 @@
 class HttpServer
 {
 public:
+  /** Runs every connection on a strand of its own over one executor. */
   HttpServer(boost::asio::any_io_executor aExecutor, HttpLimits aLimits,
              HttpHandler aHandler);
+  /** Spreads connections over workers. The pool must outlive the server. */
+  HttpServer(WorkerPool& aWorkers, HttpLimits aLimits, HttpHandler aHandler);
   ~HttpServer();
 
   /** Binds and starts to accept. Port 0 takes a free one; see Address(). */
--- a/packages/transport/include/carobtide/transport/peer_channel.hpp
+++ b/packages/transport/include/carobtide/transport/peer_channel.hpp
@@ -7,6 +7,7 @@
  */
 
 #include "carobtide/transport/frame.hpp"
+#include "carobtide/transport/worker_pool.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -37,8 +38,9 @@
 class PeerNetwork
 {
 public:
-  PeerNetwork(boost::asio::any_io_executor aExecutor,
-              PeerCallHandler aCallHandler, PeerMessageHandler aMessageHandler);
+  /** The pool must outlive the network. */
+  PeerNetwork(WorkerPool& aWorkers, PeerCallHandler aCallHandler,
+              PeerMessageHandler aMessageHandler);
   ~PeerNetwork();
 
   /** Binds TCP and UDP to one address. Port 0 takes a free one. */
--- a/packages/transport/src/frame.cpp
+++ b/packages/transport/src/frame.cpp
@@ -35,19 +35,20 @@
 
 } // namespace
 
-std::string EncodeFrame(const Frame& aFrame)
+std::string EncodeFrame(std::uint16_t aType, std::uint64_t aCorrelation,
+                        std::string_view aPayload)
 {
-  assert(static_cast<Bytes>(aFrame.mPayload.size()) <= kMaxFramePayload);
+  assert(static_cast<Bytes>(aPayload.size()) <= kMaxFramePayload);
   const WireHeader header{ kMagic,
                            kPeerProtocolVersion,
-                           aFrame.mType,
-                           static_cast<std::uint32_t>(aFrame.mPayload.size()),
-                           PayloadChecksum(aFrame.mPayload),
-                           aFrame.mCorrelation };
+                           aType,
+                           static_cast<std::uint32_t>(aPayload.size()),
+                           PayloadChecksum(aPayload),
+                           aCorrelation };
   std::string bytes;
-  bytes.reserve(sizeof header + aFrame.mPayload.size());
+  bytes.reserve(sizeof header + aPayload.size());
   bytes.append(reinterpret_cast<const char*>(&header), sizeof header);
-  bytes += aFrame.mPayload;
+  bytes += aPayload;
   return bytes;
 }
 
--- /dev/null
+++ b/packages/transport/src/http_client.cpp
@@ -0,0 +1,236 @@
+#include "carobtide/transport/http_client.hpp"
+
+#include "http_errors.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <optional>
+
+#include <sys/socket.h>
+
+namespace carobtide {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::awaitable;
+using asio::redirect_error;
+using asio::use_awaitable;
+
+namespace {
+
+constexpr unsigned kHttpVersion = 11;
+constexpr std::size_t kBodyChunkBytes = 32768;
+constexpr std::uint32_t kMaxResponseHeaderBytes = 65536;
+
+class BeastConnection final : public HttpConnection
+{
+public:
+  BeastConnection(beast::tcp_stream aStream, Endpoint aAddress)
+    : mStream(std::move(aStream))
+    , mPeerName(aAddress.ToString())
+  {
+  }
+
+  awaitable<Result<HttpResponseHead>> Send(const HttpRequest& aRequest,
+                                           Duration aTimeout) override;
+  awaitable<Result<bool>> ReadSome(std::string& aOut,
+                                   Duration aTimeout) override;
+  awaitable<Result<std::string>> ReadAll(Bytes aLimit,
+                                         Duration aTimeout) override;
+  bool IsReusable() const override;
+  void Cancel() override;
+
+private:
+  using Parser = http::response_parser<http::buffer_body>;
+
+  http::request<http::string_body> MakeMessage(const HttpRequest& aRequest);
+  HttpResponseHead TakeHead() const;
+  Error LibraryError(const beast::error_code& aCode,
+                     std::string_view aStep) const
+  {
+    return TransportError(aCode, aStep, mPeerName);
+  }
+
+  beast::tcp_stream mStream;
+  std::string mPeerName;
+  beast::flat_buffer mBuffer;
+  std::optional<Parser> mParser;
+  std::array<char, kBodyChunkBytes> mChunk;
+  bool mCancelled = false;
+};
+
+http::request<http::string_body> BeastConnection::MakeMessage(
+  const HttpRequest& aRequest)
+{
+  http::request<http::string_body> message;
+  message.version(kHttpVersion);
+  message.method_string(aRequest.mMethod);
+  message.target(aRequest.mTarget);
+  message.set(http::field::host, mPeerName);
+  for (const auto& [name, value] : aRequest.mHeaders.All()) {
+    message.insert(name, value);
+  }
+  message.body() = aRequest.mBody;
+  message.prepare_payload();
+  return message;
+}
+
+HttpResponseHead BeastConnection::TakeHead() const
+{
+  HttpResponseHead head;
+  head.mStatus = static_cast<std::uint16_t>(mParser->get().result_int());
+  for (const auto& field : mParser->get()) {
+    head.mHeaders.Add(std::string(field.name_string()),
+                      std::string(field.value()));
+  }
+  return head;
+}
+
+awaitable<Result<HttpResponseHead>> BeastConnection::Send(
+  const HttpRequest& aRequest, Duration aTimeout)
+{
+  beast::error_code ec;
+  const auto message = MakeMessage(aRequest);
+  mStream.expires_after(aTimeout);
+  co_await http::async_write(mStream, message,
+                             redirect_error(use_awaitable, ec));
+  if (ec) {
+    co_return LibraryError(ec, "http.send-request");
+  }
+  mParser.emplace();
+  mParser->header_limit(kMaxResponseHeaderBytes);
+  mParser->body_limit(boost::none);
+  mParser->eager(true);
+  if (aRequest.mMethod == "HEAD") {
+    mParser->skip(true);
+  }
+  co_await http::async_read_header(mStream, mBuffer, *mParser,
+                                   redirect_error(use_awaitable, ec));
+  if (ec) {
+    co_return LibraryError(ec, "http.read-response");
+  }
+  co_return TakeHead();
+}
+
+awaitable<Result<bool>> BeastConnection::ReadSome(std::string& aOut,
+                                                  Duration aTimeout)
+{
+  aOut.clear();
+  mStream.expires_after(aTimeout);
+  while (!mParser->is_done() && aOut.empty()) {
+    auto& body = mParser->get().body();
+    body.data = mChunk.data();
+    body.size = mChunk.size();
+    beast::error_code ec;
+    co_await http::async_read_some(mStream, mBuffer, *mParser,
+                                   redirect_error(use_awaitable, ec));
+    if (ec && ec != http::error::need_buffer) {
+      co_return LibraryError(ec, "http.read-body");
+    }
+    aOut.append(mChunk.data(), mChunk.size() - body.size);
+  }
+  co_return !mParser->is_done();
+}
+
+awaitable<Result<std::string>> BeastConnection::ReadAll(Bytes aLimit,
+                                                        Duration aTimeout)
+{
+  std::string all;
+  std::string part;
+  for (bool more = true; more;) {
+    auto read = co_await ReadSome(part, aTimeout);
+    if (!read) {
+      co_return read.GetError();
+    }
+    more = *read;
+    all += part;
+    if (static_cast<Bytes>(all.size()) > aLimit) {
+      mStream.close();
+      co_return carobtide::MakeError(ErrorCode::TooLarge, "http.read-body",
+                                     mPeerName);
+    }
+  }
+  co_return all;
+}
+
+bool BeastConnection::IsReusable() const
+{
+  if (mCancelled || !mParser || !mParser->is_done() || !mParser->keep_alive() ||
+      mBuffer.size() != 0) {
+    return false;
+  }
+  char byte = 0;
+  auto& socket = const_cast<beast::tcp_stream&>(mStream).socket();
+  const auto n =
+    ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void BeastConnection::Cancel()
+{
+  mCancelled = true;
+  mStream.close();
+}
+
+Error ConnectError(const beast::error_code& aCode, std::string_view aStep,
+                   const Endpoint& aAddress)
+{
+  return MakeError(ErrorCode::ConnectRefused, aStep, aAddress.ToString(),
+                   aCode.message());
+}
+
+} // namespace
+
+awaitable<Result<std::unique_ptr<HttpConnection>>> ConnectHttp(
+  Endpoint aAddress, Duration aTimeout)
+{
+  beast::error_code ec;
+  const auto address = asio::ip::make_address(aAddress.mHost, ec);
+  if (ec) {
+    co_return ConnectError(ec, "http.parse-address", aAddress);
+  }
+  const auto executor = co_await asio::this_coro::executor;
+  beast::tcp_stream stream(executor);
+  stream.expires_after(aTimeout);
+  const asio::ip::tcp::endpoint endpoint(address, aAddress.mPort);
+  co_await stream.async_connect(endpoint, redirect_error(use_awaitable, ec));
+  if (ec) {
+    co_return ConnectError(ec, "http.connect", aAddress);
+  }
+  stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+  std::unique_ptr<HttpConnection> connection =
+    std::make_unique<BeastConnection>(std::move(stream), aAddress);
+  co_return connection;
+}
+
+awaitable<Result<HttpResponse>> FetchOnce(Endpoint aAddress,
+                                          HttpRequest aRequest,
+                                          Duration aTimeout, Bytes aLimit)
+{
+  auto connected = co_await ConnectHttp(aAddress, aTimeout);
+  if (!connected) {
+    co_return connected.GetError();
+  }
+  auto& connection = **connected;
+  auto head = co_await connection.Send(aRequest, aTimeout);
+  if (!head) {
+    co_return head.GetError();
+  }
+  auto body = co_await connection.ReadAll(aLimit, aTimeout);
+  if (!body) {
+    co_return body.GetError();
+  }
+  HttpResponse response;
+  response.mHead = std::move(*head);
+  response.mBody = std::move(*body);
+  co_return response;
+}
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/transport/src/http_connection.cpp
@@ -0,0 +1,329 @@
+#include "http_connection.hpp"
+
+#include "http_errors.hpp"
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <sys/socket.h>
+
+namespace carobtide {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::awaitable;
+using asio::redirect_error;
+using asio::use_awaitable;
+
+namespace {
+
+constexpr std::size_t kReadChunkBytes = 8192;
+constexpr unsigned kHttpVersion = 11;
+
+std::uint16_t RefusalStatus(ErrorCode aCode, const std::string& aDetail)
+{
+  constexpr std::uint16_t kBadRequest = 400;
+  constexpr std::uint16_t kPayloadTooLarge = 413;
+  constexpr std::uint16_t kHeaderTooLarge = 431;
+  if (aCode == ErrorCode::TooLarge) {
+    return aDetail.find("header") != std::string::npos ? kHeaderTooLarge
+                                                       : kPayloadTooLarge;
+  }
+  return kBadRequest;
+}
+
+template<class Fields>
+void CopyHeaders(const HttpHeaders& aFrom, Fields& aTo)
+{
+  for (const auto& [name, value] : aFrom.All()) {
+    aTo.insert(name, value);
+  }
+}
+
+} // namespace
+
+HttpServerConnection::HttpServerConnection(asio::ip::tcp::socket aSocket,
+                                           const HttpLimits& aLimits,
+                                           const HttpHandler& aHandler,
+                                           HttpServerCounters& aCounters)
+  : mStream(std::move(aSocket))
+  , mLimits(aLimits)
+  , mHandler(aHandler)
+  , mCounters(aCounters)
+{
+  beast::error_code ec;
+  mStream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+  const auto remote = mStream.socket().remote_endpoint(ec);
+  if (!ec) {
+    mPeerName =
+      remote.address().to_string() + ":" + std::to_string(remote.port());
+  }
+  ++mCounters.mConnections;
+}
+
+HttpServerConnection::~HttpServerConnection()
+{
+  --mCounters.mConnections;
+}
+
+awaitable<void> HttpServerConnection::Run()
+{
+  const auto self = shared_from_this();
+  while (mKeepAlive && !mCounters.mStopping) {
+    mIdle = true;
+    const bool arrived = co_await WaitForRequest();
+    if (!arrived) {
+      break;
+    }
+    mIdle = false;
+    const bool valid = co_await ReadRequest();
+    if (!valid) {
+      break;
+    }
+    co_await RunHandler();
+  }
+  mStream.close();
+}
+
+awaitable<bool> HttpServerConnection::WaitForRequest()
+{
+  if (mBuffer.size() != 0) {
+    co_return true;
+  }
+  beast::error_code ec;
+  mStream.expires_after(mLimits.mIdleTimeout);
+  const std::size_t n = co_await mStream.async_read_some(
+    mBuffer.prepare(kReadChunkBytes), redirect_error(use_awaitable, ec));
+  mBuffer.commit(n);
+  co_return !ec;
+}
+
+awaitable<bool> HttpServerConnection::ReadRequest()
+{
+  beast::error_code ec;
+  mParser.emplace();
+  mParser->header_limit(static_cast<std::uint32_t>(mLimits.mMaxHeaderBytes));
+  mParser->body_limit(static_cast<std::uint64_t>(mLimits.mMaxBodyBytes));
+  mStream.expires_after(mLimits.mReadTimeout);
+  co_await http::async_read(mStream, mBuffer, *mParser,
+                            redirect_error(use_awaitable, ec));
+  if (ec) {
+    mKeepAlive = false;
+    const Error error = LibraryError(ec, "http.read-request");
+    co_await RefuseRequest(error);
+    co_return false;
+  }
+  TakeRequest();
+  co_return true;
+}
+
+void HttpServerConnection::TakeRequest()
+{
+  auto message = mParser->release();
+  mKeepAlive = message.keep_alive();
+  mRequest = HttpRequest{};
+  mRequest.mMethod = std::string(message.method_string());
+  mRequest.mTarget = std::string(message.target());
+  for (const auto& field : message) {
+    mRequest.mHeaders.Add(std::string(field.name_string()),
+                          std::string(field.value()));
+  }
+  mRequest.mBody = std::move(message.body());
+}
+
+awaitable<void> HttpServerConnection::RunHandler()
+{
+  mAnswer = AnswerState::None;
+  ++mCounters.mExchanges;
+  mStream.expires_never();
+  bool failed = false;
+  try {
+    co_await mHandler(*this);
+  } catch (const std::exception&) {
+    failed = true;
+  }
+  StopWatching();
+  if (mAnswer == AnswerState::None) {
+    constexpr std::uint16_t kInternalError = 500;
+    HttpResponse response =
+      MakeResponse(kInternalError, "text/plain", "no answer\n");
+    co_await Respond(std::move(response));
+  }
+  if (failed || mAnswer != AnswerState::Done) {
+    mKeepAlive = false;
+  }
+  --mCounters.mExchanges;
+}
+
+awaitable<void> HttpServerConnection::RefuseRequest(const Error& aError)
+{
+  // After a timeout the stream is closed already.
+  if (aError.mCode == ErrorCode::ConnectionLost ||
+      aError.mCode == ErrorCode::Timeout) {
+    co_return;
+  }
+  std::string body = "{\"error\":{\"code\":\"";
+  body += ErrorMessage(aError.mCode);
+  body += "\",\"step\":\"" + aError.mStep + "\",\"peer\":\"" + mPeerName;
+  body += "\",\"message\":\"" + aError.mDetail + "\"}}\n";
+  HttpResponse response =
+    MakeResponse(RefusalStatus(aError.mCode, aError.mDetail),
+                 "application/json", std::move(body));
+  response.mHead.mHeaders.Add("Carobtide-Outcome", "not-run");
+  co_await Respond(std::move(response));
+}
+
+awaitable<Result<Unit>> HttpServerConnection::Respond(HttpResponse aResponse)
+{
+  assert(mAnswer == AnswerState::None);
+  http::response<http::string_body> message{
+    static_cast<http::status>(aResponse.mHead.mStatus), kHttpVersion
+  };
+  CopyHeaders(aResponse.mHead.mHeaders, message);
+  message.body() = std::move(aResponse.mBody);
+  message.keep_alive(mKeepAlive && !mCounters.mStopping);
+  message.prepare_payload();
+  beast::error_code ec;
+  mStream.expires_after(mLimits.mWriteTimeout);
+  co_await http::async_write(mStream, message,
+                             redirect_error(use_awaitable, ec));
+  mAnswer = ec ? AnswerState::Broken : AnswerState::Done;
+  if (ec) {
+    co_return LibraryError(ec, "http.respond");
+  }
+  co_return Success();
+}
+
+awaitable<Result<Unit>> HttpServerConnection::BeginStream(
+  HttpResponseHead aHead)
+{
+  assert(mAnswer == AnswerState::None);
+  http::response<http::empty_body> message{
+    static_cast<http::status>(aHead.mStatus), kHttpVersion
+  };
+  CopyHeaders(aHead.mHeaders, message);
+  message.chunked(true);
+  message.keep_alive(mKeepAlive && !mCounters.mStopping);
+  http::response_serializer<http::empty_body> serializer{ message };
+  beast::error_code ec;
+  mStream.expires_after(mLimits.mWriteTimeout);
+  co_await http::async_write_header(mStream, serializer,
+                                    redirect_error(use_awaitable, ec));
+  mAnswer = ec ? AnswerState::Broken : AnswerState::Streaming;
+  if (ec) {
+    co_return LibraryError(ec, "http.begin-stream");
+  }
+  co_return Success();
+}
+
+awaitable<Result<Unit>> HttpServerConnection::WriteChunk(
+  std::string_view aBytes)
+{
+  if (mAnswer != AnswerState::Streaming) {
+    co_return carobtide::MakeError(ErrorCode::ConnectionLost,
+                                   "http.write-chunk", mPeerName);
+  }
+  if (aBytes.empty()) {
+    co_return Success();
+  }
+  beast::error_code ec;
+  mStream.expires_after(mLimits.mWriteTimeout);
+  co_await asio::async_write(
+    mStream, http::make_chunk(asio::const_buffer(aBytes.data(), aBytes.size())),
+    redirect_error(use_awaitable, ec));
+  if (ec) {
+    mAnswer = AnswerState::Broken;
+    co_return LibraryError(ec, "http.write-chunk");
+  }
+  co_return Success();
+}
+
+awaitable<Result<Unit>> HttpServerConnection::FinishStream()
+{
+  if (mAnswer != AnswerState::Streaming) {
+    co_return carobtide::MakeError(ErrorCode::ConnectionLost,
+                                   "http.finish-stream", mPeerName);
+  }
+  beast::error_code ec;
+  mStream.expires_after(mLimits.mWriteTimeout);
+  co_await asio::async_write(mStream, http::make_chunk_last(),
+                             redirect_error(use_awaitable, ec));
+  mAnswer = ec ? AnswerState::Broken : AnswerState::Done;
+  if (ec) {
+    co_return LibraryError(ec, "http.finish-stream");
+  }
+  co_return Success();
+}
+
+void HttpServerConnection::Abort()
+{
+  mAnswer = AnswerState::Broken;
+  mKeepAlive = false;
+  mStream.close();
+}
+
+void HttpServerConnection::OnClientGone(std::function<void()> aCallback)
+{
+  mClientGone = std::move(aCallback);
+  if (mWatching) {
+    return;
+  }
+  mWatching = true;
+  asio::co_spawn(
+    mStream.get_executor(),
+    [self = shared_from_this()]() -> awaitable<void> {
+      co_await self->WatchClient();
+    },
+    asio::bind_cancellation_slot(mStopWatch.slot(), asio::detached));
+}
+
+awaitable<void> HttpServerConnection::WatchClient()
+{
+  beast::error_code ec;
+  co_await mStream.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                       redirect_error(use_awaitable, ec));
+  mWatching = false;
+  if (!ec && IsClosedByClient() && mClientGone) {
+    const auto callback = std::exchange(mClientGone, nullptr);
+    callback();
+  }
+}
+
+void HttpServerConnection::StopWatching()
+{
+  mClientGone = nullptr;
+  mStopWatch.emit(asio::cancellation_type::all);
+}
+
+bool HttpServerConnection::IsClosedByClient()
+{
+  char byte = 0;
+  const auto n = ::recv(mStream.socket().native_handle(), &byte, sizeof byte,
+                        MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void HttpServerConnection::CloseIfIdle()
+{
+  asio::post(mStream.get_executor(), [self = shared_from_this()] {
+    if (self->mIdle) {
+      self->mStream.close();
+    }
+  });
+}
+
+Error HttpServerConnection::LibraryError(const beast::error_code& aCode,
+                                         std::string_view aStep)
+{
+  return TransportError(aCode, aStep, mPeerName);
+}
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/transport/src/http_connection.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+/**
+ * @file
+ * The server's side of one HTTP connection.
+ */
+
+#include "carobtide/transport/http_server.hpp"
+
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace carobtide {
+
+/** What the server and its connections share. */
+struct HttpServerCounters
+{
+  std::atomic<std::size_t> mConnections{ 0 };
+  std::atomic<std::size_t> mExchanges{ 0 };
+  std::atomic<bool> mStopping{ false };
+};
+
+/**
+ * Reads requests, runs the handler on each, keeps the connection alive.
+ *
+ * Thread safety: everything on the connection's executor, but for
+ * CloseIfIdle, which posts there.
+ */
+class HttpServerConnection
+  : public std::enable_shared_from_this<HttpServerConnection>
+  , private HttpExchange
+{
+public:
+  HttpServerConnection(boost::asio::ip::tcp::socket aSocket,
+                       const HttpLimits& aLimits, const HttpHandler& aHandler,
+                       HttpServerCounters& aCounters);
+  ~HttpServerConnection() override;
+
+  /** Serves until the connection ends. */
+  boost::asio::awaitable<void> Run();
+
+  /** Closes the connection if no exchange is open. From any thread. */
+  void CloseIfIdle();
+
+private:
+  /** How far the answer of the current exchange has got. */
+  enum class AnswerState
+  {
+    None,
+    Streaming,
+    Done,
+    Broken,
+  };
+
+  using Parser =
+    boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  // HttpExchange
+  const HttpRequest& Request() const override { return mRequest; }
+  const std::string& PeerName() const override { return mPeerName; }
+  boost::asio::awaitable<Result<Unit>> Respond(HttpResponse aResponse) override;
+  boost::asio::awaitable<Result<Unit>> BeginStream(
+    HttpResponseHead aHead) override;
+  boost::asio::awaitable<Result<Unit>> WriteChunk(
+    std::string_view aBytes) override;
+  boost::asio::awaitable<Result<Unit>> FinishStream() override;
+  void Abort() override;
+  void OnClientGone(std::function<void()> aCallback) override;
+
+  boost::asio::awaitable<bool> WaitForRequest();
+  boost::asio::awaitable<bool> ReadRequest();
+  boost::asio::awaitable<void> RunHandler();
+  boost::asio::awaitable<void> RefuseRequest(const Error& aError);
+  boost::asio::awaitable<void> WatchClient();
+  void StopWatching();
+  bool IsClosedByClient();
+  void TakeRequest();
+  Error LibraryError(const boost::beast::error_code& aCode,
+                     std::string_view aStep);
+
+  boost::beast::tcp_stream mStream;
+  const HttpLimits& mLimits;
+  const HttpHandler& mHandler;
+  HttpServerCounters& mCounters;
+  boost::beast::flat_buffer mBuffer;
+  std::optional<Parser> mParser;
+  HttpRequest mRequest;
+  std::string mPeerName;
+  AnswerState mAnswer = AnswerState::None;
+  bool mKeepAlive = true;
+  bool mIdle = true;
+  bool mWatching = false;
+  std::function<void()> mClientGone;
+  boost::asio::cancellation_signal mStopWatch;
+};
+
+} // namespace carobtide
--- a/packages/transport/tests/frame_test.cpp
+++ b/packages/transport/tests/frame_test.cpp
@@ -6,8 +6,7 @@
 
 TEST_CASE("a frame survives encoding and decoding")
 {
-  const Frame frame{ 7, 42, "payload" };
-  const std::string bytes = EncodeFrame(frame);
+  const std::string bytes = EncodeFrame(7, 42, "payload");
   const auto header = DecodeFrameHeader(bytes);
   REQUIRE(header);
   CHECK(header->mType == 7);
@@ -17,7 +16,7 @@
 
 TEST_CASE("a wrong, foreign or oversized header is refused")
 {
-  const std::string good = EncodeFrame(Frame{ 1, 2, "abc" });
+  const std::string good = EncodeFrame(1, 2, "abc");
   CHECK(DecodeFrameHeader(good.substr(0, 10)).Code() == ErrorCode::Malformed);
 
   std::string wrongMagic = good;
@@ -35,7 +34,7 @@
 
 TEST_CASE("a damaged payload is refused")
 {
-  const std::string bytes = EncodeFrame(Frame{ 1, 2, "abc" });
+  const std::string bytes = EncodeFrame(1, 2, "abc");
   const auto header = DecodeFrameHeader(bytes);
   REQUIRE(header);
   CHECK_FALSE(CheckFramePayload(*header, "abd"));
--- /dev/null
+++ b/packages/transport/tests/peer_channel_test.cpp
@@ -0,0 +1,112 @@
+#include "carobtide/transport.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <future>
+#include <string>
+
+using namespace carobtide;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration kPatience = std::chrono::seconds(20);
+constexpr std::uint16_t kEchoType = 5;
+
+/** A network that echoes calls and hands on the first message. */
+class Node
+{
+public:
+  Node()
+    : mNetwork(
+        mWorkers,
+        [](std::uint16_t, std::string aPayload, std::string)
+          -> asio::awaitable<std::string> { co_return "re:" + aPayload; },
+        [this](std::uint16_t, std::string aPayload, const std::string&) {
+          mReceived.set_value(std::move(aPayload));
+        })
+  {
+    REQUIRE(mNetwork.Listen(Endpoint{ "127.0.0.1", 0 }));
+    mWorkers.Start();
+  }
+
+  Result<std::string> Call(const Endpoint& aPeer, const std::string& aPayload,
+                           Duration aTimeout = kPatience)
+  {
+    return asio::co_spawn(mWorkers.At(0),
+                          mNetwork.Call(aPeer, kEchoType, aPayload, aTimeout),
+                          asio::use_future)
+      .get();
+  }
+
+  PeerNetwork& Network() { return mNetwork; }
+  std::string Received() { return mReceived.get_future().get(); }
+
+private:
+  std::promise<std::string> mReceived;
+  WorkerPool mWorkers{ 2 };
+  PeerNetwork mNetwork;
+};
+
+} // namespace
+
+TEST_CASE("a call is answered")
+{
+  Node a;
+  Node b;
+  const auto reply = a.Call(b.Network().Address(), "hello");
+  REQUIRE(reply);
+  CHECK(*reply == "re:hello");
+  const std::string large(1'000'000, 'x');
+  const auto second = a.Call(b.Network().Address(), large);
+  REQUIRE(second);
+  CHECK(second->size() == large.size() + 3);
+}
+
+TEST_CASE("a one-way frame and a datagram arrive")
+{
+  Node a;
+  Node b;
+  a.Network().Send(b.Network().Address(), 1, "frame");
+  CHECK(b.Received() == "frame");
+  Node c;
+  a.Network().SendDatagram(c.Network().Address(), 1, "datagram");
+  CHECK(c.Received() == "datagram");
+}
+
+TEST_CASE("a call to a closed port fails with step and peer")
+{
+  Node a;
+  Endpoint closed;
+  {
+    Node b;
+    closed = b.Network().Address();
+  }
+  const auto reply = a.Call(closed, "hello");
+  REQUIRE_FALSE(reply);
+  CHECK(reply.GetError().mStep == "peer.connect");
+  CHECK(reply.GetError().mPeer == closed.ToString());
+}
+
+TEST_CASE("garbage on the peer port closes only that connection")
+{
+  Node a;
+  Node b;
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  socket.connect(
+    { asio::ip::make_address("127.0.0.1"), b.Network().Address().mPort });
+  asio::write(socket, asio::buffer(std::string(100, 'z')));
+  std::string answer;
+  boost::system::error_code ec;
+  asio::read(socket, asio::dynamic_buffer(answer), ec);
+  CHECK(answer.empty());
+  CHECK(a.Call(b.Network().Address(), "hello"));
+}
