--- a/packages/consensus/src/file_log_storage.cpp
+++ b/packages/consensus/src/file_log_storage.cpp
@@ -157,7 +157,10 @@
   auto result = ReplaceFile(*mFiles, mFolder,
                             NumberedName(kSnapshotPrefix, aSnapshot.mIndex),
                             MakeFrame(Encode(aSnapshot), aSnapshot.mIndex, 0));
-  if (result) {
+  // A crash may have come between this file and its mark in the log.
+  const bool known =
+    !mSnapshots.empty() && mSnapshots.back() == aSnapshot.mIndex;
+  if (result && !known) {
     mSnapshots.push_back(aSnapshot.mIndex);
   }
   return result;
--- a/packages/consensus/tests/cluster.hpp
+++ b/packages/consensus/tests/cluster.hpp
@@ -95,6 +95,10 @@
   HistoryChecker& Checker() { return mChecker; }
   RandomEngine& Random() { return mRandom; }
   Instant Now() const { return mNow; }
+  Instant LocalTimeOf(std::size_t aNode) const
+  {
+    return LocalTime(mNodes[aNode]);
+  }
   bool Chance(double aProbability);
   std::uint64_t Pick(std::uint64_t aBelow);
   std::uint64_t MessagesSent() const { return mMessagesSent; }
--- /dev/null
+++ b/packages/consensus/tests/replica_rules_test.cpp
@@ -0,0 +1,191 @@
+// Rules of one replica, message by message.
+
+#include "carobtide/consensus/replicated_log.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace carobtide;
+
+namespace {
+
+const GroupId kGroup(1);
+const ReplicaId kSelf(1);
+const ReplicaId kSecond(2);
+const ReplicaId kThird(3);
+/** After the time in which a started replica votes for nobody. */
+const Instant kLater = Instant{} + 10s;
+
+ReplicatedLog MakeReplica(std::vector<LogEntry> aEntries = {})
+{
+  Membership members;
+  for (const auto replica : { kSelf, kSecond, kThird }) {
+    members.mMembers.push_back(
+      Member{ replica, DaemonName("d"), {}, MemberRole::Voter });
+  }
+  RecoveredState disk;
+  disk.mReplica = kSelf;
+  disk.mEntries = std::move(aEntries);
+  disk.mHardState.mTerm =
+    disk.mEntries.empty() ? 0 : disk.mEntries.back().mTerm;
+  return ReplicatedLog(kGroup, std::move(disk), members, {}, Instant{}, 1);
+}
+
+LogEffects Deliver(ReplicatedLog& aLog, ReplicaId aFrom,
+                   ConsensusMessage aMessage, Instant aNow = kLater)
+{
+  return aLog.Receive(
+    aNow, ConsensusEnvelope{ kGroup, aFrom, kSelf, std::move(aMessage) });
+}
+
+template<class Message>
+const Message* Find(const LogEffects& aEffects)
+{
+  const auto it =
+    std::ranges::find_if(aEffects.mMessages, [](const auto& aEnvelope) {
+      return std::holds_alternative<Message>(aEnvelope.mMessage);
+    });
+  return it == aEffects.mMessages.end() ? nullptr
+                                        : std::get_if<Message>(&it->mMessage);
+}
+
+LogEffects Persisted(ReplicatedLog& aLog, const LogEffects& aEffects)
+{
+  return aLog.OnPersisted(kLater, aEffects.mPersist.mSequence);
+}
+
+/** Elects the replica with the vote of kSecond; returns the last effects. */
+LogEffects Elect(ReplicatedLog& aLog)
+{
+  auto effects = aLog.Tick(kLater);
+  const auto term = aLog.Term() + 1;
+  effects = Deliver(aLog, kSecond, VoteReply{ term, true, true });
+  REQUIRE(aLog.Role() == ReplicaRole::Candidate);
+  CHECK(Find<VoteRequest>(effects) == nullptr);
+  effects = Persisted(aLog, effects);
+  REQUIRE(Find<VoteRequest>(effects) != nullptr);
+  return Deliver(aLog, kSecond, VoteReply{ term, true, false });
+}
+
+LogEffects Acknowledge(ReplicatedLog& aLog, ReplicaId aFrom,
+                       std::uint64_t aMatch, bool aDurable = true)
+{
+  AppendReply reply;
+  reply.mTerm = aLog.Term();
+  reply.mSuccess = true;
+  reply.mMatchIndex = aMatch;
+  reply.mSentAtMicros = kLater.time_since_epoch().count();
+  reply.mDurable = aDurable;
+  return Deliver(aLog, aFrom, reply);
+}
+
+} // namespace
+
+TEST_CASE("a vote leaves the replica only once it is durable")
+{
+  auto log = MakeReplica();
+  const auto asked = Deliver(log, kSecond, VoteRequest{ 1, 0, 0 });
+  REQUIRE(asked.mPersist.mHardState);
+  CHECK(asked.mPersist.mHardState->mVotedFor == kSecond);
+  CHECK(Find<VoteReply>(asked) == nullptr);
+  const auto durable = Persisted(log, asked);
+  REQUIRE(Find<VoteReply>(durable) != nullptr);
+  CHECK(Find<VoteReply>(durable)->mGranted);
+  const auto second = Deliver(log, kThird, VoteRequest{ 1, 0, 0 });
+  REQUIRE(Find<VoteReply>(second) != nullptr);
+  CHECK_FALSE(Find<VoteReply>(second)->mGranted);
+}
+
+TEST_CASE("an append is acknowledged only once it is durable")
+{
+  auto log = MakeReplica();
+  AppendRequest request;
+  request.mTerm = 1;
+  request.mEntries = { LogEntry{ 1, 1, EntryKind::Command, "a" } };
+  auto effects = Deliver(log, kSecond, request);
+  CHECK(Find<AppendReply>(effects) == nullptr);
+  effects = Persisted(log, effects);
+  REQUIRE(Find<AppendReply>(effects) != nullptr);
+  CHECK(Find<AppendReply>(effects)->mMatchIndex == 1);
+
+  // A heartbeat is answered while the disk works, without what is not durable.
+  request.mPreviousIndex = 1;
+  request.mPreviousTerm = 1;
+  request.mEntries = { LogEntry{ 2, 1, EntryKind::Command, "b" } };
+  Deliver(log, kSecond, request);
+  request.mPreviousIndex = 2;
+  request.mEntries.clear();
+  effects = Deliver(log, kSecond, request);
+  REQUIRE(Find<AppendReply>(effects) != nullptr);
+  CHECK(Find<AppendReply>(effects)->mMatchIndex == 1);
+}
+
+TEST_CASE("entries of an earlier term are committed only by a later entry")
+{
+  auto log = MakeReplica({ LogEntry{ 1, 1, EntryKind::Command, "old" } });
+  const auto elected = Elect(log);
+  REQUIRE(log.Role() == ReplicaRole::Leader);
+  Persisted(log, elected);
+  Acknowledge(log, kSecond, 1);
+  CHECK(log.CommitIndex() == 0);
+  CHECK_FALSE(log.HasLease(kLater));
+  Acknowledge(log, kSecond, 2);
+  CHECK(log.CommitIndex() == 2);
+  CHECK(log.HasLease(kLater));
+}
+
+TEST_CASE("a replica whose disk failed counts in no quorum and never votes")
+{
+  auto leader = MakeReplica();
+  Persisted(leader, Elect(leader));
+  Acknowledge(leader, kSecond, 1, false);
+  CHECK(leader.CommitIndex() == 0);
+  CHECK_FALSE(leader.LastContact(kSecond));
+  Acknowledge(leader, kThird, 1);
+  CHECK(leader.CommitIndex() == 1);
+
+  auto failed = MakeReplica();
+  const Error error{ ErrorCode::DiskFull, "log.persist", "", "" };
+  failed.OnPersistFailed(kLater, error);
+  const auto asked = Deliver(failed, kSecond, VoteRequest{ 1, 0, 0 });
+  const auto* reply = Find<VoteReply>(asked);
+  CHECK((reply == nullptr || !reply->mGranted));
+  const auto probed =
+    Deliver(failed, kSecond, VoteRequest{ 1, 0, 0, true, false });
+  REQUIRE(Find<VoteReply>(probed) != nullptr);
+  CHECK_FALSE(Find<VoteReply>(probed)->mGranted);
+  failed.Tick(kLater + 10s);
+  CHECK(failed.Role() == ReplicaRole::Learner);
+
+  // It still follows, so that its daemon knows what is in force.
+  AppendRequest request;
+  request.mTerm = 2;
+  request.mCommitIndex = 1;
+  request.mEntries = { LogEntry{ 1, 2, EntryKind::Command, "a" } };
+  const auto followed = Deliver(failed, kSecond, request);
+  CHECK(followed.mCommitted.size() == 1);
+  REQUIRE(Find<AppendReply>(followed) != nullptr);
+  CHECK_FALSE(Find<AppendReply>(followed)->mDurable);
+}
+
+TEST_CASE("a leader whose disk fails names a successor")
+{
+  auto log = MakeReplica();
+  Persisted(log, Elect(log));
+  Acknowledge(log, kThird, 1);
+  const Error error{ ErrorCode::DiskFull, "log.persist", "", "" };
+  const auto effects = log.OnPersistFailed(kLater, error);
+  CHECK(effects.mLostLeadership);
+  CHECK(Find<TimeoutNow>(effects) != nullptr);
+}
+
+TEST_CASE("messages for another group or replica change nothing")
+{
+  auto log = MakeReplica();
+  log.Receive(kLater, ConsensusEnvelope{ GroupId(2), kSecond, kSelf,
+                                         VoteRequest{ 9, 0, 0 } });
+  log.Receive(kLater, ConsensusEnvelope{ kGroup, kSecond, kThird,
+                                         VoteRequest{ 9, 0, 0 } });
+  CHECK(log.Term() == 0);
+}
