Let urgent work queue in engines; learn lengths with a prior

Short interactive work that waits in one daemon's queue loses its target to whatever another daemon sends, which shows only in late hints. It may now exceed a target's slots by a quarter: the engine puts it ahead of other work. One long answer as the first sample of a (caller, model) pair branded the pair as long, and with it short interactive requests; a new pair now starts from the caller's own average over all models, or the typical length.

--- a/packages/routing/include/carobtide/routing/length_predictor.hpp
+++ b/packages/routing/include/carobtide/routing/length_predictor.hpp
@@ -18,6 +18,8 @@
 struct LengthKey
 {
   std::uint64_t mHash = 0;
+  /** The caller over all models: the prior of a pair not seen yet. */
+  std::uint64_t mCallerHash = 0;
 
   static LengthKey Of(const CallerName& aCaller, const ModelName& aModel);
 };
@@ -31,8 +33,8 @@
 };
 
 /**
- * Bounded table of moving averages. A full set gives up its least recently
- * used entry.
+ * Bounded table of moving averages, per pair and per caller. A full set gives
+ * up its least recently used entry.
  *
  * Thread safety: none; the owner guards it. Allocates only in the constructor.
  */
@@ -64,13 +66,14 @@
     std::uint64_t mUsed = 0;
     /** Mean of the logarithm: a rare straggler hardly moves it. */
     double mLogMean = 0.0;
+    std::uint32_t mSamples = 0;
   };
 
   using Set = std::array<Entry, kWays>;
 
-  const Entry* Find(LengthKey aKey) const;
-  Set& SetOf(LengthKey aKey);
-  const Set& SetOf(LengthKey aKey) const;
+  const Entry* Find(std::uint64_t aHash) const;
+  std::size_t SetOf(std::uint64_t aHash) const;
+  void LearnEntry(std::uint64_t aHash, double aPrior, double aLogTokens);
 
   std::vector<Set> mSets;
   std::uint64_t mUse = 0;
--- a/packages/routing/include/carobtide/routing/router.hpp
+++ b/packages/routing/include/carobtide/routing/router.hpp
@@ -35,6 +35,8 @@
   double mLongShare = 0.5;
   /** Share of a target's slots kept for short interactive work. */
   double mShortReserve = 0.1;
+  /** Share of a target's slots that short interactive work may exceed. */
+  double mUrgentExcess = 0.25;
   /** Daemons that share the targets, for limits kept per daemon. */
   std::uint32_t mDaemons = 1;
   /**
--- a/packages/routing/src/length_predictor.cpp
+++ b/packages/routing/src/length_predictor.cpp
@@ -10,6 +10,9 @@
 constexpr double kInitialTypicalTokens = 128.0;
 constexpr double kLearningWeight = 0.1;
 constexpr double kTypicalWeight = 0.02;
+/** Samples that the prior of a new entry counts for. */
+constexpr double kPriorSamples = 3.0;
+constexpr std::uint32_t kMostSamples = 1000;
 /** A bound this many times the typical length marks unknown work as long. */
 constexpr double kUnknownLongFactor = 16.0;
 
@@ -17,9 +20,9 @@
 
 LengthKey LengthKey::Of(const CallerName& aCaller, const ModelName& aModel)
 {
-  const std::uint64_t seed = ComputeChecksum(aCaller.Text());
+  const std::uint64_t caller = ComputeChecksum(aCaller.Text());
   // Zero marks an empty entry.
-  return { ComputeChecksum(aModel.Text(), seed) | 1U };
+  return { ComputeChecksum(aModel.Text(), caller) | 1U, caller | 1U };
 }
 
 LengthPredictor::LengthPredictor()
@@ -33,7 +36,9 @@
 {
   const double typical = std::exp(mLogTypical);
   const double bound = aMaxTokens > 0 ? aMaxTokens : 1e9;
-  if (const Entry* entry = Find(aKey)) {
+  const Entry* entry = Find(aKey.mHash);
+  entry = entry == nullptr ? Find(aKey.mCallerHash) : entry;
+  if (entry != nullptr) {
     const double tokens = std::min(std::exp(entry->mLogMean), bound);
     return { tokens, tokens >= LongThreshold() };
   }
@@ -49,14 +54,27 @@
   if (aPriority == PriorityClass::Interactive) {
     mLogTypical += kTypicalWeight * (std::log(tokens) - mLogTypical);
   }
-  Set& set = SetOf(aKey);
-  auto it = std::ranges::find(set, aKey.mHash, &Entry::mHash);
+  const double logTokens = std::log(tokens);
+  const Entry* caller = Find(aKey.mCallerHash);
+  const double prior = caller == nullptr ? mLogTypical : caller->mLogMean;
+  LearnEntry(aKey.mHash, prior, logTokens);
+  LearnEntry(aKey.mCallerHash, mLogTypical, logTokens);
+}
+
+void LengthPredictor::LearnEntry(std::uint64_t aHash, double aPrior,
+                                 double aLogTokens)
+{
+  Set& set = mSets[SetOf(aHash)];
+  auto it = std::ranges::find(set, aHash, &Entry::mHash);
   if (it == set.end()) {
     it = std::ranges::min_element(set, {}, &Entry::mUsed);
-    *it = Entry{ aKey.mHash, 0, std::log(tokens) };
+    *it = Entry{ aHash, 0, aPrior, 0 };
   }
   it->mUsed = ++mUse;
-  it->mLogMean += kLearningWeight * (std::log(tokens) - it->mLogMean);
+  const double weight =
+    std::max(kLearningWeight, 1.0 / (it->mSamples + kPriorSamples));
+  it->mLogMean += weight * (aLogTokens - it->mLogMean);
+  it->mSamples = std::min(it->mSamples + 1, kMostSamples);
 }
 
 double LengthPredictor::LongThreshold() const
@@ -64,21 +82,16 @@
   return kLongFactor * std::exp(mLogTypical);
 }
 
-const LengthPredictor::Entry* LengthPredictor::Find(LengthKey aKey) const
+const LengthPredictor::Entry* LengthPredictor::Find(std::uint64_t aHash) const
 {
-  const Set& set = SetOf(aKey);
-  const auto it = std::ranges::find(set, aKey.mHash, &Entry::mHash);
+  const Set& set = mSets[SetOf(aHash)];
+  const auto it = std::ranges::find(set, aHash, &Entry::mHash);
   return it == set.end() ? nullptr : &*it;
 }
 
-LengthPredictor::Set& LengthPredictor::SetOf(LengthKey aKey)
-{
-  return mSets[(aKey.mHash >> 1U) % mSets.size()];
-}
-
-const LengthPredictor::Set& LengthPredictor::SetOf(LengthKey aKey) const
+std::size_t LengthPredictor::SetOf(std::uint64_t aHash) const
 {
-  return mSets[(aKey.mHash >> 1U) % mSets.size()];
+  return (aHash >> 1U) % mSets.size();
 }
 
 } // namespace carobtide
--- a/packages/routing/src/router_admission.cpp
+++ b/packages/routing/src/router_admission.cpp
@@ -41,7 +41,7 @@
   , mTargets(mOptions.mFailureDomain)
   , mSelector(mOptions.mPolicy,
               SlotRules{ mOptions.mLongShare, mOptions.mShortReserve,
-                         mOptions.mDaemons },
+                         mOptions.mUrgentExcess, mOptions.mDaemons },
               mOptions.mSeed)
   , mQueue(mOptions.mMaxQueued)
   , mRetryBudget(mOptions.mRetryBudget)
--- a/packages/routing/src/work_class.cpp
+++ b/packages/routing/src/work_class.cpp
@@ -8,7 +8,8 @@
 std::uint32_t SlotRules::Limit(WorkClass aClass, std::uint32_t aSlots) const
 {
   if (aClass == WorkClass::ShortInteractive) {
-    return aSlots;
+    const double excess = std::ceil(mUrgentExcess * aSlots);
+    return aSlots + static_cast<std::uint32_t>(excess);
   }
   const auto reserve =
     static_cast<std::uint32_t>(std::ceil(mShortReserve * aSlots));
