Keep all slots of a slowed target that nothing can replace

A target that looks slowed had its slots cut by its slowness even where it was the only holder of a model, so that short requests waited past their deadline behind the long ones on it. The cut now applies to patient work, and only while another holder is healthy.

--- a/packages/routing/include/carobtide/routing/target_selector.hpp
+++ b/packages/routing/include/carobtide/routing/target_selector.hpp
@@ -79,7 +79,7 @@
   void Add(Instant aNow, TargetIndex aIndex, const TargetEntry& aTarget,
            double aSlowness, double aPrefixHit);
   bool IsUsable(Instant aNow, const SelectionRequest& aRequest,
-                const TargetEntry& aTarget, double aSlowness) const;
+                const TargetEntry& aTarget) const;
   void DropShunned(const SelectionRequest& aRequest);
 
   std::unique_ptr<TargetPolicy> mPolicy;
--- a/packages/routing/src/target_selector.cpp
+++ b/packages/routing/src/target_selector.cpp
@@ -10,12 +10,10 @@
 /** Candidates of both lists that fit without another allocation. */
 constexpr std::size_t kReserve = 2 * TargetSelector::kWindow;
 
-SlotUse UseOf(const TargetEntry& aTarget, double aSlowness)
+SlotUse UseOf(const TargetEntry& aTarget)
 {
-  const double speed = aSlowness >= TargetSelector::kShunned ? aSlowness : 1.0;
-  const double slots = std::floor(aTarget.mSlots / speed);
   SlotUse use;
-  use.mSlots = std::max(1U, static_cast<std::uint32_t>(slots));
+  use.mSlots = aTarget.mSlots;
   use.mOwn = aTarget.mOwnInFlight;
   use.mOwnLong = aTarget.mOwnLong;
   use.mOthers = aTarget.mPeerInFlight;
@@ -23,6 +21,13 @@
   return use;
 }
 
+/** The slots that a slowed target is worth. */
+std::uint32_t SlowedSlots(const Candidate& aCandidate)
+{
+  const double slots = std::floor(aCandidate.mSlots / aCandidate.mSlowness);
+  return std::max(1U, static_cast<std::uint32_t>(slots));
+}
+
 bool Contains(std::span<const TargetIndex> aList, TargetIndex aIndex)
 {
   return std::ranges::find(aList, aIndex) != aList.end();
@@ -82,7 +87,7 @@
     const TargetEntry& target = aTargets.At(index);
     const double slowness = target.mLatency.Slowness(aNow);
     hasHealthy |= slowness < kShunned && !target.mExclusive;
-    if (IsUsable(aNow, aRequest, target, slowness) &&
+    if (IsUsable(aNow, aRequest, target) &&
         !Contains(aRequest.mTried, index)) {
       Add(aNow, index, target, slowness, aPrefixes.ShareOf(index));
     }
@@ -107,25 +112,30 @@
 }
 
 bool TargetSelector::IsUsable(Instant aNow, const SelectionRequest& aRequest,
-                              const TargetEntry& aTarget,
-                              double aSlowness) const
+                              const TargetEntry& aTarget) const
 {
   if (!aTarget.TakesWork() || aTarget.mExclusive ||
       aTarget.mAvoidUntil > aNow) {
     return false;
   }
   return aRequest.mIgnoreSlots ||
-         mRules.HasRoom(aRequest.mClass, UseOf(aTarget, aSlowness));
+         mRules.HasRoom(aRequest.mClass, UseOf(aTarget));
 }
 
 void TargetSelector::DropShunned(const SelectionRequest& aRequest)
 {
-  if (aRequest.mIgnoreSlots || aRequest.mClass == WorkClass::Batch) {
+  if (aRequest.mIgnoreSlots) {
     return;
   }
   std::erase_if(mCandidates, [&](const Candidate& aCandidate) {
-    return aCandidate.mSlowness >= kShunned &&
-           aCandidate.mSlowness > aRequest.mWaitedRatio;
+    if (aCandidate.mSlowness < kShunned) {
+      return false;
+    }
+    const std::uint32_t load =
+      aCandidate.mOwnInFlight + aCandidate.mPeerInFlight;
+    const bool isPatient = aRequest.mClass == WorkClass::Batch;
+    return isPatient ? load >= SlowedSlots(aCandidate)
+                     : aCandidate.mSlowness > aRequest.mWaitedRatio;
   });
 }
 
