--- a/packages/routing/src/target_selector.cpp
+++ b/packages/routing/src/target_selector.cpp
@@ -87,8 +87,7 @@
     const TargetEntry& target = aTargets.At(index);
     const double slowness = target.mLatency.Slowness(aNow);
     hasHealthy |= slowness < kShunned && !target.mExclusive;
-    if (IsUsable(aNow, aRequest, target) &&
-        !Contains(aRequest.mTried, index)) {
+    if (IsUsable(aNow, aRequest, target) && !Contains(aRequest.mTried, index)) {
       Add(aNow, index, target, slowness, aPrefixes.ShareOf(index));
     }
   }
