Notice a slowed target by stalled streams and by peers

A target slowed for moments was noticed only by late first bytes. Pauses within streams now count too, hints carry slowness that a daemon has just observed itself, and an answer that waits on a target known to be slow is hedged at once.

--- a/packages/routing/include/carobtide/routing/latency_tracker.hpp
+++ b/packages/routing/include/carobtide/routing/latency_tracker.hpp
@@ -33,6 +33,9 @@
   /** Slowness at aNow; at least kFastest. */
   double Slowness(Instant aNow) const;
 
+  /** Time of the last sample that changed the averages. */
+  Instant UpdatedAt() const { return mUpdated; }
+
   /** Samples seen so far, saturating. */
   std::uint32_t Samples() const { return mSamples; }
 
--- a/packages/routing/include/carobtide/routing/peer_hints.hpp
+++ b/packages/routing/include/carobtide/routing/peer_hints.hpp
@@ -50,6 +50,8 @@
     std::vector<Row> mRows;
   };
 
+  static void NoteSlowness(Instant aNow, double aSlowness,
+                           TargetEntry& aTarget);
   static void Withdraw(const Peer& aPeer, TargetTable& aTargets);
 
   std::map<DaemonName, Peer> mPeers;
--- a/packages/routing/include/carobtide/routing/target_table.hpp
+++ b/packages/routing/include/carobtide/routing/target_table.hpp
@@ -68,6 +68,16 @@
   bool mExclusive = false;
   bool mUsed = false;
 
+  /** Slowness that a peer observed last, and when it said so. */
+  double mPeerSlowness = 1.0;
+  Instant mPeerSlownessAt;
+
+  /**
+   * Own slowness, or a peer's if that is worse, just heard and newer than any
+   * sample of this daemon.
+   */
+  double Slowness(Instant aNow) const;
+
   bool TakesWork() const { return mUsed && !mSilent && !mLeaving; }
 };
 
--- a/packages/routing/include/carobtide/routing/types.hpp
+++ b/packages/routing/include/carobtide/routing/types.hpp
@@ -123,11 +123,13 @@
   std::uint32_t mInFlight = 0;
   /** How many of them are long. */
   std::uint32_t mLong = 0;
+  /** Slowness that the peer has just observed itself; 1 is normal. */
+  float mSlowness = 1.0F;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mTarget, mInFlight, mLong);
+    aArchive(mTarget, mInFlight, mLong, mSlowness);
   }
 };
 
--- a/packages/routing/src/peer_hints.cpp
+++ b/packages/routing/src/peer_hints.cpp
@@ -20,10 +20,25 @@
     TargetEntry& target = aTargets.At(index);
     target.mPeerInFlight += hint.mInFlight;
     target.mPeerLong += hint.mLong;
+    NoteSlowness(aNow, hint.mSlowness, target);
     peer.mRows.push_back({ index, hint.mTarget, hint.mInFlight, hint.mLong });
   }
 }
 
+void PeerHints::NoteSlowness(Instant aNow, double aSlowness,
+                             TargetEntry& aTarget)
+{
+  constexpr double kNormal = 1.0;
+  const bool isLater = aTarget.mPeerSlownessAt < aNow;
+  if (aSlowness <= kNormal ||
+      (!isLater && aSlowness <= aTarget.mPeerSlowness)) {
+    return;
+  }
+  aTarget.mPeerSlowness =
+    std::min(aSlowness, LatencyTracker::kSlowest);
+  aTarget.mPeerSlownessAt = aNow;
+}
+
 bool PeerHints::Expire(Instant aNow, TargetTable& aTargets)
 {
   const auto count = std::erase_if(mPeers, [&](const auto& aPeer) {
--- a/packages/routing/src/request_table.hpp
+++ b/packages/routing/src/request_table.hpp
@@ -60,6 +60,8 @@
   Instant mDispatchedAt;
   std::optional<Instant> mFirstByteAt;
   Instant mTokensAt;
+  /** Tokens of the last report: the next is expected to be alike. */
+  std::uint32_t mChunk = 1;
   double mTokens = 0.0;
   bool mIsLong = false;
   bool mIsHedge = false;
--- a/packages/routing/src/router_admission.cpp
+++ b/packages/routing/src/router_admission.cpp
@@ -147,6 +147,7 @@
 RouterEffects Router::Impl::Tick(Instant aNow)
 {
   RouterEffects effects;
+  mNow = aNow;
   mPeers.Expire(aNow, mTargets);
   mQuarantine.Expire(aNow);
   mTargets.ForgetSilent(aNow - kForgetSilentAfter);
--- a/packages/routing/src/router_attempts.cpp
+++ b/packages/routing/src/router_attempts.cpp
@@ -78,6 +78,7 @@
     target.mLatency.Observe(aNow, perToken / expected);
   }
   attempt.mTokensAt = aNow;
+  attempt.mChunk = std::max(1U, aTokens);
   const bool isOverrun = attempt.mTokens >= mLengths.LongThreshold();
   if (isOverrun && !attempt.mIsLong &&
       request.mKey.mClass != WorkClass::Batch) {
--- a/packages/routing/src/router_hedging.cpp
+++ b/packages/routing/src/router_hedging.cpp
@@ -13,6 +13,8 @@
 constexpr double kWholeHedgeFactor = 2.5;
 /** A lone late attempt counts against its target from this ratio on. */
 constexpr double kLoneLateRatio = 3.0;
+/** A shorter pause within a stream is ordinary. */
+constexpr double kLeastStallSeconds = 0.1;
 
 /** The two latest attempts of a target. */
 struct Lateness
@@ -28,12 +30,8 @@
 {
   std::unordered_map<TargetIndex, Lateness> late;
   for (const auto& [id, attempt] : mAttempts) {
-    if (attempt.mFirstByteAt.has_value()) {
-      continue;
-    }
     const RequestRecord& request = mRequests.at(attempt.mRequest);
-    const double ratio =
-      ToSeconds(aNow - attempt.mDispatchedAt) / ExpectedFirstByte(request);
+    const double ratio = LatenessOf(aNow, attempt, request);
     Lateness& row = late[attempt.mTarget];
     if (ratio > row.mWorst) {
       row.mSecond = row.mWorst;
@@ -54,6 +52,22 @@
   }
 }
 
+double Router::Impl::LatenessOf(Instant aNow, const AttemptRecord& aAttempt,
+                                const RequestRecord& aRequest) const
+{
+  if (!aAttempt.mFirstByteAt.has_value()) {
+    return ToSeconds(aNow - aAttempt.mDispatchedAt) /
+           ExpectedFirstByte(aRequest);
+  }
+  if (!aRequest.mFacts.mStreaming || aAttempt.mTokens <= 0.0) {
+    return 0.0;
+  }
+  const double stalled = ToSeconds(aNow - aAttempt.mTokensAt);
+  const double expected =
+    StatsOf(aAttempt.mRoute).TokenSeconds() * aAttempt.mChunk;
+  return stalled < kLeastStallSeconds ? 0.0 : stalled / expected;
+}
+
 void Router::Impl::StartHedges(Instant aNow, RouterEffects& aEffects)
 {
   if (mOptions.mPlainFifo) {
@@ -63,7 +77,7 @@
   for (const auto& [id, attempt] : mAttempts) {
     const RequestRecord& request = mRequests.at(attempt.mRequest);
     if (!attempt.mFirstByteAt.has_value() && MayHedge(request) &&
-        attempt.mDispatchedAt + HedgeDelay(request) <= aNow) {
+        attempt.mDispatchedAt + HedgeDelay(aNow, request) <= aNow) {
       due.push_back(attempt.mRequest);
     }
   }
@@ -94,9 +108,16 @@
          !mAttempts.at(aRequest.mRunning.front()).mIsIsolated;
 }
 
-Duration Router::Impl::HedgeDelay(const RequestRecord& aRequest) const
+Duration Router::Impl::HedgeDelay(Instant aNow,
+                                  const RequestRecord& aRequest) const
 {
   const RouteStats& stats = StatsOf(aRequest.mKey.mRoute);
+  const AttemptRecord& attempt = mAttempts.at(aRequest.mRunning.front());
+  const double slowness = mTargets.At(attempt.mTarget).Slowness(aNow);
+  if (slowness >= TargetSelector::kShunned) {
+    // The target is known to be slow: waiting on gains nothing.
+    return kLeastHedgeDelay;
+  }
   const double seconds = aRequest.mFacts.mStreaming
                            ? stats.LateFirstByteSeconds()
                            : kWholeHedgeFactor * aRequest.mExpectedSeconds;
--- a/packages/routing/src/router_impl.hpp
+++ b/packages/routing/src/router_impl.hpp
@@ -117,7 +117,10 @@
   void NotePending(Instant aNow);
   void StartHedges(Instant aNow, RouterEffects& aEffects);
   bool MayHedge(const RequestRecord& aRequest) const;
-  Duration HedgeDelay(const RequestRecord& aRequest) const;
+  Duration HedgeDelay(Instant aNow, const RequestRecord& aRequest) const;
+  /** Time without progress over the time expected. */
+  double LatenessOf(Instant aNow, const AttemptRecord& aAttempt,
+                    const RequestRecord& aRequest) const;
   void StartProbe(Instant aNow, RequestRecord& aRequest,
                   RouterEffects& aEffects);
 
@@ -159,6 +162,8 @@
   std::map<ModelName, DemandMeter> mDemand;
   std::vector<QueueKey> mKeys;
   std::vector<RouteIndex> mDrainRoutes;
+  /** Time of the last tick. */
+  Instant mNow;
   std::uint64_t mLastAttempt = 0;
   RouterStats mStats;
 };
--- a/packages/routing/src/router_views.cpp
+++ b/packages/routing/src/router_views.cpp
@@ -6,6 +6,13 @@
 
 namespace carobtide {
 
+namespace {
+
+/** Age up to which an own sample is passed on to peers. */
+constexpr Duration kFreshSample = 300ms;
+
+} // namespace
+
 void Router::Impl::OnPeerHints(Instant aNow, const DaemonName& aPeer,
                                const std::vector<InFlightHint>& aHints)
 {
@@ -21,8 +28,13 @@
     const std::uint32_t inFlight =
       target.mExclusive ? std::max(target.mSlots, target.mOwnInFlight)
                         : target.mOwnInFlight;
-    if (inFlight > 0) {
-      hints.push_back({ target.mName, inFlight, target.mOwnLong });
+    // Only what was just seen here: passing on what peers said would echo.
+    const bool isFresh = target.mLatency.UpdatedAt() + kFreshSample > mNow;
+    const double slowness = target.mLatency.Slowness(mNow);
+    const bool isSlow = isFresh && slowness >= TargetSelector::kShunned;
+    if (inFlight > 0 || isSlow) {
+      hints.push_back({ target.mName, inFlight, target.mOwnLong,
+                        isSlow ? static_cast<float>(slowness) : 1.0F });
     }
   }
   return hints;
--- a/packages/routing/src/target_selector.cpp
+++ b/packages/routing/src/target_selector.cpp
@@ -85,7 +85,7 @@
     }
     const TargetIndex index = aList[(start + it) % count];
     const TargetEntry& target = aTargets.At(index);
-    const double slowness = target.mLatency.Slowness(aNow);
+    const double slowness = target.Slowness(aNow);
     hasHealthy |= slowness < kShunned && !target.mExclusive;
     if (IsUsable(aNow, aRequest, target) && !Contains(aRequest.mTried, index)) {
       Add(aNow, index, target, slowness, aPrefixes.ShareOf(index));
@@ -149,7 +149,7 @@
     const auto it =
       std::ranges::find_if(list.first(count), [&](TargetIndex aIndex) {
         const TargetEntry& target = aTargets.At(aIndex);
-        return target.mLatency.Slowness(aNow) >= kShunned &&
+        return target.Slowness(aNow) >= kShunned &&
                target.mProbedAt + interval <= aNow &&
                target.mOwnInFlight == 0 && !target.mExclusive &&
                target.mAvoidUntil <= aNow && !Contains(aRequest.mTried, aIndex);
--- a/packages/routing/src/target_table.cpp
+++ b/packages/routing/src/target_table.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::uint32_t kDefaultEngineSlots = 8;
 constexpr std::uint32_t kDefaultServiceSlots = 32;
+/** How long a peer's observation counts. */
+constexpr Duration kPeerSlownessLifetime = 400ms;
 
 std::uint32_t SlotsOf(const Announcement& aAnnouncement)
 {
@@ -30,6 +32,14 @@
 
 } // namespace
 
+double TargetEntry::Slowness(Instant aNow) const
+{
+  const double own = mLatency.Slowness(aNow);
+  const bool isPeerFresh = mPeerSlownessAt > mLatency.UpdatedAt() &&
+                           mPeerSlownessAt + kPeerSlownessLifetime > aNow;
+  return isPeerFresh ? std::max(own, mPeerSlowness) : own;
+}
+
 TargetTable::TargetTable(FailureDomain aLocal)
   : mLocal(std::move(aLocal))
 {
