--- a/packages/routing/src/peer_hints.cpp
+++ b/packages/routing/src/peer_hints.cpp
@@ -34,8 +34,7 @@
       (!isLater && aSlowness <= aTarget.mPeerSlowness)) {
     return;
   }
-  aTarget.mPeerSlowness =
-    std::min(aSlowness, LatencyTracker::kSlowest);
+  aTarget.mPeerSlowness = std::min(aSlowness, LatencyTracker::kSlowest);
   aTarget.mPeerSlownessAt = aNow;
 }
 
