Stand-in engine and service: batch model, orders, memory, announcements

A fake engine on HTTP is needed to run the whole path on one machine. The batch, the memory account, the orders, the prefix cache and the load lag are classes without I/O; a thin shell serves many targets in one process.

--- /dev/null
+++ b/packages/cli/include/carobtide/cli/command_line.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+/**
+ * @file
+ * The command line of `carobtide`. CLI11 stays out of this header.
+ */
+
+#include <iosfwd>
+
+namespace CLI {
+class App;
+}
+
+namespace carobtide {
+
+/** Exit codes of every command. */
+enum class ExitCode
+{
+  Ok = 0,
+  /** The system refused, or a check of it failed. */
+  Refused = 1,
+  /** Wrong usage, or faults in a file. */
+  Usage = 2,
+  /** No daemon could be reached. */
+  Unreachable = 3,
+};
+
+/** Where a command writes, and how it ended. */
+struct CommandContext
+{
+  std::ostream& mOut;
+  std::ostream& mErr;
+  ExitCode mExit = ExitCode::Ok;
+};
+
+/** Each adds its commands to the tree; they run when the line is parsed. */
+void AddStandinCommands(CLI::App& aApp, CommandContext& aContext);
+
+/**
+ * Parses a command line and runs the command. Returns the process's exit
+ * code.
+ */
+int RunCommandLine(int argc, const char* const* argv, std::ostream& aOut,
+                   std::ostream& aErr);
+
+} // namespace carobtide
--- a/packages/cli/main/carobtide.cpp
+++ b/packages/cli/main/carobtide.cpp
@@ -1,13 +1,14 @@
-#include "carobtide/base.hpp"
+#include "carobtide/cli/command_line.hpp"
 
-#include <CLI/CLI.hpp>
-
-#include <string>
+#include <exception>
+#include <iostream>
 
 int main(int argc, char** argv)
 {
-  CLI::App app{ "carobtide, the operators' tool" };
-  app.set_version_flag("--version", std::string(carobtide::Version()));
-  CLI11_PARSE(app, argc, argv);
-  return 0;
+  try {
+    return carobtide::RunCommandLine(argc, argv, std::cout, std::cerr);
+  } catch (const std::exception& error) {
+    std::cerr << "carobtide: " << error.what() << '\n';
+    return static_cast<int>(carobtide::ExitCode::Refused);
+  }
 }
