Operators' commands, time line and open-loop load tool

Adds settings and bundle checks, submit, sign-off, roll and show, status, targets, placement, members and the merged time line as text, JSON lines or one page; and the generator of open-loop load with its checks of each answer, result file and plot.

--- a/packages/cli/include/carobtide/cli/command_line.hpp
+++ b/packages/cli/include/carobtide/cli/command_line.hpp
@@ -34,7 +34,12 @@
 };
 
 /** Each adds its commands to the tree; they run when the line is parsed. */
+void AddSettingsCommands(CLI::App& aApp, CommandContext& aContext);
+void AddBundleCommands(CLI::App& aApp, CommandContext& aContext);
+void AddStatusCommands(CLI::App& aApp, CommandContext& aContext);
+void AddTimelineCommand(CLI::App& aApp, CommandContext& aContext);
 void AddStandinCommands(CLI::App& aApp, CommandContext& aContext);
+void AddLoadCommand(CLI::App& aApp, CommandContext& aContext);
 
 /**
  * Parses a command line and runs the command. Returns the process's exit
--- a/packages/cli/src/command_line.cpp
+++ b/packages/cli/src/command_line.cpp
@@ -16,7 +16,12 @@
   CLI::App app{ "carobtide, the operators' tool" };
   app.set_version_flag("--version", std::string(Version()));
   app.require_subcommand(1);
+  AddSettingsCommands(app, context);
+  AddBundleCommands(app, context);
+  AddStatusCommands(app, context);
+  AddTimelineCommand(app, context);
   AddStandinCommands(app, context);
+  AddLoadCommand(app, context);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
--- /dev/null
+++ b/packages/cli/src/load_worker.cpp
@@ -0,0 +1,226 @@
+#include "carobtide/cli/load_worker.hpp"
+
+#include "carobtide/cli/clock.hpp"
+#include "carobtide/cli/stream_checker.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace carobtide {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t kIdlePerDaemon = 4096;
+constexpr Duration kConnectTimeout = std::chrono::seconds(2);
+constexpr Bytes kMaxAnswer = 64 * kMiB;
+constexpr std::uint16_t kFirstErrorStatus = 400;
+
+LoadOutcome OutcomeOf(ErrorCode aCode, LoadOutcome aElse)
+{
+  return aCode == ErrorCode::Timeout ? LoadOutcome::TimedOut : aElse;
+}
+
+} // namespace
+
+LoadWorker::LoadWorker(const LoadScenario& aScenario,
+                       const LoadRunOptions& aOptions, std::size_t aIndex)
+  : mScenario(aScenario)
+  , mOptions(aOptions)
+  , mIndex(aIndex)
+  , mPool(kIdlePerDaemon)
+  , mArrivals(aScenario, aOptions.mSeed)
+  , mStats(aScenario)
+{
+}
+
+void LoadWorker::Run(Instant aStart)
+{
+  mStart = aStart;
+  asio::co_spawn(mContext, SendAll(), asio::detached);
+  mContext.run();
+}
+
+asio::awaitable<void> LoadWorker::SendAll()
+{
+  asio::steady_timer timer(mContext);
+  while (const auto arrival = mArrivals.Next()) {
+    if (arrival->mNumber % mOptions.mThreads != mIndex) {
+      continue;
+    }
+    const Instant at = mStart + arrival->mAt;
+    if (SteadyNow() < at) {
+      timer.expires_at(ToSteady(at));
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+    Launch(*arrival, false);
+    if (arrival->mDuplicate) {
+      Launch(*arrival, true);
+    }
+  }
+}
+
+void LoadWorker::Launch(const Arrival& aArrival, bool aIsDuplicate)
+{
+  ++mProgress.mSent;
+  if (mProgress.mOpen >= mOptions.mMaxOpen) {
+    Record(aArrival, Try{}, 0);
+    return;
+  }
+  ++mProgress.mOpen;
+  asio::co_spawn(mContext, Serve(aArrival, aIsDuplicate), asio::detached);
+}
+
+asio::awaitable<void> LoadWorker::Serve(Arrival aArrival, bool aIsDuplicate)
+{
+  const LoadClass& loadClass = mScenario.mClasses[aArrival.mClass];
+  const LoadRequest request =
+    BuildLoadRequest(loadClass, aArrival, mOptions.mSeed);
+  Try result;
+  std::uint32_t resends = 0;
+  while (true) {
+    const std::uint64_t shift = resends + (aIsDuplicate ? 1 : 0);
+    result = co_await TryOnce(loadClass, request, DaemonFor(aArrival, shift));
+    const bool isSettled = result.mOutcome == LoadOutcome::Whole ||
+                           result.mOutcome == LoadOutcome::Wrong;
+    if (isSettled || resends == loadClass.mResends) {
+      break;
+    }
+    ++resends;
+    asio::steady_timer pause(mContext, loadClass.mResendPause);
+    co_await pause.async_wait(asio::use_awaitable);
+  }
+  --mProgress.mOpen;
+  Record(aArrival, result, resends);
+}
+
+asio::awaitable<LoadWorker::Try> LoadWorker::TryOnce(
+  const LoadClass& aClass, const LoadRequest& aRequest, Endpoint aDaemon)
+{
+  Try result;
+  const bool isService = aClass.mKind == LoadKind::Service;
+  Result<std::unique_ptr<HttpConnection>> connection =
+    std::unique_ptr<HttpConnection>();
+  if (isService) {
+    connection = co_await ConnectHttp(aDaemon, kConnectTimeout);
+  } else {
+    connection = co_await mPool.Acquire(aDaemon, kConnectTimeout);
+  }
+  if (!connection) {
+    co_return result;
+  }
+  auto head = co_await (*connection)->Send(aRequest.mRequest, aClass.mTimeout);
+  if (head.Code() == ErrorCode::ConnectionLost && !isService) {
+    // A pooled connection may have been closed while it was idle.
+    connection = co_await ConnectHttp(aDaemon, kConnectTimeout);
+    if (!connection) {
+      co_return result;
+    }
+    head = co_await (*connection)->Send(aRequest.mRequest, aClass.mTimeout);
+  }
+  if (!head) {
+    result.mOutcome = OutcomeOf(head.Code(), LoadOutcome::Cut);
+    co_return result;
+  }
+  result.mFirstByte = SteadyNow();
+  result.mStatus = head->mStatus;
+  co_await Exchange(**connection, aClass, aRequest, *head, result);
+  mPool.Release(aDaemon, std::move(*connection));
+  co_return result;
+}
+
+asio::awaitable<void> LoadWorker::Exchange(HttpConnection& aConnection,
+                                           const LoadClass& aClass,
+                                           const LoadRequest& aRequest,
+                                           const HttpResponseHead& aHead,
+                                           Try& aTry)
+{
+  if (aHead.mStatus < kFirstErrorStatus && aClass.mStreaming) {
+    co_await ReadStream(aConnection, aClass, aRequest, aHead, aTry);
+    co_return;
+  }
+  const auto body = co_await aConnection.ReadAll(kMaxAnswer, aClass.mTimeout);
+  if (!body) {
+    aTry.mOutcome = OutcomeOf(body.Code(), LoadOutcome::Cut);
+  } else if (aHead.mStatus >= kFirstErrorStatus) {
+    aTry.mOutcome = JudgeFailure(aHead);
+  } else {
+    aTry.mOutcome = JudgeWholeAnswer(
+      aClass, aRequest, aHead.mHeaders.Get("Carobtide-Request-Id"), *body);
+  }
+}
+
+asio::awaitable<void> LoadWorker::ReadStream(HttpConnection& aConnection,
+                                             const LoadClass& aClass,
+                                             const LoadRequest& aRequest,
+                                             const HttpResponseHead& aHead,
+                                             Try& aTry)
+{
+  StreamChecker checker(
+    aRequest.mAnswer, std::string(aHead.mHeaders.Get("Carobtide-Request-Id")));
+  std::string chunk;
+  bool isFirst = true;
+  while (true) {
+    const auto more = co_await aConnection.ReadSome(chunk, aClass.mTimeout);
+    if (!more) {
+      aTry.mOutcome = OutcomeOf(more.Code(), LoadOutcome::Cut);
+      break;
+    }
+    if (isFirst && !chunk.empty()) {
+      aTry.mFirstByte = SteadyNow();
+      isFirst = false;
+    }
+    checker.Feed(chunk);
+    if (!*more) {
+      aTry.mOutcome = checker.IsWhole() ? LoadOutcome::Whole : LoadOutcome::Cut;
+      break;
+    }
+  }
+  const StreamFault fault = checker.Fault();
+  if (fault != StreamFault::None && fault != StreamFault::Error) {
+    aTry.mOutcome = LoadOutcome::Wrong;
+  }
+  aTry.mEvents = checker.Events();
+}
+
+const Endpoint& LoadWorker::DaemonFor(const Arrival& aArrival,
+                                      std::uint64_t aShift) const
+{
+  const std::uint64_t index = aArrival.mNumber / mOptions.mThreads + aShift;
+  return mOptions.mDaemons[index % mOptions.mDaemons.size()];
+}
+
+void LoadWorker::Record(const Arrival& aArrival, const Try& aTry,
+                        std::uint32_t aResends)
+{
+  LoadRecord record;
+  record.mPhase = aArrival.mPhase;
+  record.mClass = aArrival.mClass;
+  record.mAt = aArrival.mAt;
+  record.mOutcome = aTry.mOutcome;
+  record.mStatus = aTry.mStatus;
+  record.mEvents = aTry.mEvents;
+  record.mResends = aResends;
+  const Instant intended = mStart + aArrival.mAt;
+  record.mTotal = SteadyNow() - intended;
+  record.mFirstByte = aTry.mFirstByte - intended;
+  mStats.Add(record);
+  mProgress.mEvents += aTry.mEvents;
+  switch (aTry.mOutcome) {
+    case LoadOutcome::Whole:
+      ++mProgress.mWhole;
+      break;
+    case LoadOutcome::NotRun:
+      ++mProgress.mNotRun;
+      break;
+    default:
+      ++mProgress.mOther;
+  }
+}
+
+} // namespace carobtide
