--- a/packages/cli/include/carobtide/cli/command_line.hpp
+++ b/packages/cli/include/carobtide/cli/command_line.hpp
@@ -6,6 +6,8 @@
  */
 
 #include <iosfwd>
+#include <string>
+#include <vector>
 
 namespace CLI {
 class App;
@@ -41,6 +43,9 @@
 void AddStandinCommands(CLI::App& aApp, CommandContext& aContext);
 void AddLoadCommand(CLI::App& aApp, CommandContext& aContext);
 
+/** Every command by its full name, e.g. "bundle sign-off". */
+std::vector<std::string> ListCommands();
+
 /**
  * Parses a command line and runs the command. Returns the process's exit
  * code.
--- a/packages/cli/include/carobtide/cli/engine_core.hpp
+++ b/packages/cli/include/carobtide/cli/engine_core.hpp
@@ -35,6 +35,8 @@
   Duration mReportLag{ 0 };
   std::size_t mCacheBlocks = 4096;
   std::uint64_t mSeed = 1;
+  /** Resident from the start, and again after a crash. */
+  std::vector<ResidentModel> mPreloaded;
 };
 
 /**
--- a/packages/cli/include/carobtide/cli/load_scenario.hpp
+++ b/packages/cli/include/carobtide/cli/load_scenario.hpp
@@ -77,6 +77,8 @@
   double mDuplicateShare = 0.0;
   /** Text put into every prompt. */
   std::string mMarker;
+  /** True counts the class as short work in the measures. */
+  bool mIsShort = false;
   /** How often a caller resends what did not succeed. */
   std::uint32_t mResends = 0;
   Duration mResendPause = std::chrono::milliseconds(500);
@@ -104,6 +106,8 @@
   std::size_t mBurstClass = 0;
   /** False for warm-up: sent, but not in the totals. */
   bool mMeasured = true;
+  /** True counts the phase as the crest of a demand swing. */
+  bool mIsCrest = false;
 };
 
 /** What a fault does to a process that tools/bench started. */
--- a/packages/cli/include/carobtide/cli/load_stats.hpp
+++ b/packages/cli/include/carobtide/cli/load_stats.hpp
@@ -110,8 +110,21 @@
     return mSeconds;
   }
 
+  /** Which cells of the measured phases a sum takes in. */
+  enum class Part
+  {
+    All,
+    ShortWork,
+    /** Short work in phases that are a crest. */
+    ShortAtCrest,
+    LongWork,
+  };
+
   /** Sum over the measured phases. */
-  LoadCell Total() const;
+  LoadCell Total(Part aPart = Part::All) const;
+
+  /** Length of the measured phases. */
+  Duration MeasuredTime() const;
 
   /** The result file. */
   std::string RenderJson() const;
--- a/packages/cli/include/carobtide/cli/order_book.hpp
+++ b/packages/cli/include/carobtide/cli/order_book.hpp
@@ -72,6 +72,9 @@
   OrderBook(TargetName aTarget, Incarnation aIncarnation, Bytes aMemory,
             bool aChecksFencing);
 
+  /** Makes a model resident at once. Precondition: its memory fits. */
+  void Preload(const ResidentModel& aResident);
+
   OrderReply Accept(Instant aNow, const Order& aOrder, WeightStore& aStore);
 
   /** Completes what is due; true if the residents changed. */
--- a/packages/cli/src/command_line.cpp
+++ b/packages/cli/src/command_line.cpp
@@ -5,23 +5,56 @@
 #include <CLI/CLI.hpp>
 
 #include <ostream>
+#include <sstream>
 #include <string>
 
 namespace carobtide {
 
+namespace {
+
+void AddAllCommands(CLI::App& aApp, CommandContext& aContext)
+{
+  aApp.set_version_flag("--version", std::string(Version()));
+  aApp.require_subcommand(1);
+  AddSettingsCommands(aApp, aContext);
+  AddBundleCommands(aApp, aContext);
+  AddStatusCommands(aApp, aContext);
+  AddTimelineCommand(aApp, aContext);
+  AddStandinCommands(aApp, aContext);
+  AddLoadCommand(aApp, aContext);
+}
+
+void CollectNames(const CLI::App& aApp, const std::string& aPrefix,
+                  std::vector<std::string>& aOut)
+{
+  for (const CLI::App* child : aApp.get_subcommands({})) {
+    const std::string name = aPrefix + child->get_name();
+    if (child->get_subcommands({}).empty()) {
+      aOut.push_back(name);
+    }
+    CollectNames(*child, name + " ", aOut);
+  }
+}
+
+} // namespace
+
+std::vector<std::string> ListCommands()
+{
+  std::ostringstream sink;
+  CommandContext context{ sink, sink };
+  CLI::App app;
+  AddAllCommands(app, context);
+  std::vector<std::string> names;
+  CollectNames(app, "", names);
+  return names;
+}
+
 int RunCommandLine(int argc, const char* const* argv, std::ostream& aOut,
                    std::ostream& aErr)
 {
   CommandContext context{ aOut, aErr };
   CLI::App app{ "carobtide, the operators' tool" };
-  app.set_version_flag("--version", std::string(Version()));
-  app.require_subcommand(1);
-  AddSettingsCommands(app, context);
-  AddBundleCommands(app, context);
-  AddStatusCommands(app, context);
-  AddTimelineCommand(app, context);
-  AddStandinCommands(app, context);
-  AddLoadCommand(app, context);
+  AddAllCommands(app, context);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
--- a/packages/cli/src/command_standin.cpp
+++ b/packages/cli/src/command_standin.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <ostream>
 
@@ -15,6 +16,9 @@
 
 namespace {
 
+/** Memory of each model that --resident names. */
+constexpr Bytes kPreloadedMemory = kMiB;
+
 /** What both kinds of stand-in have in common. */
 struct GroupOptions
 {
@@ -142,6 +146,21 @@
     .add_option("--accelerators", target.mCore.mAccelerators,
                 "Accelerators of each target")
     ->capture_default_str();
+  const auto preload = [&target](const std::vector<std::string>& aNames) {
+    for (const std::string& name : aNames) {
+      const auto colon = std::min(name.find(':'), name.size());
+      const bool hasAdapter = colon < name.size();
+      target.mCore.mPreloaded.push_back(
+        { ModelName(name.substr(0, colon)),
+          AdapterName(hasAdapter ? name.substr(colon + 1) : std::string()), 1,
+          kPreloadedMemory, OrderId() });
+    }
+  };
+  aApp
+    .add_option_function<std::vector<std::string>>(
+      "--resident", preload,
+      "MODEL or MODEL:ADAPTER that is resident from the start")
+    ->delimiter(',');
   aApp.add_flag("--checks-fencing", target.mCore.mChecksFencing,
                 "Refuse orders with an old fencing number");
   AddDurationOption(aApp, "--load-time", aGroup.mStore.mLoadTime,
--- a/packages/cli/src/engine_core.cpp
+++ b/packages/cli/src/engine_core.cpp
@@ -17,6 +17,9 @@
   , mSlowDowns(mOptions.mSlowDowns, mOptions.mSeed, aNow)
   , mLag(mOptions.mReportLag)
 {
+  for (const ResidentModel& resident : mOptions.mPreloaded) {
+    mOrders.Preload(resident);
+  }
 }
 
 bool EngineCore::CanServe(const Completion& aCompletion) const
--- a/packages/cli/src/load_scenario.cpp
+++ b/packages/cli/src/load_scenario.cpp
@@ -78,6 +78,7 @@
   loadClass.mDuplicateShare =
     aNode.Child("duplicate_share").NumberOr(0.0, 0, 1);
   loadClass.mMarker = aNode.Child("marker").TextOr("");
+  loadClass.mIsShort = aNode.Child("short").BooleanOr(false);
   ReadTargets(aNode, loadClass);
   const bool isService = loadClass.mKind == LoadKind::Service;
   if (isService && loadClass.mPath.empty()) {
@@ -111,6 +112,7 @@
   phase.mName = aNode.Child("name").RequiredText();
   phase.mDuration = aNode.Child("duration").DurationOr(phase.mDuration);
   phase.mMeasured = aNode.Child("measured").BooleanOr(true);
+  phase.mIsCrest = aNode.Child("crest").BooleanOr(false);
   const YamlNode rates = aNode.Child("rates");
   for (const std::string& name : rates.Keys()) {
     const YamlNode rate = rates.Child(name);
--- a/packages/cli/src/load_stats.cpp
+++ b/packages/cli/src/load_stats.cpp
@@ -125,17 +125,33 @@
   }
 }
 
-LoadCell LoadStats::Total() const
+LoadCell LoadStats::Total(Part aPart) const
 {
   LoadCell total;
   for (const auto& [key, cell] : mCells) {
-    if (mScenario->mPhases[key.first].mMeasured) {
+    const LoadPhase& phase = mScenario->mPhases[key.first];
+    const bool isShort = mScenario->mClasses[key.second].mIsShort;
+    const bool isWanted =
+      aPart == Part::All || (aPart == Part::ShortWork && isShort) ||
+      (aPart == Part::ShortAtCrest && isShort && phase.mIsCrest) ||
+      (aPart == Part::LongWork && !isShort);
+    if (phase.mMeasured && isWanted) {
       total.Merge(cell);
     }
   }
   return total;
 }
 
+Duration LoadStats::MeasuredTime() const
+{
+  const auto& phases = mScenario->mPhases;
+  return std::accumulate(phases.begin(), phases.end(), Duration{ 0 },
+                         [](Duration aSum, const LoadPhase& aPhase) {
+                           return aPhase.mMeasured ? aSum + aPhase.mDuration
+                                                   : aSum;
+                         });
+}
+
 std::string LoadStats::RenderJson() const
 {
   json::array cells;
@@ -150,10 +166,15 @@
     }
     cells.push_back(std::move(row));
   }
-  return json::serialize(json::object{ { "scenario", mScenario->mName },
-                                       { "seed", mScenario->mSeed },
-                                       { "total", RenderCell(Total()) },
-                                       { "cells", std::move(cells) } });
+  return json::serialize(
+    json::object{ { "scenario", mScenario->mName },
+                  { "seed", mScenario->mSeed },
+                  { "seconds", Millis(MeasuredTime()) / 1000 },
+                  { "total", RenderCell(Total()) },
+                  { "short", RenderCell(Total(Part::ShortWork)) },
+                  { "short_at_crest", RenderCell(Total(Part::ShortAtCrest)) },
+                  { "long", RenderCell(Total(Part::LongWork)) },
+                  { "cells", std::move(cells) } });
 }
 
 std::string LoadStats::RenderText() const
--- a/packages/cli/src/order_book.cpp
+++ b/packages/cli/src/order_book.cpp
@@ -21,6 +21,15 @@
 {
 }
 
+void OrderBook::Preload(const ResidentModel& aResident)
+{
+  const bool fits = mMemory.Take(aResident.mMemory).HasValue();
+  assert(fits);
+  if (fits) {
+    mCopies.push_back(Copy{ aResident });
+  }
+}
+
 OrderReply OrderBook::Accept(Instant aNow, const Order& aOrder,
                              WeightStore& aStore)
 {
