--- a/packages/cli/include/carobtide/cli/api_client.hpp
+++ b/packages/cli/include/carobtide/cli/api_client.hpp
@@ -45,7 +45,7 @@
 
   /** Calls the first daemon that answers. */
   Result<ApiAnswer> Call(std::string_view aMethod, std::string_view aTarget,
-                         std::string aBody = {}) const;
+                         const std::string& aBody = {}) const;
 
   /** Calls every daemon; one result each, in order. */
   std::vector<Result<ApiAnswer>> CallAll(std::string_view aMethod,
--- a/packages/cli/include/carobtide/cli/command_line.hpp
+++ b/packages/cli/include/carobtide/cli/command_line.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace CLI {
+namespace CLI { // NOLINT(readability-identifier-naming): a library's
 class App;
 }
 
--- a/packages/cli/include/carobtide/cli/stream_checker.hpp
+++ b/packages/cli/include/carobtide/cli/stream_checker.hpp
@@ -45,7 +45,7 @@
 {
 public:
   /** `aId` is the request id that each event must carry; empty skips that. */
-  StreamChecker(const Answer& aAnswer, std::string aId);
+  StreamChecker(const Answer& aAnswer, std::string_view aId);
 
   /** Takes the next bytes. */
   void Feed(std::string_view aBytes);
--- a/packages/cli/src/api_client.cpp
+++ b/packages/cli/src/api_client.cpp
@@ -86,7 +86,7 @@
 
 Result<ApiAnswer> ApiClient::Call(std::string_view aMethod,
                                   std::string_view aTarget,
-                                  std::string aBody) const
+                                  const std::string& aBody) const
 {
   Error last{ ErrorCode::ConnectRefused, "api.connect", "",
               "no daemon was named; use --daemon IP:PORT" };
--- a/packages/cli/src/engine_target_http.cpp
+++ b/packages/cli/src/engine_target_http.cpp
@@ -190,20 +190,19 @@
     std::min(aCompletion.mResumeOffset, aAnswer.Length());
   std::string chunk;
   std::uint32_t sent = 0;
-  bool isOpen = false;
+  co_await WaitForProgress(aRunning, sent);
+  if (!aRunning.mLost) {
+    const auto begun = co_await aExchange.BeginStream(std::move(head));
+    if (!begun) {
+      co_return;
+    }
+  }
   while (true) {
     co_await WaitForProgress(aRunning, sent);
     if (aRunning.mLost) {
       aExchange.Abort();
       co_return;
     }
-    if (!isOpen) {
-      const auto begun = co_await aExchange.BeginStream(std::move(head));
-      if (!begun) {
-        co_return;
-      }
-      isOpen = true;
-    }
     const bool isEnd = aRunning.mFinished;
     const std::uint32_t last =
       std::min(skipped + aRunning.mTokens, aAnswer.Length());
--- a/packages/cli/src/load_worker.cpp
+++ b/packages/cli/src/load_worker.cpp
@@ -161,8 +161,8 @@
                                              const HttpResponseHead& aHead,
                                              Try& aTry)
 {
-  StreamChecker checker(
-    aRequest.mAnswer, std::string(aHead.mHeaders.Get("Carobtide-Request-Id")));
+  StreamChecker checker(aRequest.mAnswer,
+                        aHead.mHeaders.Get("Carobtide-Request-Id"));
   std::string chunk;
   bool isFirst = true;
   while (true) {
--- a/packages/cli/src/stream_checker.cpp
+++ b/packages/cli/src/stream_checker.cpp
@@ -1,5 +1,6 @@
 #include "carobtide/cli/stream_checker.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace carobtide {
@@ -24,9 +25,10 @@
 
 } // namespace
 
-StreamChecker::StreamChecker(const Answer& aAnswer, std::string aId)
+StreamChecker::StreamChecker(const Answer& aAnswer, std::string_view aId)
   : mAnswer(&aAnswer)
-  , mIdField(aId.empty() ? std::string() : "\"id\":\"" + aId + "\"")
+  , mIdField(aId.empty() ? std::string()
+                         : "\"id\":\"" + std::string(aId) + "\"")
 {
 }
 
--- a/packages/cli/src/timeline.cpp
+++ b/packages/cli/src/timeline.cpp
@@ -161,8 +161,7 @@
   std::ranges::stable_sort(merged, [](const Event& aLeft, const Event& aRight) {
     return SortKey(aLeft) < SortKey(aRight);
   });
-  const auto surplus = std::ranges::unique(merged, IsSame);
-  merged.erase(surplus.begin(), surplus.end());
+  merged.erase(std::unique(merged.begin(), merged.end(), IsSame), merged.end());
   return merged;
 }
 
--- a/packages/cli/src/timeline_html.cpp
+++ b/packages/cli/src/timeline_html.cpp
@@ -48,8 +48,7 @@
     lanes.push_back(event.mProcess);
   }
   std::ranges::sort(lanes);
-  const auto surplus = std::ranges::unique(lanes);
-  lanes.erase(surplus.begin(), surplus.end());
+  lanes.erase(std::unique(lanes.begin(), lanes.end()), lanes.end());
   return lanes;
 }
 
--- a/packages/cli/tests/command_line_test.cpp
+++ b/packages/cli/tests/command_line_test.cpp
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cstdio>
 #include <sstream>
 #include <thread>
@@ -27,10 +28,8 @@
 Outcome RunCommand(std::vector<std::string> aArguments)
 {
   aArguments.insert(aArguments.begin(), "carobtide");
-  std::vector<const char*> argv;
-  for (const std::string& argument : aArguments) {
-    argv.push_back(argument.c_str());
-  }
+  std::vector<const char*> argv(aArguments.size());
+  std::ranges::transform(aArguments, argv.begin(), &std::string::c_str);
   std::ostringstream out;
   std::ostringstream err;
   const int code =
--- a/packages/cli/tests/engine_target_test.cpp
+++ b/packages/cli/tests/engine_target_test.cpp
@@ -77,7 +77,7 @@
     bool done = false;
     std::exception_ptr failure;
     asio::co_spawn(mContext, aBody(), [&](std::exception_ptr aError) {
-      failure = aError;
+      failure = std::move(aError);
       done = true;
     });
     while (!done) {
