--- a/packages/cli/src/timeline_html.cpp
+++ b/packages/cli/src/timeline_html.cpp
@@ -43,10 +43,8 @@
 
 std::vector<std::string> LanesOf(const std::vector<Event>& aEvents)
 {
-  std::vector<std::string> lanes;
-  for (const Event& event : aEvents) {
-    lanes.push_back(event.mProcess);
-  }
+  std::vector<std::string> lanes(aEvents.size());
+  std::ranges::transform(aEvents, lanes.begin(), &Event::mProcess);
   std::ranges::sort(lanes);
   lanes.erase(std::unique(lanes.begin(), lanes.end()), lanes.end());
   return lanes;
