The daemon: a request from caller to target and back under a rolled bundle

Cause: the packages stood side by side; nothing ran.

Change: package daemon and the binary carobtided: control plane (replica, state machine, target registry, leader's duties) behind one mutex, storage on a thread of its own with batches merged while the disk is busy, router behind its mutex, requests as coroutines with a mailbox, non-idempotent calls driven by ClaimFlow, announcements spread to all daemons, bundle fetched by daemons without a disk, bootstrap that tells a first start from a lost disk, operators' API, JSON-lines log, Prometheus metrics, graceful stop.

--- /dev/null
+++ b/packages/daemon/src/caller_api.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+/**
+ * @file
+ * The HTTP interface towards callers and targets.
+ */
+
+#include "attempt.hpp"
+#include "context.hpp"
+
+namespace carobtide {
+
+/**
+ * Answers requests on the callers' port: completions, models, services, and
+ * the announcements of targets.
+ *
+ * Thread safety: Handle from any worker, concurrently.
+ */
+class CallerApi
+{
+public:
+  explicit CallerApi(DaemonContext& aContext);
+
+  boost::asio::awaitable<void> Handle(HttpExchange& aExchange);
+
+private:
+  boost::asio::awaitable<void> ServeCompletion(HttpExchange& aExchange);
+  boost::asio::awaitable<void> ServeService(HttpExchange& aExchange);
+  boost::asio::awaitable<void> RunOrder(
+    HttpExchange& aExchange, std::shared_ptr<const ForwardPlan> aPlan);
+  boost::asio::awaitable<void> Refuse(HttpExchange& aExchange, Error aError,
+                                      RequestId aRequest);
+  HttpResponse ListModels(const HttpRequest& aRequest);
+  HttpResponse TakeAnnouncement(const HttpExchange& aExchange);
+  HttpResponse TakeCacheEvents(const HttpExchange& aExchange);
+
+  RequestId NextRequestId();
+  /** The bundle in force, or NoCapacity. */
+  Result<std::shared_ptr<const Bundle>> GetBundle() const;
+
+  DaemonContext& mContext;
+};
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/daemon/src/control_plane.cpp
@@ -0,0 +1,500 @@
+#include "control_plane.hpp"
+
+#include "carobtide/base/codec.hpp"
+#include "carobtide/daemon/logging.hpp"
+#include "clock.hpp"
+#include "order_sender.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+
+namespace carobtide {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+constexpr GroupId kControlGroup{ 1 };
+
+} // namespace
+
+ControlPlane::ControlPlane(const DaemonSettings& aSettings,
+                           std::uint64_t aIncarnation, WorkerPool& aWorkers,
+                           EventLog& aEvents, Metrics& aMetrics,
+                           BundleHandler aOnBundle)
+  : mSettings(aSettings)
+  , mIncarnation(aIncarnation)
+  , mWorkers(aWorkers)
+  , mEvents(aEvents)
+  , mMetrics(aMetrics)
+  , mOnBundle(std::move(aOnBundle))
+  , mRandom(aIncarnation)
+  , mState(MakeLedgerLimits(aSettings))
+  , mTargets(aSettings.mTargetTimeout)
+{
+}
+
+ControlPlane::~ControlPlane() = default;
+
+void ControlPlane::Attach(PeerNetwork& aNetwork)
+{
+  mNetwork = &aNetwork;
+}
+
+Result<Unit> ControlPlane::OpenStorage()
+{
+  mStorage = OpenFileLogStorage(mSettings.mDataDir);
+  auto recovered = mStorage->Recover();
+  if (!recovered) {
+    return recovered.GetError();
+  }
+  mRecovered = std::move(*recovered);
+  mReplica = mRecovered.mReplica;
+  return Success();
+}
+
+Result<Unit> ControlPlane::SetIdentity(ReplicaId aReplica)
+{
+  const std::lock_guard lock(mMutex);
+  assert(mReplica == ReplicaId());
+  auto stored = mStorage->SetReplica(aReplica);
+  if (stored) {
+    mReplica = aReplica;
+    mRecovered.mReplica = aReplica;
+  }
+  return stored;
+}
+
+ReplicaId ControlPlane::FirstReplicaOf(const DaemonName& aDaemon)
+{
+  return ReplicaId(ComputeChecksum(aDaemon.Text()) | 1U);
+}
+
+Membership ControlPlane::InitialMembership() const
+{
+  Membership membership;
+  const auto add = [&](const DaemonName& aName, const FailureDomain& aDomain) {
+    Member member;
+    member.mReplica = FirstReplicaOf(aName);
+    member.mDaemon = aName;
+    member.mFailureDomain = aDomain;
+    member.mRole = MemberRole::Voter;
+    membership.mMembers.push_back(member);
+  };
+  add(mSettings.mName, mSettings.mFailureDomain);
+  for (const PeerSettings& peer : mSettings.mPeers) {
+    if (peer.mHasDisk) {
+      add(peer.mName, peer.mFailureDomain);
+    }
+  }
+  std::ranges::sort(membership.mMembers, {}, &Member::mReplica);
+  return membership;
+}
+
+void ControlPlane::StartReplica()
+{
+  const std::lock_guard lock(mMutex);
+  const Instant now = SteadyNow();
+  mWorker = std::make_unique<StorageWorker>(
+    std::move(mStorage),
+    [this](std::uint64_t aSequence) { OnDurable(aSequence); },
+    [this](const Error& aError) { OnStorageFailure(aError); });
+  mLog.emplace(kControlGroup, std::move(mRecovered), InitialMembership(),
+               ReplicatedLogOptions{}, now, mRandom());
+  HandleEffects(mLog->Tick(now));
+}
+
+BootstrapStatus ControlPlane::GetBootstrapStatus() const
+{
+  const std::lock_guard lock(mMutex);
+  BootstrapStatus status;
+  status.mHasIdentity = mReplica != ReplicaId();
+  status.mCommitIndex = mLog ? mLog->CommitIndex() : 0;
+  return status;
+}
+
+void ControlPlane::OnDurable(std::uint64_t aSequence)
+{
+  const std::lock_guard lock(mMutex);
+  HandleEffects(mLog->OnPersisted(SteadyNow(), aSequence));
+}
+
+void ControlPlane::OnStorageFailure(const Error& aError)
+{
+  LogError(aError);
+  const std::lock_guard lock(mMutex);
+  HandleEffects(mLog->OnPersistFailed(SteadyNow(), aError));
+}
+
+void ControlPlane::Tick()
+{
+  const std::lock_guard lock(mMutex);
+  const Instant now = SteadyNow();
+  PeerRecord& self = mPeers[mSettings.mName];
+  self.mIncarnation = mIncarnation;
+  self.mReplica = mReplica;
+  self.mHeardAt = now;
+  if (!mLog) {
+    return;
+  }
+  if (now >= mLog->NextWakeup()) {
+    HandleEffects(mLog->Tick(now));
+  }
+  if (IsLeading()) {
+    RunLeaderDuties(now);
+  }
+}
+
+bool ControlPlane::IsLeading() const
+{
+  return mLog && mDuties && !mHandingOver && mLog->HasLease(SteadyNow());
+}
+
+void ControlPlane::RunLeaderDuties(Instant aNow)
+{
+  auto duties = mDuties->Step(aNow, WallMicros(), mState, mTargets, mPeers);
+  for (auto& body : duties.mPropose) {
+    ProposeUnattended(std::move(body));
+  }
+  for (const Order& order : duties.mSend) {
+    const TargetRecord* target = mTargets.Find(order.mTarget);
+    if (target == nullptr) {
+      continue;
+    }
+    EventFacts facts;
+    facts.mStep = EventStep::OrderSent;
+    facts.mPeer = order.mTarget.Text();
+    facts.mOrder = order.mId;
+    mEvents.Record(std::move(facts));
+    mMetrics.Add(Counter::OrdersSent);
+    SendOrder(mWorkers, target->mAnnouncement.mAddress, order);
+  }
+}
+
+void ControlPlane::ProposeUnattended(ControlBody aBody)
+{
+  ControlCommand command;
+  command.mBody = std::move(aBody);
+  LogEffects effects;
+  const auto proposed = mLog->Propose(SteadyNow(), Encode(command), effects);
+  if (proposed) {
+    HandleEffects(std::move(effects));
+  }
+}
+
+void ControlPlane::HandleEffects(LogEffects aEffects)
+{
+  std::vector<LogEffects> pending;
+  pending.push_back(std::move(aEffects));
+  while (!pending.empty()) {
+    std::vector<LogEffects> more;
+    for (LogEffects& effects : pending) {
+      PerformEffects(effects, more);
+    }
+    pending = std::move(more);
+  }
+}
+
+void ControlPlane::PerformEffects(LogEffects& aEffects,
+                                  std::vector<LogEffects>& aMore)
+{
+  if (!aEffects.mPersist.IsEmpty()) {
+    mWorker->Enqueue(std::move(aEffects.mPersist));
+  }
+  SendMessages(aEffects.mMessages);
+  if (aEffects.mRestore) {
+    mAppliedIndex = aEffects.mRestore->mIndex;
+    const auto loaded = mState.Load(aEffects.mRestore->mState);
+    if (!loaded) {
+      LogError(loaded.GetError());
+    }
+  }
+  std::ranges::for_each(aEffects.mCommitted,
+                        [this](const LogEntry& aEntry) { ApplyEntry(aEntry); });
+  if (aEffects.mSnapshotWanted) {
+    aMore.push_back(
+      mLog->OnSnapshotTaken(SteadyNow(), mAppliedIndex, mState.Save()));
+  }
+  NoteRoleChange(aEffects);
+  NoteBundleChange();
+}
+
+void ControlPlane::SendMessages(const std::vector<ConsensusEnvelope>& aMessages)
+{
+  for (const ConsensusEnvelope& envelope : aMessages) {
+    const Member* member = mLog->CurrentMembership().Find(envelope.mTo);
+    if (member == nullptr) {
+      continue;
+    }
+    const auto address = AddressOf(member->mDaemon);
+    if (address) {
+      mNetwork->Send(*address,
+                     static_cast<std::uint16_t>(PeerMessageType::Consensus),
+                     Encode(envelope));
+    }
+  }
+}
+
+void ControlPlane::ApplyEntry(const LogEntry& aEntry)
+{
+  mAppliedIndex = aEntry.mIndex;
+  if (aEntry.mKind != EntryKind::Command) {
+    return;
+  }
+  const auto applied = mState.Apply(aEntry.mIndex, aEntry.mPayload);
+  if (!applied) {
+    return;
+  }
+  mMetrics.Add(Counter::CommandsCommitted);
+  RecordCommand(*applied);
+  if (applied->mNonce != 0) {
+    mWaiters.Wake(applied->mNonce, applied->mOutcome);
+  }
+}
+
+void ControlPlane::RecordCommand(const AppliedCommand& aApplied)
+{
+  const auto* placement = std::get_if<PlacementCommand>(&aApplied.mBody);
+  if (placement == nullptr) {
+    return;
+  }
+  EventFacts facts;
+  if (const auto* settle = std::get_if<SettleOrder>(placement)) {
+    facts.mStep = EventStep::OrderConfirmed;
+    facts.mOrder = settle->mId;
+    facts.mDetail = settle->mDone ? "done" : "not done";
+    mEvents.Record(std::move(facts));
+  } else if (const auto* commit = std::get_if<CommitOrder>(placement)) {
+    facts.mStep = EventStep::OrderCommitted;
+    facts.mPeer = commit->mOrder.mTarget.Text();
+    facts.mDetail = std::string(kOrderActions.Name(commit->mOrder.mAction)) +
+                    " " + commit->mOrder.mModel.Text() + " " +
+                    commit->mOrder.mAdapter.Text();
+    mEvents.Record(std::move(facts));
+  }
+}
+
+void ControlPlane::NoteRoleChange(const LogEffects& aEffects)
+{
+  EventFacts facts;
+  if (aEffects.mBecameLeader) {
+    mDuties =
+      std::make_unique<LeaderDuties>(mSettings, mLog->Term(), SteadyNow());
+    facts.mStep = EventStep::LeaderElected;
+    facts.mDetail = "term " + std::to_string(mLog->Term());
+    mEvents.Record(std::move(facts));
+  } else if (aEffects.mLostLeadership) {
+    mDuties.reset();
+    mWaiters.WakeAll();
+    facts.mStep = EventStep::LeaderLost;
+    mEvents.Record(std::move(facts));
+  }
+  if (aEffects.mMembershipChanged) {
+    EventFacts changed;
+    changed.mStep = EventStep::MemberChanged;
+    mEvents.Record(std::move(changed));
+  }
+}
+
+void ControlPlane::NoteBundleChange()
+{
+  const Epoch epoch = mState.Bundles().CurrentEpoch();
+  if (epoch <= mAnnouncedEpoch) {
+    return;
+  }
+  mAnnouncedEpoch = epoch;
+  const auto bundle = mState.Bundles().Current();
+  EventFacts facts;
+  facts.mStep = EventStep::BundleInForce;
+  facts.mDetail = bundle->mName + " version " +
+                  std::to_string(bundle->mVersion) + " epoch " +
+                  std::to_string(epoch.Value());
+  mEvents.Record(std::move(facts));
+  mOnBundle(epoch, bundle);
+}
+
+void ControlPlane::OnConsensus(std::string_view aPayload,
+                               const std::string& aPeer)
+{
+  const auto envelope = Decode<ConsensusEnvelope>(aPayload, aPeer);
+  if (!envelope) {
+    LogError(envelope.GetError());
+    return;
+  }
+  const std::lock_guard lock(mMutex);
+  if (mLog) {
+    HandleEffects(mLog->Receive(SteadyNow(), *envelope));
+  }
+}
+
+void ControlPlane::OnHeartbeat(const HeartbeatMessage& aMessage)
+{
+  mEvents.Observe(aMessage.mStamp);
+  const std::lock_guard lock(mMutex);
+  PeerRecord& peer = mPeers[aMessage.mFrom];
+  if (aMessage.mIncarnation < peer.mIncarnation) {
+    return;
+  }
+  peer.mIncarnation = aMessage.mIncarnation;
+  peer.mReplica = aMessage.mReplica;
+  peer.mHeardAt = SteadyNow();
+  peer.mDemand = aMessage.mDemand;
+}
+
+void ControlPlane::OnLeaderHint(const DaemonName& aLeader)
+{
+  if (aLeader.IsEmpty()) {
+    return;
+  }
+  const std::lock_guard lock(mMutex);
+  mLeaderHint = aLeader;
+}
+
+DaemonName ControlPlane::LeaderName() const
+{
+  if (mLog) {
+    const Member* leader = mLog->CurrentMembership().Find(mLog->Leader());
+    if (leader != nullptr) {
+      return leader->mDaemon;
+    }
+  }
+  return mLeaderHint;
+}
+
+std::optional<Endpoint> ControlPlane::LeaderAddress() const
+{
+  return AddressOf(LeaderName());
+}
+
+std::optional<Endpoint> ControlPlane::AddressOf(const DaemonName& aDaemon) const
+{
+  const auto it =
+    std::ranges::find(mSettings.mPeers, aDaemon, &PeerSettings::mName);
+  if (it == mSettings.mPeers.end()) {
+    return std::nullopt;
+  }
+  return it->mAddress;
+}
+
+TargetChange ControlPlane::OnAnnouncement(const Announcement& aAnnouncement)
+{
+  mMetrics.Add(Counter::AnnouncementsTaken);
+  const std::lock_guard lock(mMutex);
+  return mTargets.Apply(SteadyNow(), aAnnouncement);
+}
+
+std::vector<TargetName> ControlPlane::ExpireTargets()
+{
+  const std::lock_guard lock(mMutex);
+  return mTargets.Expire(SteadyNow());
+}
+
+BundleInForce ControlPlane::GetBundle(Epoch aKnown) const
+{
+  const std::lock_guard lock(mMutex);
+  BundleInForce bundle;
+  bundle.mEpoch = mState.Bundles().CurrentEpoch();
+  bundle.mLeader = LeaderName();
+  if (bundle.mEpoch > aKnown) {
+    bundle.mText = mState.Bundles().CurrentText();
+  }
+  return bundle;
+}
+
+bool ControlPlane::AdoptBundle(const BundleInForce& aBundle)
+{
+  OnLeaderHint(aBundle.mLeader);
+  if (aBundle.mText.empty()) {
+    return false;
+  }
+  const std::lock_guard lock(mMutex);
+  const bool adopted = mState.Bundles().Adopt(aBundle.mEpoch, aBundle.mText);
+  NoteBundleChange();
+  return adopted;
+}
+
+std::optional<Shortfall> ControlPlane::CheckFit(const Bundle& aBundle) const
+{
+  const std::lock_guard lock(mMutex);
+  std::vector<PlannerTarget> targets;
+  for (const auto& [name, record] : mTargets.All()) {
+    const Announcement& announcement = record.mAnnouncement;
+    if (announcement.mKind != TargetKind::Engine ||
+        record.mState == TargetState::Silent) {
+      continue;
+    }
+    PlannerTarget target;
+    target.mName = name;
+    target.mFailureDomain = announcement.mFailureDomain;
+    target.mPool = announcement.mPool;
+    target.mMemory = announcement.mMemory;
+    target.mLeaving = record.mState == TargetState::Leaving;
+    target.mHolds = announcement.mResident;
+    targets.push_back(std::move(target));
+  }
+  const auto current = mState.Bundles().Current();
+  return CheckFeasible(aBundle, current.get(), targets);
+}
+
+void ControlPlane::HandOverLeadership()
+{
+  const std::lock_guard lock(mMutex);
+  mHandingOver = true;
+  if (mLog && mLog->Role() == ReplicaRole::Leader) {
+    HandleEffects(mLog->TransferLeadership(SteadyNow()));
+  }
+}
+
+Result<Unit> ControlPlane::ChangeMembers(const Membership& aMembership)
+{
+  const std::lock_guard lock(mMutex);
+  if (!mLog) {
+    return MakeError(ErrorCode::NotLeader, "member.change",
+                     LeaderName().Text());
+  }
+  LogEffects effects;
+  const auto proposed =
+    mLog->ProposeMembership(SteadyNow(), aMembership, effects);
+  if (!proposed) {
+    return proposed.GetError();
+  }
+  HandleEffects(std::move(effects));
+  return Success();
+}
+
+ControlStatus ControlPlane::Status() const
+{
+  const std::lock_guard lock(mMutex);
+  ControlStatus status;
+  status.mLeader = LeaderName();
+  status.mEpoch = mState.Bundles().CurrentEpoch();
+  status.mLedgerKeys = mState.GetLedger().Size();
+  status.mOpenOrders = mState.GetPlacement().OpenOrders().size();
+  status.mReplica = mReplica;
+  if (mLog) {
+    status.mHasReplica = true;
+    status.mRole = mLog->Role();
+    status.mTerm = mLog->Term();
+    status.mCommitIndex = mLog->CommitIndex();
+    status.mLastIndex = mLog->LastIndex();
+    status.mHasLease = mLog->HasLease(SteadyNow());
+    status.mMembership = mLog->CurrentMembership();
+  }
+  return status;
+}
+
+Epoch ControlPlane::CurrentEpoch() const
+{
+  const std::lock_guard lock(mMutex);
+  return mState.Bundles().CurrentEpoch();
+}
+
+std::shared_ptr<const Bundle> ControlPlane::CurrentBundle() const
+{
+  const std::lock_guard lock(mMutex);
+  return mState.Bundles().Current();
+}
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/daemon/src/request_runner.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+/**
+ * @file
+ * Serves one idempotent request: attempts, hedges, retries, relay.
+ */
+
+#include "attempt.hpp"
+#include "context.hpp"
+
+#include <map>
+#include <memory>
+
+namespace carobtide {
+
+/**
+ * Runs one request from admission to its answer. Bytes of one attempt only
+ * ever reach the caller; a cut stream ends as a broken connection.
+ *
+ * Thread safety: one coroutine on the exchange's executor.
+ */
+class RequestRunner
+{
+public:
+  RequestRunner(DaemonContext& aContext, HttpExchange& aExchange,
+                std::shared_ptr<const ForwardPlan> aPlan);
+  /** Cancels attempts that still run. */
+  ~RequestRunner();
+
+  /** Answers the exchange, unless the caller goes away before. */
+  boost::asio::awaitable<void> Run();
+
+private:
+  using AttemptPtr = std::shared_ptr<Attempt>;
+
+  boost::asio::awaitable<void> Handle(DispatchAttempt aDispatch);
+  boost::asio::awaitable<void> Handle(RefuseRequest aRefusal);
+  boost::asio::awaitable<void> Handle(CancelAttempt aCancel);
+  boost::asio::awaitable<void> Handle(FailRequest aFailure);
+  boost::asio::awaitable<void> Handle(AttemptAnswered aAnswer);
+  boost::asio::awaitable<void> Handle(AttemptFailed aFailure);
+  boost::asio::awaitable<void> Handle(CallerClosed aClosed);
+
+  boost::asio::awaitable<void> RelayWhole(AttemptPtr aAttempt,
+                                          HttpResponseHead aHead);
+  boost::asio::awaitable<void> RelayStream(AttemptPtr aAttempt,
+                                           HttpResponseHead aHead);
+  boost::asio::awaitable<bool> CopyStream(Attempt& aAttempt);
+  HttpResponseHead CallerHead(const HttpResponseHead& aHead) const;
+  void FinishRelay(Attempt& aAttempt, AttemptEnd aEnd);
+  void WatchCaller();
+  void CancelOthers(AttemptId aWinner);
+  bool WasAnySent() const;
+  void RecordEvent(EventStep aStep, std::string aPeer, std::string aDetail);
+
+  DaemonContext& mContext;
+  HttpExchange& mExchange;
+  std::shared_ptr<const ForwardPlan> mPlan;
+  std::shared_ptr<RequestMailbox> mMailbox;
+  std::map<AttemptId, AttemptPtr> mAttempts;
+  AttemptPtr mRelaying;
+  Instant mArrivedAt;
+  bool mDone = false;
+};
+
+} // namespace carobtide
--- a/packages/transport/include/carobtide/transport/http_server.hpp
+++ b/packages/transport/include/carobtide/transport/http_server.hpp
@@ -83,7 +83,7 @@
 {
 public:
   /** Runs every connection on a strand of its own over one executor. */
-  HttpServer(boost::asio::any_io_executor aExecutor, HttpLimits aLimits,
+  HttpServer(const boost::asio::any_io_executor& aExecutor, HttpLimits aLimits,
              HttpHandler aHandler);
   /** Spreads connections over workers. The pool must outlive the server. */
   HttpServer(WorkerPool& aWorkers, HttpLimits aLimits, HttpHandler aHandler);
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -32,7 +32,7 @@
 class BeastConnection final : public HttpConnection
 {
 public:
-  BeastConnection(beast::tcp_stream aStream, Endpoint aAddress)
+  BeastConnection(beast::tcp_stream aStream, const Endpoint& aAddress)
     : mStream(std::move(aStream))
     , mPeerName(aAddress.ToString())
   {
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -147,8 +147,8 @@
   }
 }
 
-HttpServer::HttpServer(asio::any_io_executor aExecutor, HttpLimits aLimits,
-                       HttpHandler aHandler)
+HttpServer::HttpServer(const asio::any_io_executor& aExecutor,
+                       HttpLimits aLimits, HttpHandler aHandler)
   : mImpl(std::make_shared<Impl>(
       [aExecutor]() -> asio::any_io_executor {
         return asio::make_strand(aExecutor);
--- a/packages/transport/src/http_types.cpp
+++ b/packages/transport/src/http_types.cpp
@@ -50,7 +50,8 @@
   }
   std::string_view rest = std::string_view(mTarget).substr(mark + 1);
   while (!rest.empty()) {
-    const auto end = std::min(rest.find_first_of("&"), rest.size());
+    const auto end =
+      static_cast<std::size_t>(std::ranges::find(rest, '&') - rest.begin());
     const std::string_view pair = rest.substr(0, end);
     const auto equals = std::min(pair.find('='), pair.size());
     if (pair.substr(0, equals) == aName) {
--- a/packages/transport/src/peer_channel.cpp
+++ b/packages/transport/src/peer_channel.cpp
@@ -375,12 +375,13 @@
     self->mUdp.close(ec);
   });
   const std::lock_guard lock(mMutex);
-  for (auto& [address, dialer] : mDialers) {
+  for (const auto& entry : mDialers) {
+    const auto dialer = entry.second;
     asio::post(dialer->Executor(), [dialer] { dialer->Close(); });
   }
-  for (auto& [executor, weak] : mAccepted) {
-    if (const auto link = weak.lock()) {
-      asio::post(executor, [link] { link->Close(); });
+  for (const auto& accepted : mAccepted) {
+    if (const auto link = accepted.second.lock()) {
+      asio::post(accepted.first, [link] { link->Close(); });
     }
   }
 }
