--- a/packages/routing/src/router_admission.cpp
+++ b/packages/routing/src/router_admission.cpp
@@ -41,7 +41,7 @@
   , mTargets(mOptions.mFailureDomain)
   , mSelector(mOptions.mPolicy,
               SlotRules{ mOptions.mLongShare, mOptions.mShortReserve,
-                         mOptions.mDaemons },
+                         mOptions.mUrgentExcess, mOptions.mDaemons },
               mOptions.mSeed)
   , mQueue(mOptions.mMaxQueued)
   , mRetryBudget(mOptions.mRetryBudget)
@@ -147,6 +147,7 @@
 RouterEffects Router::Impl::Tick(Instant aNow)
 {
   RouterEffects effects;
+  mNow = aNow;
   mPeers.Expire(aNow, mTargets);
   mQuarantine.Expire(aNow);
   mTargets.ForgetSilent(aNow - kForgetSilentAfter);
