--- a/packages/consensus/tests/replica_rules_test.cpp
+++ b/packages/consensus/tests/replica_rules_test.cpp
@@ -152,7 +152,7 @@
   const auto* reply = Find<VoteReply>(asked);
   CHECK((reply == nullptr || !reply->mGranted));
   const auto probed =
-    Deliver(failed, kSecond, VoteRequest{ 1, 0, 0, true, false });
+    Deliver(failed, kSecond, VoteRequest{ 2, 0, 0, true, false });
   REQUIRE(Find<VoteReply>(probed) != nullptr);
   CHECK_FALSE(Find<VoteReply>(probed)->mGranted);
   failed.Tick(kLater + 10s);
