--- a/packages/cli/include/carobtide/cli/prefix_cache.hpp
+++ b/packages/cli/include/carobtide/cli/prefix_cache.hpp
@@ -18,12 +18,15 @@
 /** Bytes of prompt per block of the prefix cache. */
 inline constexpr std::size_t kPrefixBlockBytes = 256;
 
+/** Longer prefixes are not hashed. */
+inline constexpr std::size_t kMaxPrefixBlocks = 32;
+
 /**
  * Rolling hashes of a prompt's prefixes, one per whole block, shortest first.
- * Each covers the model and all blocks before it.
+ * Each covers all blocks before it. The daemons compute the same ones, which
+ * is how they read cache events.
  */
-std::vector<std::uint64_t> ComputePrefixHashes(std::string_view aModel,
-                                               std::string_view aPrompt);
+std::vector<std::uint64_t> ComputePrefixHashes(std::string_view aPrompt);
 
 /**
  * Least-recently-used cache of prefix blocks.
--- a/packages/cli/src/command_status.cpp
+++ b/packages/cli/src/command_status.cpp
@@ -26,21 +26,56 @@
   });
 }
 
-void AddMemberChange(CLI::App& aParent, CommandContext& aContext,
-                     const std::string& aAction, const std::string& aHelp)
+/** Options of a change of members. */
+struct MemberOptions
+{
+  OperatorOptions mOperator;
+  std::string mDaemon;
+  std::uint64_t mReplica = 0;
+  std::string mFailureDomain;
+};
+
+CLI::App* AddMemberChange(CLI::App& aParent, CommandContext& aContext,
+                          const std::string& aAction, const std::string& aHelp,
+                          const std::shared_ptr<MemberOptions>& aOptions)
 {
   CLI::App* command = aParent.add_subcommand(aAction, aHelp);
-  auto options = std::make_shared<OperatorOptions>();
-  auto name = std::make_shared<std::string>();
-  AddOperatorOptions(*command, *options);
-  command->add_option("NAME", *name, "Name of the daemon")->required();
-  command->callback([options, name, aAction, &aContext] {
-    const ApiClient client(options->mApi);
-    const json::object body{ { "action", aAction }, { "name", *name } };
+  AddOperatorOptions(*command, aOptions->mOperator);
+  command
+    ->add_option("REPLICA", aOptions->mReplica,
+                 "Replica id, as member list and status show it")
+    ->required();
+  command->callback([aOptions, aAction, &aContext] {
+    const ApiClient client(aOptions->mOperator.mApi);
+    const json::object body{ { "action", aAction },
+                             { "replica", std::to_string(aOptions->mReplica) },
+                             { "daemon", aOptions->mDaemon },
+                             { "failure_domain", aOptions->mFailureDomain } };
     PrintAnswer(aContext,
                 client.Call("POST", "/members", json::serialize(body)),
-                options->mJson);
+                aOptions->mOperator.mJson);
   });
+  return command;
+}
+
+void AddMemberCommands(CLI::App& aApp, CommandContext& aContext)
+{
+  CLI::App* member = aApp.add_subcommand("member", "Voters of the control log");
+  member->require_subcommand(1);
+  AddGetCommand(*member, aContext, "list", "/members", "List the members");
+  const auto options = std::make_shared<MemberOptions>();
+  CLI::App* add = AddMemberChange(*member, aContext, "add",
+                                  "Add a replica as a learner", options);
+  add->add_option("--name", options->mDaemon, "Its daemon")->required();
+  add
+    ->add_option("--failure-domain", options->mFailureDomain,
+                 "The daemon's failure domain")
+    ->required();
+  AddMemberChange(*member, aContext, "promote",
+                  "Let a learner that has caught up vote",
+                  std::make_shared<MemberOptions>());
+  AddMemberChange(*member, aContext, "remove", "Remove a replica",
+                  std::make_shared<MemberOptions>());
 }
 
 /** Options of the time line. */
@@ -122,11 +157,7 @@
                 "Targets that announced themselves");
   AddGetCommand(aApp, aContext, "placement", "/placement",
                 "Which model is resident where, and open orders");
-  CLI::App* member = aApp.add_subcommand("member", "Voters of the control log");
-  member->require_subcommand(1);
-  AddGetCommand(*member, aContext, "list", "/members", "List the members");
-  AddMemberChange(*member, aContext, "add", "Add a daemon with a disk");
-  AddMemberChange(*member, aContext, "remove", "Remove a daemon");
+  AddMemberCommands(aApp, aContext);
 }
 
 void AddTimelineCommand(CLI::App& aApp, CommandContext& aContext)
--- a/packages/cli/src/completion.cpp
+++ b/packages/cli/src/completion.cpp
@@ -75,8 +75,7 @@
     if (!message.is_object()) {
       return false;
     }
-    aOut.mPrompt += TextOf(message.get_object(), "role") + ":" +
-                    TextOf(message.get_object(), "content") + "\n";
+    aOut.mPrompt += TextOf(message.get_object(), "content") + "\n";
   }
   return !messages->get_array().empty();
 }
--- a/packages/cli/src/engine_core.cpp
+++ b/packages/cli/src/engine_core.cpp
@@ -34,8 +34,7 @@
   ApplySlowness(aNow);
   const SequenceId id(++mNextSequence);
   mUses.emplace(id, mOrders.BeginUse(aCompletion.mModel, aCompletion.mAdapter));
-  const auto hashes =
-    ComputePrefixHashes(aCompletion.FullModel(), aCompletion.mPrompt);
+  const auto hashes = ComputePrefixHashes(aCompletion.mPrompt);
   const std::size_t hits = mCache.Touch(hashes, mCacheEvents);
   const std::string_view prompt = aCompletion.mPrompt;
   SequenceSpec spec;
--- a/packages/cli/src/engine_target_http.cpp
+++ b/packages/cli/src/engine_target_http.cpp
@@ -46,14 +46,24 @@
   return MakeResponse(aStatus, "application/json", std::move(aBody));
 }
 
-void EchoHeaders(const Completion& aCompletion, HttpHeaders& aHeaders)
+/** Names the request and the attempt that an answer belongs to. */
+void EchoHeaders(const HttpRequest& aRequest, HttpHeaders& aHeaders)
 {
-  aHeaders.Add("Carobtide-Request-Id", aCompletion.mRequestId);
-  if (!aCompletion.mAttempt.empty()) {
-    aHeaders.Add("Carobtide-Attempt", aCompletion.mAttempt);
+  for (const char* name : { "Carobtide-Request-Id", "Carobtide-Attempt" }) {
+    if (aRequest.mHeaders.Has(name)) {
+      aHeaders.Add(name, std::string(aRequest.mHeaders.Get(name)));
+    }
   }
 }
 
+HttpResponse RefuseCompletion(const HttpRequest& aRequest,
+                              std::uint16_t aStatus, std::string aBody)
+{
+  HttpResponse response = JsonResponse(aStatus, std::move(aBody));
+  EchoHeaders(aRequest, response.mHead.mHeaders);
+  return response;
+}
+
 std::uint16_t StatusOf(OrderReply aReply)
 {
   switch (aReply) {
@@ -110,17 +120,22 @@
 
 asio::awaitable<void> EngineTarget::HandleCompletion(HttpExchange& aExchange)
 {
-  const auto parsed = ParseCompletion(aExchange.Request());
+  const HttpRequest& request = aExchange.Request();
+  const auto parsed = ParseCompletion(request);
   if (!parsed) {
-    (void)co_await aExchange.Respond(JsonResponse(
-      kBadRequest, RenderError("malformed", "target.parse", Name().Text(),
-                               parsed.GetError().mDetail)));
+    HttpResponse response =
+      RefuseCompletion(request, kBadRequest,
+                       RenderError("malformed", "target.parse", Name().Text(),
+                                   parsed.GetError().mDetail));
+    (void)co_await aExchange.Respond(std::move(response));
     co_return;
   }
   if (!mCore->CanServe(*parsed)) {
-    (void)co_await aExchange.Respond(
-      JsonResponse(kNotFound, RenderError("model-not-resident", "target.admit",
-                                          Name().Text(), parsed->FullModel())));
+    HttpResponse response =
+      RefuseCompletion(request, kNotFound,
+                       RenderError("model-not-resident", "target.admit",
+                                   Name().Text(), parsed->FullModel()));
+    (void)co_await aExchange.Respond(std::move(response));
     co_return;
   }
   if (parsed->mPrompt.find(kCrashMarker) != std::string::npos) {
@@ -173,7 +188,7 @@
   }
   HttpResponse response =
     JsonResponse(kOk, RenderWholeAnswer(aCompletion, aAnswer));
-  EchoHeaders(aCompletion, response.mHead.mHeaders);
+  EchoHeaders(aExchange.Request(), response.mHead.mHeaders);
   (void)co_await aExchange.Respond(std::move(response));
 }
 
@@ -184,7 +199,7 @@
 {
   HttpResponseHead head;
   head.mHeaders.Add("Content-Type", "text/event-stream");
-  EchoHeaders(aCompletion, head.mHeaders);
+  EchoHeaders(aExchange.Request(), head.mHeaders);
   const StreamRenderer renderer(aCompletion, aAnswer);
   const std::uint32_t skipped =
     std::min(aCompletion.mResumeOffset, aAnswer.Length());
--- a/packages/cli/src/load_request.cpp
+++ b/packages/cli/src/load_request.cpp
@@ -108,7 +108,7 @@
       const std::string prompt = MakePrompt(aClass, aArrival, aSeed);
       const std::uint32_t maxTokens = MaxTokens(aClass, aArrival);
       const bool isChat = aClass.mKind == LoadKind::Chat;
-      const std::string seen = isChat ? "user:" + prompt + "\n" : prompt;
+      const std::string seen = isChat ? prompt + "\n" : prompt;
       LoadRequest made{ {}, Answer(model, seen, maxTokens), {} };
       made.mRequest.mTarget = isChat ? kChatPath : kCompletionPath;
       made.mRequest.mBody = RenderBody(aClass, model, prompt, maxTokens);
--- a/packages/cli/src/prefix_cache.cpp
+++ b/packages/cli/src/prefix_cache.cpp
@@ -6,15 +6,15 @@
 
 namespace carobtide {
 
-std::vector<std::uint64_t> ComputePrefixHashes(std::string_view aModel,
-                                               std::string_view aPrompt)
+std::vector<std::uint64_t> ComputePrefixHashes(std::string_view aPrompt)
 {
   std::vector<std::uint64_t> hashes;
-  std::uint64_t hash = ComputeChecksum(aModel);
-  for (std::size_t at = 0; at + kPrefixBlockBytes <= aPrompt.size();
-       at += kPrefixBlockBytes) {
-    hash = ComputeChecksum(aPrompt.substr(at, kPrefixBlockBytes), hash);
+  std::uint64_t hash = 0;
+  while (aPrompt.size() >= kPrefixBlockBytes &&
+         hashes.size() < kMaxPrefixBlocks) {
+    hash = ComputeChecksum(aPrompt.substr(0, kPrefixBlockBytes), hash);
     hashes.push_back(hash);
+    aPrompt.remove_prefix(kPrefixBlockBytes);
   }
   return hashes;
 }
