--- a/packages/routing/src/target_table.cpp
+++ b/packages/routing/src/target_table.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::uint32_t kDefaultEngineSlots = 8;
 constexpr std::uint32_t kDefaultServiceSlots = 32;
+/** How long a peer's observation counts. */
+constexpr Duration kPeerSlownessLifetime = 400ms;
 
 std::uint32_t SlotsOf(const Announcement& aAnnouncement)
 {
@@ -30,6 +32,14 @@
 
 } // namespace
 
+double TargetEntry::Slowness(Instant aNow) const
+{
+  const double own = mLatency.Slowness(aNow);
+  const bool isPeerFresh = mPeerSlownessAt > mLatency.UpdatedAt() &&
+                           mPeerSlownessAt + kPeerSlownessLifetime > aNow;
+  return isPeerFresh ? std::max(own, mPeerSlowness) : own;
+}
+
 TargetTable::TargetTable(FailureDomain aLocal)
   : mLocal(std::move(aLocal))
 {
@@ -169,6 +179,13 @@
   return { route->mLocal, route->mRemote, route->mFallback };
 }
 
+void TargetTable::AppendAdapters(RouteIndex aBase,
+                                 std::vector<RouteIndex>& aOut) const
+{
+  const std::vector<RouteIndex>& adapters = mRoutes[aBase].mAdapters;
+  aOut.insert(aOut.end(), adapters.begin(), adapters.end());
+}
+
 TargetIndex TargetTable::Find(const TargetName& aName) const
 {
   const auto it = mByName.find(aName);
@@ -195,6 +212,7 @@
   if (isNew) {
     it->second = NewRoute();
     mRoutes[it->second].mBase = model.mBase;
+    mRoutes[model.mBase].mAdapters.push_back(it->second);
   }
   return it->second;
 }
