Settle unloads one order lifetime after the copy is gone

An unload on a target that does not check fencing settles once its target was heard an order lifetime after the last send. It was sent again although the copy was gone already, at growing intervals, and each resend began the lifetime anew.

An unload of this leader whose copy is no longer reported is not sent again; it is if the copy comes back.

--- a/packages/placement/src/placement_controller.cpp
+++ b/packages/placement/src/placement_controller.cpp
@@ -367,6 +367,14 @@
     });
   }
 
+  /** True for an unload that only waits until no late load can undo it. */
+  bool IsUnloaded(const Order& aOrder, const Announcement& aSaid) const
+  {
+    return aOrder.mAction == OrderAction::Unload &&
+           mTracker.IsSentByThisLeader(aOrder.mId) &&
+           !IsResident(aSaid, aOrder);
+  }
+
   void SendOrders(const Bundle& aBundle, PlacementEffects& aEffects)
   {
     mStoreTokens.Refill(mNow, aBundle.mStore.mLoadsPerSecond);
@@ -382,7 +390,8 @@
       const TargetRecord* record = Addressee(order);
       if (record == nullptr || mSettling.contains(id) ||
           record->mState != TargetState::Live ||
-          IsRefused(record->mAnnouncement, id) || !mTracker.IsDue(mNow, id)) {
+          IsRefused(record->mAnnouncement, id) || !mTracker.IsDue(mNow, id) ||
+          IsUnloaded(order, record->mAnnouncement)) {
         continue;
       }
       if (order.mAction == OrderAction::Unload &&
--- a/packages/placement/tests/placement_fault_test.cpp
+++ b/packages/placement/tests/placement_fault_test.cpp
@@ -96,6 +96,29 @@
   }
 }
 
+TEST_CASE("an unload settles one order lifetime after the copy is gone")
+{
+  PlacementPump pump(1);
+  AddEngines(pump, 60, false);
+  pump.SetBundle(MakeBundle(4));
+  REQUIRE(pump.RunUntilSettled(120s));
+  pump.SetBundle(MakeBundle(4, 2));
+  // Resends that prove nothing would start the lifetime anew.
+  std::map<OrderId, Instant> opened;
+  Duration longest{ 0 };
+  for (int tick = 0; tick < 600; ++tick) {
+    pump.Run(100ms);
+    for (const auto& [id, order] : pump.Record().OpenOrders()) {
+      if (order.mAction == OrderAction::Unload) {
+        const Instant since = opened.emplace(id, pump.Now()).first->second;
+        longest = std::max(longest, pump.Now() - since);
+      }
+    }
+  }
+  REQUIRE(pump.Sent(OrderAction::Unload) > 0);
+  CHECK(longest / 1ms < PlacementOptions{}.mOrderLifetime / 1ms + 3000);
+}
+
 TEST_CASE("memory, serving and store limits hold under faults")
 {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
