--- a/packages/routing/src/router_admission.cpp
+++ b/packages/routing/src/router_admission.cpp
@@ -22,6 +22,8 @@
 constexpr double kBatchPromotionShare = 0.5;
 constexpr Duration kBatchPromotionWait = 600s;
 constexpr Duration kForgetSilentAfter = 600s;
+/** Between two passes over tables that age slowly. */
+constexpr Duration kUpkeepInterval = 500ms;
 
 constexpr std::array<WorkClass, kWorkClassCount> kByUrgency{
   WorkClass::ShortInteractive, WorkClass::LongInteractive,
@@ -148,9 +150,12 @@
 {
   RouterEffects effects;
   mNow = aNow;
-  mPeers.Expire(aNow, mTargets);
-  mQuarantine.Expire(aNow);
-  mTargets.ForgetSilent(aNow - kForgetSilentAfter);
+  if (mNextUpkeep <= aNow) {
+    mNextUpkeep = aNow + kUpkeepInterval;
+    mPeers.Expire(aNow, mTargets);
+    mQuarantine.Expire(aNow);
+    mTargets.ForgetSilent(aNow - kForgetSilentAfter);
+  }
   for (const CrashVerdict& verdict : mCrashes.Expire(aNow)) {
     Apply(aNow, verdict, effects);
   }
--- a/packages/routing/src/router_impl.hpp
+++ b/packages/routing/src/router_impl.hpp
@@ -164,6 +164,7 @@
   std::vector<RouteIndex> mDrainRoutes;
   /** Time of the last tick. */
   Instant mNow;
+  Instant mNextUpkeep;
   std::uint64_t mLastAttempt = 0;
   RouterStats mStats;
 };
