--- a/packages/routing/benchmark/routing_policies.cpp
+++ b/packages/routing/benchmark/routing_policies.cpp
@@ -28,15 +28,43 @@
 struct Variant
 {
   const char* mName;
-  const char* mPolicy;
-  bool mPlainFifo;
+  RouterOptions mOptions;
+  bool mHasHints = true;
 };
 
-constexpr std::array<Variant, 3> kVariants{ {
-  { "round-robin", "round-robin", true },
-  { "least-reported", "least-reported", true },
-  { "two-choices", "two-choices", false },
-} };
+Variant Baseline(const char* aName)
+{
+  Variant variant{ aName, {}, true };
+  variant.mOptions.mPolicy = aName;
+  variant.mOptions.mPlainFifo = true;
+  return variant;
+}
+
+/** The baselines and the policy as shipped. */
+std::vector<Variant> MainVariants()
+{
+  return { Baseline("round-robin"), Baseline("least-reported"),
+           Variant{ "two-choices", {}, true } };
+}
+
+/** The policy with one part taken away at a time. */
+std::vector<Variant> Ablations()
+{
+  std::vector<Variant> variants{ Variant{ "as shipped", {}, true } };
+  const auto add = [&](const char* aName) -> RouterOptions& {
+    variants.push_back({ aName, {}, true });
+    return variants.back().mOptions;
+  };
+  add("no long share").mLongShare = 1.0;
+  add("no reserve").mShortReserve = 0.0;
+  add("no excess").mUrgentExcess = 0.0;
+  add("no hedges").mHedgeBudget = 0.0;
+  add("round-robin").mPolicy = "round-robin";
+  add("least-reported").mPolicy = "least-reported";
+  add("no hints");
+  variants.back().mHasHints = false;
+  return variants;
+}
 
 /** Latency that stands for an answer that never came. */
 constexpr double kNoAnswer = 60.0;
@@ -55,6 +83,7 @@
   double mWaitMean = 0.0;
   double mWaitP99 = 0.0;
   double mAttained = 0.0;
+  double mAttainedShare = 0.0;
   double mAttainedInteractive = 0.0;
   double mAnswered = 0.0;
   RouterStats mStats;
@@ -123,6 +152,7 @@
   figures.mWaitP99 = Quantile(waits, 0.99);
   figures.mAttained =
     attained / (aTo - aFrom) / static_cast<double>(aOptions.mTargets);
+  figures.mAttainedShare = attained / count;
   figures.mAttainedInteractive = interactiveAttained / interactive;
   figures.mAnswered = answered / count;
   for (std::uint32_t it = 0; it < aOptions.mDaemons; ++it) {
@@ -159,8 +189,8 @@
   options.mTargets = aDeployment.mTargets;
   options.mModels = aDeployment.mModels;
   options.mSeed = aSeed;
-  options.mRouter.mPolicy = aVariant.mPolicy;
-  options.mRouter.mPlainFifo = aVariant.mPlainFifo;
+  options.mRouter = aVariant.mOptions;
+  options.mHasHints = aVariant.mHasHints;
   WorkloadOptions workload;
   workload.mDuration = kDuration;
   workload.mLoad = aScenario.mLoad;
@@ -177,33 +207,71 @@
                  hasCrest ? kCrestTo : kDuration);
 }
 
+void PrintScenario(const Deployment& aDeployment, const Scenario& aScenario,
+                   const std::vector<Variant>& aVariants, std::uint64_t aSeed)
+{
+  std::printf("%s, %s\n", aDeployment.mName, aScenario.mName);
+  std::printf("  %-15s %8s %8s %8s %8s %8s %8s %8s %8s %8s %6s %6s %6s\n",
+              "policy", "p50", "p99", "p99-rep", "whole99", "wait", "wait99",
+              "att/s/a", "att-int", "answered", "refus", "hedge", "probe");
+  for (const Variant& variant : aVariants) {
+    const Figures it = RunScenario(aDeployment, variant, aScenario, aSeed);
+    std::printf("  %-15s %8.3f %8.3f %8.3f %8.3f %8.4f %8.3f %8.3f %8.3f "
+                "%8.3f %6llu %6llu %6llu\n",
+                variant.mName, it.mP50, it.mP99, it.mReplicatedP99,
+                it.mWholeP99, it.mWaitMean, it.mWaitP99, it.mAttained,
+                it.mAttainedInteractive, it.mAnswered,
+                static_cast<unsigned long long>(it.mStats.mRefused),
+                static_cast<unsigned long long>(it.mStats.mHedges),
+                static_cast<unsigned long long>(it.mStats.mProbes));
+  }
+}
+
+/**
+ * The highest load at which enough requests of every kind are within their
+ * objective: what one accelerator is worth.
+ */
+void PrintSustainedLoad(const Deployment& aDeployment,
+                        const std::vector<Variant>& aVariants,
+                        std::uint64_t aSeed)
+{
+  constexpr double kEnough = 0.95;
+  constexpr double kStep = 0.05;
+  constexpr double kLeast = 0.3;
+  constexpr double kMost = 1.2;
+  for (const Variant& variant : aVariants) {
+    double sustained = 0.0;
+    for (double load = kLeast; load <= kMost; load += kStep) {
+      const Scenario scenario{ "sustained", load, 1.0, true };
+      const Figures it = RunScenario(aDeployment, variant, scenario, aSeed);
+      if (std::min(it.mAttainedInteractive, it.mAttainedShare) < kEnough) {
+        break;
+      }
+      sustained = load;
+    }
+    std::printf("%s, sustained load with slowed targets: %-15s %.2f of the "
+                "slots\n",
+                aDeployment.mName, variant.mName, sustained);
+  }
+}
+
 } // namespace
 
+/** Arguments: a seed, and "ablation" for the parts of the policy. */
 int main(int argc, char** argv)
 {
   const std::uint64_t seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
-  std::printf("seed %llu; times in seconds; attained/s/acc: requests within "
-              "their objective per second and accelerator\n",
+  const bool isAblation = argc > 2 && std::string(argv[2]) == "ablation";
+  const std::vector<Variant> variants =
+    isAblation ? Ablations() : MainVariants();
+  std::printf("seed %llu; times in seconds; att/s/a: requests within their "
+              "objective per second and accelerator\n",
               static_cast<unsigned long long>(seed));
   for (const Deployment& deployment : kDeployments) {
     for (const Scenario& scenario : kScenarios) {
-      std::printf("%s, %s\n", deployment.mName, scenario.mName);
-      std::printf("  %-15s %8s %8s %8s %8s %8s %8s %8s %8s %8s %6s %6s %6s\n",
-                  "policy", "p50", "p99", "p99-rep", "whole99", "wait",
-                  "wait99", "att/s/a", "att-int", "answered", "refus", "hedge",
-                  "probe");
-      for (const Variant& variant : kVariants) {
-        const Figures it = RunScenario(deployment, variant, scenario, seed);
-        std::printf(
-          "  %-15s %8.3f %8.3f %8.3f %8.3f %8.4f %8.3f %8.3f %8.3f %8.3f "
-          "%6llu %6llu %6llu\n",
-          variant.mName, it.mP50, it.mP99, it.mReplicatedP99, it.mWholeP99,
-          it.mWaitMean, it.mWaitP99, it.mAttained, it.mAttainedInteractive,
-          it.mAnswered, static_cast<unsigned long long>(it.mStats.mRefused),
-          static_cast<unsigned long long>(it.mStats.mHedges),
-          static_cast<unsigned long long>(it.mStats.mProbes));
-      }
+      PrintScenario(deployment, scenario, variants, seed);
     }
+    PrintSustainedLoad(deployment, variants, seed);
   }
   return 0;
 }
--- a/packages/routing/benchmark/service_model.hpp
+++ b/packages/routing/benchmark/service_model.hpp
@@ -44,6 +44,7 @@
   double mNetwork = 0.0005;
   double mReportLag = 1.5;
   double mHintInterval = 0.1;
+  bool mHasHints = true;
   double mTickInterval = 0.02;
   RouterOptions mRouter;
   std::uint64_t mSeed = 1;
@@ -126,7 +127,9 @@
     for (std::uint32_t it = 0; it < mOptions.mDaemons; ++it) {
       const double offset = mOptions.mTickInterval * it / mOptions.mDaemons;
       Schedule(offset, [this, it] { Tick(it); });
-      Schedule(offset, [this, it] { Hint(it); });
+      if (mOptions.mHasHints) {
+        Schedule(offset, [this, it] { Hint(it); });
+      }
     }
     for (std::uint32_t it = 0; it < mOptions.mTargets; ++it) {
       Schedule(0.0, [this, it] { Announce(it); });
