--- a/packages/routing/benchmark/routing_policies.cpp
+++ b/packages/routing/benchmark/routing_policies.cpp
@@ -257,11 +257,15 @@
 
 } // namespace
 
-/** Arguments: a seed, and "ablation" for the parts of the policy. */
+/**
+ * Arguments: a seed, "main" or "ablation" (the parts of the policy), and
+ * optionally the name of one scenario.
+ */
 int main(int argc, char** argv)
 {
   const std::uint64_t seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
   const bool isAblation = argc > 2 && std::string(argv[2]) == "ablation";
+  const std::string only = argc > 3 ? argv[3] : "";
   const std::vector<Variant> variants =
     isAblation ? Ablations() : MainVariants();
   std::printf("seed %llu; times in seconds; att/s/a: requests within their "
@@ -269,9 +273,13 @@
               static_cast<unsigned long long>(seed));
   for (const Deployment& deployment : kDeployments) {
     for (const Scenario& scenario : kScenarios) {
-      PrintScenario(deployment, scenario, variants, seed);
+      if (only.empty() || only == scenario.mName) {
+        PrintScenario(deployment, scenario, variants, seed);
+      }
+    }
+    if (only.empty()) {
+      PrintSustainedLoad(deployment, variants, seed);
     }
-    PrintSustainedLoad(deployment, variants, seed);
   }
   return 0;
 }
