--- a/packages/routing/include/carobtide/routing/router.hpp
+++ b/packages/routing/include/carobtide/routing/router.hpp
@@ -32,9 +32,9 @@
   /** Most attempts of one request. */
   std::uint32_t mMaxAttempts = 3;
   /** Share of a target's slots that long work may take. */
-  double mLongShare = 0.5;
+  double mLongShare = 0.3;
   /** Share of a target's slots kept for short interactive work. */
-  double mShortReserve = 0.1;
+  double mShortReserve = 0.2;
   /** Share of a target's slots that short interactive work may exceed. */
   double mUrgentExcess = 0.25;
   /** Daemons that share the targets, for limits kept per daemon. */
--- a/packages/routing/include/carobtide/routing/work_class.hpp
+++ b/packages/routing/include/carobtide/routing/work_class.hpp
@@ -87,9 +87,9 @@
 struct SlotRules
 {
   /** Share that long work may take. */
-  double mLongShare = 0.5;
+  double mLongShare = 0.3;
   /** Share kept for short interactive work. */
-  double mShortReserve = 0.1;
+  double mShortReserve = 0.2;
   /**
    * Share of the slots that short interactive work may exceed them by. The
    * engine puts it ahead of other work, whichever daemon sent that.
