--- a/packages/consensus/include/carobtide/consensus/messages.hpp
+++ b/packages/consensus/include/carobtide/consensus/messages.hpp
@@ -111,12 +111,11 @@
   /** The offset that the follower wants next; lower after its restart. */
   std::uint64_t mNextOffset = 0;
   bool mDone = false;
-  std::int64_t mSentAtMicros = 0;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mTerm, mIndex, mOffset, mNextOffset, mDone, mSentAtMicros);
+    aArchive(mTerm, mIndex, mOffset, mNextOffset, mDone);
   }
 };
 
--- a/packages/consensus/src/snapshot_transfer.cpp
+++ b/packages/consensus/src/snapshot_transfer.cpp
@@ -82,8 +82,7 @@
   const bool complete = TakeChunk(aRequest);
   SendOnceDurable(aFrom,
                   SnapshotReply{ Term(), aRequest.mIndex, aRequest.mOffset,
-                                 mIncoming->mState.size(), complete,
-                                 aRequest.mSentAtMicros });
+                                 mIncoming->mState.size(), complete });
   if (complete) {
     Install(aRequest);
     Acknowledge(aFrom, aRequest.mIndex, aRequest.mSentAtMicros, false);
@@ -138,8 +137,6 @@
     return;
   }
   Progress& progress = it->second;
-  progress.Heard(mNow, Instant(Duration(aReply.mSentAtMicros)));
-  UpdateQuorumContact();
   if (progress.Mode() != ProgressMode::Snapshot ||
       progress.Transfer().mSnapshot->mIndex != aReply.mIndex || aReply.mDone) {
     return;
--- a/packages/consensus/tests/snapshot_transfer_test.cpp
+++ b/packages/consensus/tests/snapshot_transfer_test.cpp
@@ -65,8 +65,7 @@
   std::optional<SnapshotRequest> Want(std::uint64_t aAnswered,
                                       std::uint64_t aNext)
   {
-    return Answer(
-      SnapshotReply{ mLog->Term(), 20, aAnswered, aNext, false, 0 });
+    return Answer(SnapshotReply{ mLog->Term(), 20, aAnswered, aNext, false });
   }
 
 private:
