Fewer commit messages, and messages that cannot harm a replica

Commit notices were answered like heartbeats: 8, 16 and 24 messages a commit with 3, 5 and 7 voters. They now go unanswered unless they do not match: 6, 12 and 18. The lease does not need them, since appends and heartbeats are answered.

Appends with gaps, undecodable memberships, entries of a later term or entries against what is committed, and acknowledgements beyond the log, would have met an assertion; they are ignored now, with a test each.

--- a/packages/consensus/include/carobtide/consensus/messages.hpp
+++ b/packages/consensus/include/carobtide/consensus/messages.hpp
@@ -52,13 +52,15 @@
   std::uint64_t mCommitIndex = 0;
   /** Echoed in the reply: the leader's send time, for its lease. */
   std::int64_t mSentAtMicros = 0;
+  /** Only tells the new commit index: no answer unless it does not match. */
+  bool mCommitNotice = false;
   std::vector<LogEntry> mEntries;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(mTerm, mPreviousIndex, mPreviousTerm, mCommitIndex, mSentAtMicros,
-             mEntries);
+             mCommitNotice, mEntries);
   }
 };
 
--- a/packages/consensus/src/follower.cpp
+++ b/packages/consensus/src/follower.cpp
@@ -3,6 +3,7 @@
  * The follower's side of replication.
  */
 
+#include "carobtide/base/codec.hpp"
 #include "replica.hpp"
 
 #include <algorithm>
@@ -39,15 +40,31 @@
     BecomeFollower(aRequest.mTerm, aFrom);
   }
   ObserveLeader(aFrom);
-  if (!MatchesLog(aFrom, aRequest)) {
+  if (!MatchesLog(aFrom, aRequest) || !IsAcceptable(aRequest)) {
     return;
   }
   Store(aRequest);
   const auto matched = aRequest.mPreviousIndex + aRequest.mEntries.size();
   mCommitIndex =
     std::max(mCommitIndex, std::min(aRequest.mCommitIndex, matched));
-  Acknowledge(aFrom, matched, aRequest.mSentAtMicros,
-              aRequest.mEntries.empty());
+  if (!aRequest.mCommitNotice) {
+    Acknowledge(aFrom, matched, aRequest.mSentAtMicros,
+                aRequest.mEntries.empty());
+  }
+}
+
+bool ReplicatedLog::Impl::IsAcceptable(const AppendRequest& aRequest) const
+{
+  auto next = aRequest.mPreviousIndex;
+  return std::ranges::all_of(aRequest.mEntries, [&](const LogEntry& aEntry) {
+    next++;
+    const auto held = mLog.TermAt(aEntry.mIndex);
+    const bool replaces = held && *held != aEntry.mTerm;
+    return aEntry.mIndex == next && aEntry.mTerm <= aRequest.mTerm &&
+           !(replaces && aEntry.mIndex <= mCommitIndex) &&
+           (aEntry.mKind != EntryKind::Membership ||
+            Decode<Membership>(aEntry.mPayload));
+  });
 }
 
 bool ReplicatedLog::Impl::MatchesLog(ReplicaId aFrom,
--- a/packages/consensus/src/progress.cpp
+++ b/packages/consensus/src/progress.cpp
@@ -59,7 +59,7 @@
   if (outdated) {
     return false;
   }
-  mNext = std::max(mMatch + 1, std::min(aHint + 1, aRejectedIndex));
+  mNext = std::max(mMatch + 1, std::min({ aHint + 1, aRejectedIndex, mNext }));
   mMode = ProgressMode::Probe;
   mProbeSent = false;
   mInFlight.clear();
--- a/packages/consensus/src/replica.hpp
+++ b/packages/consensus/src/replica.hpp
@@ -122,8 +122,7 @@
   void SendHeartbeat(ReplicaId aTo, Progress& aProgress);
   void SendEntriesToAll();
   void SendEntries(ReplicaId aTo, Progress& aProgress);
-  void SendAppend(ReplicaId aTo, std::uint64_t aPrevious,
-                  std::vector<LogEntry> aEntries);
+  AppendRequest MakeAppend(std::uint64_t aPrevious) const;
   void AdvanceCommit();
   void OnCommitted();
   void HandleAcknowledgement(ReplicaId aFrom, Progress& aProgress,
@@ -133,6 +132,7 @@
   // follower.cpp
   void ObserveLeader(ReplicaId aLeader);
   void RefuseStaleLeader(ReplicaId aFrom, std::int64_t aSentAtMicros);
+  bool IsAcceptable(const AppendRequest& aRequest) const;
   bool MatchesLog(ReplicaId aFrom, const AppendRequest& aRequest);
   void Store(const AppendRequest& aRequest);
   void TruncateFrom(std::uint64_t aIndex);
--- a/packages/consensus/src/replication.cpp
+++ b/packages/consensus/src/replication.cpp
@@ -26,10 +26,10 @@
     case ProgressMode::Probe:
       break;
     case ProgressMode::Replicate:
-      SendAppend(aTo, aProgress.Next() - 1, {});
+      Send(aTo, MakeAppend(aProgress.Next() - 1));
       break;
     case ProgressMode::Snapshot:
-      SendAppend(aTo, 0, {});
+      Send(aTo, MakeAppend(0));
       ResendChunk(aTo, aProgress);
       break;
   }
@@ -56,15 +56,15 @@
       return;
     }
     const auto previous = aProgress.Next() - 1;
-    auto entries = mLog.Slice(aProgress.Next(), mOptions.mMaxBatchEntries,
-                              mOptions.mMaxBatchBytes);
-    aProgress.Sent(previous + entries.size());
-    SendAppend(aTo, previous, std::move(entries));
+    auto request = MakeAppend(previous);
+    request.mEntries = mLog.Slice(aProgress.Next(), mOptions.mMaxBatchEntries,
+                                  mOptions.mMaxBatchBytes);
+    aProgress.Sent(previous + request.mEntries.size());
+    Send(aTo, std::move(request));
   }
 }
 
-void ReplicatedLog::Impl::SendAppend(ReplicaId aTo, std::uint64_t aPrevious,
-                                     std::vector<LogEntry> aEntries)
+AppendRequest ReplicatedLog::Impl::MakeAppend(std::uint64_t aPrevious) const
 {
   AppendRequest request;
   request.mTerm = Term();
@@ -72,8 +72,7 @@
   request.mPreviousTerm = aPrevious == 0 ? 0 : *mLog.TermAt(aPrevious);
   request.mCommitIndex = mCommitIndex;
   request.mSentAtMicros = mNow.time_since_epoch().count();
-  request.mEntries = std::move(aEntries);
-  Send(aTo, std::move(request));
+  return request;
 }
 
 void ReplicatedLog::Impl::AdvanceCommit()
@@ -104,7 +103,9 @@
   for (auto& [replica, progress] : mProgress) {
     if (progress.Mode() == ProgressMode::Replicate &&
         progress.Next() > mLog.LastIndex()) {
-      SendAppend(replica, progress.Next() - 1, {});
+      auto notice = MakeAppend(progress.Next() - 1);
+      notice.mCommitNotice = true;
+      Send(replica, std::move(notice));
     }
   }
   OnMembershipCommitted();
@@ -135,7 +136,8 @@
     return;
   }
   const auto it = mProgress.find(aFrom);
-  if (aReply.mTerm < Term() || !IsLeader() || it == mProgress.end()) {
+  if (aReply.mTerm < Term() || !IsLeader() || it == mProgress.end() ||
+      aReply.mMatchIndex > mLog.LastIndex()) {
     return;
   }
   Progress& progress = it->second;
--- a/packages/consensus/tests/replica_rules_test.cpp
+++ b/packages/consensus/tests/replica_rules_test.cpp
@@ -189,3 +189,71 @@
                                          VoteRequest{ 9, 0, 0 } });
   CHECK(log.Term() == 0);
 }
+
+TEST_CASE("a malformed append is ignored")
+{
+  auto log = MakeReplica();
+  AppendRequest request;
+  request.mTerm = 1;
+  SECTION("a gap in the entries")
+  {
+    request.mEntries = { LogEntry{ 1, 1, EntryKind::Command, "a" },
+                         LogEntry{ 3, 1, EntryKind::Command, "b" } };
+  }
+  SECTION("a membership that cannot be decoded")
+  {
+    request.mEntries = { LogEntry{ 1, 1, EntryKind::Membership, "?" } };
+  }
+  SECTION("an entry of a later term")
+  {
+    request.mEntries = { LogEntry{ 1, 2, EntryKind::Command, "a" } };
+  }
+  const auto effects = Deliver(log, kSecond, request);
+  CHECK(log.LastIndex() == 0);
+  CHECK(Find<AppendReply>(effects) == nullptr);
+}
+
+TEST_CASE("an append never replaces what is committed")
+{
+  auto log = MakeReplica();
+  AppendRequest request;
+  request.mTerm = 1;
+  request.mCommitIndex = 1;
+  request.mEntries = { LogEntry{ 1, 1, EntryKind::Command, "a" } };
+  Deliver(log, kSecond, request);
+  REQUIRE(log.CommitIndex() == 1);
+  request.mTerm = 2;
+  request.mEntries[0].mTerm = 2;
+  Deliver(log, kThird, request);
+  CHECK(log.LastIndex() == 1);
+  CHECK(log.CommitIndex() == 1);
+}
+
+TEST_CASE("an acknowledgement beyond the log is ignored")
+{
+  auto log = MakeReplica();
+  Persisted(log, Elect(log));
+  Acknowledge(log, kSecond, 50);
+  CHECK(log.MatchIndex(kSecond) == 0);
+  CHECK(log.CommitIndex() == 0);
+  CHECK_FALSE(log.Tick(kLater + 60ms).mMessages.empty());
+}
+
+TEST_CASE("a commit notice is not answered, a heartbeat is")
+{
+  auto log = MakeReplica();
+  AppendRequest request;
+  request.mTerm = 1;
+  request.mEntries = { LogEntry{ 1, 1, EntryKind::Command, "a" } };
+  Persisted(log, Deliver(log, kSecond, request));
+  request.mPreviousIndex = 1;
+  request.mPreviousTerm = 1;
+  request.mCommitIndex = 1;
+  request.mEntries.clear();
+  request.mCommitNotice = true;
+  const auto noticed = Deliver(log, kSecond, request);
+  CHECK(noticed.mCommitted.size() == 1);
+  CHECK(noticed.mMessages.empty());
+  request.mCommitNotice = false;
+  CHECK(Find<AppendReply>(Deliver(log, kSecond, request)) != nullptr);
+}
