--- a/packages/cli/tests/engine_target_test.cpp
+++ b/packages/cli/tests/engine_target_test.cpp
@@ -249,3 +249,34 @@
   CHECK(table.at("max_per_key").to_number<int>() == 2);
   CHECK(table.at("by_key").at("k1").to_number<int>() == 2);
 }
+
+TEST_CASE("a service drops calls before or after they ran", "[target]")
+{
+  const bool isAfter = GENERATE(false, true);
+  asio::io_context context{ 1 };
+  ServiceTargetOptions options;
+  options.mName = TargetName("s-0");
+  (isAfter ? options.mDropAfter : options.mDropBefore) = 1.0;
+  ServiceTarget service(context.get_executor(), options);
+  REQUIRE(service.Start());
+  std::string counts;
+  bool done = false;
+  const auto body = [&]() -> asio::awaitable<void> {
+    HttpRequest call = Post("/book", "{}");
+    call.mHeaders.Add("Idempotency-Key", "k1");
+    const auto dropped =
+      co_await FetchOnce(service.Address(), std::move(call), kTimeout);
+    CHECK(dropped.Code() == ErrorCode::ConnectionLost);
+    HttpRequest ask;
+    ask.mTarget = "/counts";
+    const auto answer =
+      co_await FetchOnce(service.Address(), std::move(ask), kTimeout);
+    counts = answer ? answer->mBody : "";
+    done = true;
+  };
+  asio::co_spawn(context, body, asio::detached);
+  while (!done) {
+    context.run_one();
+  }
+  CHECK(json::parse(counts).at("total").to_number<int>() == (isAfter ? 1 : 0));
+}
