--- a/packages/daemon/src/bootstrap.cpp
+++ b/packages/daemon/src/bootstrap.cpp
@@ -81,7 +81,7 @@
       co_return NewReplicaId();
     }
     if (summary.mAllAnswered) {
-      co_return ControlPlane::FirstReplicaOf(aContext.mSettings.mName);
+      co_return FirstReplicaOf(aContext.mSettings.mName);
     }
     co_await Pause(kProbeInterval);
   }
--- a/packages/daemon/src/control_plane.cpp
+++ b/packages/daemon/src/control_plane.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr GroupId kControlGroup{ 1 };
+constexpr Duration kMembershipInterval = std::chrono::seconds(1);
+/** A daemon not heard of for this long is no candidate. */
+constexpr Duration kCandidateTimeout = std::chrono::seconds(3);
 
 } // namespace
 
@@ -30,6 +33,7 @@
   , mRandom(aIncarnation)
   , mState(MakeLedgerLimits(aSettings))
   , mTargets(aSettings.mTargetTimeout)
+  , mMembers(MakeMembershipPolicy(aSettings))
 {
 }
 
@@ -64,32 +68,6 @@
   return stored;
 }
 
-ReplicaId ControlPlane::FirstReplicaOf(const DaemonName& aDaemon)
-{
-  return ReplicaId(ComputeChecksum(aDaemon.Text()) | 1U);
-}
-
-Membership ControlPlane::InitialMembership() const
-{
-  Membership membership;
-  const auto add = [&](const DaemonName& aName, const FailureDomain& aDomain) {
-    Member member;
-    member.mReplica = FirstReplicaOf(aName);
-    member.mDaemon = aName;
-    member.mFailureDomain = aDomain;
-    member.mRole = MemberRole::Voter;
-    membership.mMembers.push_back(member);
-  };
-  add(mSettings.mName, mSettings.mFailureDomain);
-  for (const PeerSettings& peer : mSettings.mPeers) {
-    if (peer.mHasDisk) {
-      add(peer.mName, peer.mFailureDomain);
-    }
-  }
-  std::ranges::sort(membership.mMembers, {}, &Member::mReplica);
-  return membership;
-}
-
 void ControlPlane::StartReplica()
 {
   const std::lock_guard lock(mMutex);
@@ -98,8 +76,9 @@
     std::move(mStorage),
     [this](std::uint64_t aSequence) { OnDurable(aSequence); },
     [this](const Error& aError) { OnStorageFailure(aError); });
-  mLog.emplace(kControlGroup, std::move(mRecovered), InitialMembership(),
-               ReplicatedLogOptions{}, now, mRandom());
+  mLog.emplace(kControlGroup, std::move(mRecovered),
+               MakeInitialMembership(mSettings), ReplicatedLogOptions{}, now,
+               mRandom());
   HandleEffects(mLog->Tick(now));
 }
 
@@ -141,7 +120,48 @@
   }
   if (IsLeading()) {
     RunLeaderDuties(now);
+    RunMembership(now);
+  }
+}
+
+void ControlPlane::RunMembership(Instant aNow)
+{
+  if (aNow < mNextMembership) {
+    return;
+  }
+  mNextMembership = aNow + kMembershipInterval;
+  const auto proposal =
+    mMembers.Next(aNow, ViewOf(*mLog), FindCandidates(aNow));
+  if (!proposal) {
+    return;
+  }
+  LogEffects effects;
+  const auto proposed = mLog->ProposeMembership(aNow, proposal->mNext, effects);
+  HandleEffects(std::move(effects));
+  EventFacts facts;
+  facts.mStep = EventStep::MemberChanged;
+  facts.mPeer = proposal->mMember.mDaemon.Text();
+  facts.mDetail = std::string(proposed ? "proposed " : "could not propose ") +
+                  std::string(kMembershipSteps.Name(proposal->mStep)) + " " +
+                  std::to_string(proposal->mMember.mReplica.Value());
+  mEvents.Record(std::move(facts));
+}
+
+std::vector<ReplicaCandidate> ControlPlane::FindCandidates(Instant aNow) const
+{
+  std::vector<ReplicaCandidate> candidates;
+  for (const auto& [name, peer] : mPeers) {
+    const bool isAlive = aNow - peer.mHeardAt <= kCandidateTimeout;
+    if (peer.mReplica == ReplicaId() || !isAlive) {
+      continue;
+    }
+    ReplicaCandidate candidate;
+    candidate.mReplica = peer.mReplica;
+    candidate.mDaemon = name;
+    candidate.mFailureDomain = DomainOf(mSettings, name);
+    candidates.push_back(std::move(candidate));
   }
+  return candidates;
 }
 
 bool ControlPlane::IsLeading() const
--- a/packages/daemon/src/control_plane.hpp
+++ b/packages/daemon/src/control_plane.hpp
@@ -12,6 +12,7 @@
 #include "command_waiter.hpp"
 #include "control_state.hpp"
 #include "event_log.hpp"
+#include "initial_membership.hpp"
 #include "leader_duties.hpp"
 #include "metrics.hpp"
 #include "peer_messages.hpp"
@@ -75,9 +76,6 @@
   /** Starts the replica. Precondition: OpenStorage, and an identity. */
   void StartReplica();
 
-  /** The identity that a daemon's first disk has. */
-  static ReplicaId FirstReplicaOf(const DaemonName& aDaemon);
-
   /** The answer to a peer's probe. */
   BootstrapStatus GetBootstrapStatus() const;
 
@@ -160,11 +158,12 @@
   void NoteRoleChange(const LogEffects& aEffects);
   void RecordCommand(const AppliedCommand& aApplied);
   void RunLeaderDuties(Instant aNow);
+  void RunMembership(Instant aNow);
+  std::vector<ReplicaCandidate> FindCandidates(Instant aNow) const;
   void ProposeUnattended(ControlBody aBody);
   DaemonName LeaderName() const;
   std::optional<Endpoint> LeaderAddress() const;
   std::optional<Endpoint> AddressOf(const DaemonName& aDaemon) const;
-  Membership InitialMembership() const;
 
   void OnDurable(std::uint64_t aSequence);
   void OnStorageFailure(const Error& aError);
@@ -189,6 +188,8 @@
   std::uint64_t mAppliedIndex = 0;
   CommandWaiters mWaiters;
   std::unique_ptr<LeaderDuties> mDuties;
+  MembershipManager mMembers;
+  Instant mNextMembership;
   PeerTable mPeers;
   DaemonName mLeaderHint;
   Epoch mAnnouncedEpoch;
--- a/tests/e2e/test_lost_disk.py
+++ b/tests/e2e/test_lost_disk.py
@@ -22,7 +22,7 @@
         victim = next(item for item in cluster.daemons if item is not cluster.leader())
         victim.kill()
         shutil.rmtree(victim.data_dir)
-        old_replica = wait_for(cluster.leader, "a leader")
+        wait_for(cluster.leader, "a leader")
         victim.start()
         wait_for(victim.is_ready, "the daemon without its old disk")
         members = cluster.leader().operate("GET", "/members").json()["members"]
@@ -39,6 +39,24 @@
             and value, "the second epoch")
         wait_for(lambda: epoch_everywhere(cluster, second), "the second epoch everywhere")
 
+        # The group repairs itself; then a second VM is lost for good.
+        def repaired():
+            leader = cluster.leader()
+            members = leader and leader.operate("GET", "/members").json()["members"]
+            voters = [item for item in members or [] if item["role"] == "voter"]
+            return len(voters) == 3 and all(item["replica"] != old for item in members)
+
+        wait_for(repaired, "the lost replica to be replaced")
+        lost = next(item for item in cluster.daemons
+                    if item not in (victim, cluster.daemons[0]))
+        lost.kill()
+        wait_for(cluster.leader, "a leader without the second VM")
+        cluster.roll(make_bundle(version=3, services=False), "shop", 3)
+        second = wait_for(
+            lambda: (value := cluster.daemons[0].status().get("epoch", 0)) > second
+            and value, "the third epoch")
+        lost.start()
+
         # Every process restarts: the second bundle is in force again.
         for daemon in cluster.daemons:
             daemon.kill()
