Resume a broken stream after the last whole event

Cause: a target that died under a stream cut it off for the caller, although engines can resume; and half an event could be sent on.

Change: EventStream hands on whole events only and counts tokens; when a stream breaks off, the next attempt starts at that offset and its events follow without a seam. A stream whose generation had finished gets its lost end mark. Where no target is left the connection breaks, so that it never looks whole.

--- a/packages/daemon/src/attempt.cpp
+++ b/packages/daemon/src/attempt.cpp
@@ -26,6 +26,10 @@
                        std::to_string(aAttempt.mDispatch.mAttempt.Value()));
   request.mHeaders.Add("Carobtide-Priority", std::string(kPriorityClasses.Name(
                                                aPlan.mFacts.mPriority)));
+  if (aAttempt.mResumeOffset > 0) {
+    request.mHeaders.Add("Carobtide-Resume-Offset",
+                         std::to_string(aAttempt.mResumeOffset));
+  }
   return request;
 }
 
--- a/packages/daemon/src/attempt.hpp
+++ b/packages/daemon/src/attempt.hpp
@@ -36,6 +36,8 @@
   bool mCancelled = false;
   /** True once a byte of the request may have reached the target. */
   bool mSent = false;
+  /** Tokens that were delivered before this attempt; it continues there. */
+  std::uint64_t mResumeOffset = 0;
   /** Whole body, or the first part of a stream. */
   std::string mBody;
   /** True while more of the body is to be read. */
--- a/packages/daemon/src/request_runner.cpp
+++ b/packages/daemon/src/request_runner.cpp
@@ -2,7 +2,6 @@
 
 #include "answers.hpp"
 #include "clock.hpp"
-#include "stream_meter.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -66,6 +65,7 @@
               aDispatch.mHedge ? "hedge" : "");
   auto attempt = std::make_shared<Attempt>();
   attempt->mDispatch = std::move(aDispatch);
+  attempt->mResumeOffset = mStream.TokenCount();
   mAttempts.emplace(attempt->mDispatch.mAttempt, attempt);
   asio::co_spawn(executor, RunAttempt(mContext, mPlan, attempt, mMailbox),
                  asio::detached);
@@ -77,14 +77,10 @@
   mContext.mMetrics.Add(Counter::RequestsRefused);
   RecordEvent(EventStep::RequestRefused, "",
               std::string(ErrorMessage(aRefusal.mCode)));
-  const RunOutcome outcome =
-    WasAnySent() ? RunOutcome::Unknown : RunOutcome::NotRun;
   const Error error =
     MakeError(aRefusal.mCode, "route.admit", "", aRefusal.mDetail);
-  HttpResponse response =
-    MakeCallerError(error, mPlan->mFacts.mId, outcome, aRefusal.mRetryAfter);
-  auto responding = mExchange.Respond(std::move(response));
-  co_await std::move(responding);
+  auto ending = EndWithError(error, aRefusal.mRetryAfter);
+  co_await std::move(ending);
 }
 
 awaitable<void> RequestRunner::Handle(FailRequest aFailure)
@@ -93,11 +89,24 @@
   mContext.mMetrics.Add(Counter::RequestsFailed);
   RecordEvent(EventStep::RequestFinished, "",
               "failed: " + std::string(ErrorMessage(aFailure.mCode)));
-  const RunOutcome outcome =
-    WasAnySent() ? RunOutcome::Unknown : RunOutcome::NotRun;
   const Error error =
     MakeError(aFailure.mCode, "route.attempt", "", aFailure.mDetail);
-  HttpResponse response = MakeCallerError(error, mPlan->mFacts.mId, outcome);
+  auto ending = EndWithError(error, Duration(0));
+  co_await std::move(ending);
+}
+
+awaitable<void> RequestRunner::EndWithError(const Error& aError,
+                                            Duration aRetryAfter)
+{
+  if (mStreamBegun) {
+    // A cut stream must not look like a short answer.
+    mExchange.Abort();
+    co_return;
+  }
+  const RunOutcome outcome =
+    WasAnySent() ? RunOutcome::Unknown : RunOutcome::NotRun;
+  HttpResponse response =
+    MakeCallerError(aError, mPlan->mFacts.mId, outcome, aRetryAfter);
   auto responding = mExchange.Respond(std::move(response));
   co_await std::move(responding);
 }
@@ -173,62 +182,95 @@
 awaitable<void> RequestRunner::RelayStream(AttemptPtr aAttempt,
                                            HttpResponseHead aHead)
 {
-  const HttpResponseHead head = CallerHead(aHead);
-  auto beginning = mExchange.BeginStream(head);
-  const auto begun = co_await std::move(beginning);
-  if (!begun) {
-    FinishRelay(*aAttempt, AttemptEnd::CallerGone);
-    co_return;
+  if (!mStreamBegun) {
+    mStreamBegun = true;
+    const HttpResponseHead head = CallerHead(aHead);
+    auto beginning = mExchange.BeginStream(head);
+    const auto begun = co_await std::move(beginning);
+    if (!begun) {
+      FinishRelay(*aAttempt, AttemptEnd::CallerGone);
+      co_return;
+    }
   }
   auto copying = CopyStream(*aAttempt);
-  const bool isCopied = co_await std::move(copying);
-  if (!isCopied) {
+  const AttemptEnd end = co_await std::move(copying);
+  if (end == AttemptEnd::Whole) {
+    auto ending = EndStream(std::move(aAttempt));
+    co_await std::move(ending);
+  } else if (MayResume(end)) {
+    mDone = false;
+    mRelaying.reset();
+    mStream.DropPartial();
+    RecordEvent(EventStep::AttemptFailed, aAttempt->mDispatch.mTarget.Text(),
+                "resuming after " + std::to_string(mStream.TokenCount()));
+    mContext.mRouter.OnFinished(aAttempt->mDispatch.mAttempt, end, false);
+  } else {
     mExchange.Abort();
-    co_return;
+    FinishRelay(*aAttempt, end);
+  }
+}
+
+bool RequestRunner::MayResume(AttemptEnd aEnd) const
+{
+  return aEnd == AttemptEnd::ConnectionLost && mPlan->mIsEngine;
+}
+
+awaitable<void> RequestRunner::EndStream(AttemptPtr aAttempt)
+{
+  if (mPlan->mIsEngine && !mStream.HasEnded()) {
+    // Generation had finished; only the end mark was lost.
+    auto delivering = Deliver("data: [DONE]\n\n");
+    co_await std::move(delivering);
   }
   auto finishing = mExchange.FinishStream();
   const auto finished = co_await std::move(finishing);
   FinishRelay(*aAttempt, finished ? AttemptEnd::Whole : AttemptEnd::CallerGone);
 }
 
-awaitable<bool> RequestRunner::CopyStream(Attempt& aAttempt)
+awaitable<bool> RequestRunner::Deliver(std::string_view aBytes)
+{
+  auto writing = mExchange.WriteChunk(aBytes);
+  const auto written = co_await std::move(writing);
+  co_return written.HasValue();
+}
+
+awaitable<AttemptEnd> RequestRunner::CopyStream(Attempt& aAttempt)
 {
   const AttemptId id = aAttempt.mDispatch.mAttempt;
-  StreamMeter meter;
-  bool hasMore = true;
   while (true) {
-    meter.Take(aAttempt.mBody);
-    const std::uint32_t tokens = meter.TakeTokens();
+    const std::string_view events = mStream.Take(aAttempt.mBody);
+    const std::uint32_t tokens = mStream.TakeTokens();
     if (tokens > 0) {
       mContext.mRouter.OnTokens(id, tokens);
     }
-    auto writing = mExchange.WriteChunk(aAttempt.mBody);
-    const auto written = co_await std::move(writing);
-    if (!written) {
-      FinishRelay(aAttempt, AttemptEnd::CallerGone);
-      co_return false;
+    auto delivering = Deliver(events);
+    const bool isDelivered = co_await std::move(delivering);
+    if (!isDelivered) {
+      co_return AttemptEnd::CallerGone;
     }
-    hasMore = aAttempt.mHasMore;
-    if (!hasMore) {
+    if (!aAttempt.mHasMore) {
       break;
     }
     auto reading =
       aAttempt.mConnection->ReadSome(aAttempt.mBody, TimeLeft(mPlan->mFacts));
     const auto more = co_await std::move(reading);
+    if (!more && mStream.HasFinished()) {
+      break;
+    }
     if (!more) {
-      FinishRelay(aAttempt, more.Code() == ErrorCode::Timeout
-                              ? AttemptEnd::TimedOut
-                              : AttemptEnd::ConnectionLost);
-      co_return false;
+      co_return more.Code() == ErrorCode::Timeout ? AttemptEnd::TimedOut
+                                                  : AttemptEnd::ConnectionLost;
     }
     aAttempt.mHasMore = *more;
   }
-  // An engine marks the end of its stream; without the mark it was cut.
-  if (mPlan->mIsEngine && !meter.HasEnded()) {
-    FinishRelay(aAttempt, AttemptEnd::ConnectionLost);
-    co_return false;
+  if (!mPlan->mIsEngine) {
+    auto delivering = Deliver(mStream.Partial());
+    const bool isDelivered = co_await std::move(delivering);
+    co_return isDelivered ? AttemptEnd::Whole : AttemptEnd::CallerGone;
   }
-  co_return true;
+  // An engine marks the end of its stream; without the mark it was cut.
+  const bool isWhole = mStream.HasEnded() || mStream.HasFinished();
+  co_return isWhole ? AttemptEnd::Whole : AttemptEnd::ConnectionLost;
 }
 
 void RequestRunner::FinishRelay(Attempt& aAttempt, AttemptEnd aEnd)
--- a/packages/daemon/src/request_runner.hpp
+++ b/packages/daemon/src/request_runner.hpp
@@ -7,6 +7,7 @@
 
 #include "attempt.hpp"
 #include "context.hpp"
+#include "event_stream.hpp"
 
 #include <map>
 #include <memory>
@@ -14,8 +15,9 @@
 namespace carobtide {
 
 /**
- * Runs one request from admission to its answer. Bytes of one attempt only
- * ever reach the caller; a cut stream ends as a broken connection.
+ * Runs one request from admission to its answer. A stream that breaks off is
+ * resumed by another attempt after the last whole event that was delivered;
+ * where that is not possible it ends as a broken connection.
  *
  * Thread safety: one coroutine on the exchange's executor.
  */
@@ -45,7 +47,12 @@
                                           HttpResponseHead aHead);
   boost::asio::awaitable<void> RelayStream(AttemptPtr aAttempt,
                                            HttpResponseHead aHead);
-  boost::asio::awaitable<bool> CopyStream(Attempt& aAttempt);
+  boost::asio::awaitable<AttemptEnd> CopyStream(Attempt& aAttempt);
+  boost::asio::awaitable<bool> Deliver(std::string_view aBytes);
+  boost::asio::awaitable<void> EndStream(AttemptPtr aAttempt);
+  boost::asio::awaitable<void> EndWithError(const Error& aError,
+                                            Duration aRetryAfter);
+  bool MayResume(AttemptEnd aEnd) const;
   HttpResponseHead CallerHead(const HttpResponseHead& aHead) const;
   void FinishRelay(Attempt& aAttempt, AttemptEnd aEnd);
   void WatchCaller();
@@ -59,6 +66,9 @@
   std::shared_ptr<RequestMailbox> mMailbox;
   std::map<AttemptId, AttemptPtr> mAttempts;
   AttemptPtr mRelaying;
+  /** Set once the head of a stream went to the caller. */
+  bool mStreamBegun = false;
+  EventStream mStream;
   Instant mArrivedAt;
   bool mDone = false;
 };
--- a/tests/e2e/harness.py
+++ b/tests/e2e/harness.py
@@ -265,13 +265,15 @@
         wait_for(reachable, "every model to be reachable from every daemon")
 
 
-def make_bundle(version=1, models=4, services=True, memory="4GiB", pool="engines"):
+def make_bundle(version=1, models=4, services=True, memory="4GiB", pool="engines",
+                min_replicas=1):
     """A small bundle whose caller may use everything."""
     bundle = {
         "name": "shop",
         "version": version,
         "models": [
-            {"name": f"model-{index}", "version": 1, "pool": pool, "memory": memory}
+            {"name": f"model-{index}", "version": 1, "pool": pool, "memory": memory,
+             "min_replicas": min_replicas}
             for index in range(models)
         ],
         "callers": [
@@ -340,6 +342,16 @@
     def is_whole(self):
         return self.error is None and self.text.rstrip().endswith("data: [DONE]")
 
+    @property
+    def content(self):
+        """The answer's text, put together from the events."""
+        text = ""
+        for line in self.text.splitlines():
+            if line.startswith("data: {"):
+                delta = json.loads(line[len("data: "):])["choices"][0]["delta"]
+                text += delta.get("content", "")
+        return text
+
     @property
     def tokens(self):
         return self.text.count('"content"')
