--- a/packages/cli/tests/engine_target_test.cpp
+++ b/packages/cli/tests/engine_target_test.cpp
@@ -140,6 +140,7 @@
     const auto refused = co_await Fetch(
       Post("/v1/chat/completions", ChatBody("answer-tokens=5", false)));
     CHECK(refused.mHead.mStatus == 404);
+    CHECK(refused.mHead.mHeaders.Get("Carobtide-Request-Id") == "r-1");
     co_await LoadModel(31);
     CHECK(mLast.at("resident").at(0).at("order_id").to_number<int>() == 31);
     const auto answer = co_await Fetch(
@@ -164,7 +165,7 @@
     resume.mHeaders.Add("Carobtide-Resume-Offset", "15");
     const auto rest = co_await Fetch(std::move(resume));
     const auto skipped = whole.mBody.size() - rest.mBody.size();
-    const Answer answer("m", "user:answer-tokens=40\n", 0);
+    const Answer answer("m", "answer-tokens=40\n", 0);
     CHECK(rest.mBody == whole.mBody.substr(skipped));
     CHECK(rest.mBody.find(answer.Text(15, 16)) != std::string::npos);
     CHECK(rest.mBody.find(answer.Text(14, 15)) == std::string::npos);
@@ -248,3 +249,34 @@
   CHECK(table.at("max_per_key").to_number<int>() == 2);
   CHECK(table.at("by_key").at("k1").to_number<int>() == 2);
 }
+
+TEST_CASE("a service drops calls before or after they ran", "[target]")
+{
+  const bool isAfter = GENERATE(false, true);
+  asio::io_context context{ 1 };
+  ServiceTargetOptions options;
+  options.mName = TargetName("s-0");
+  (isAfter ? options.mDropAfter : options.mDropBefore) = 1.0;
+  ServiceTarget service(context.get_executor(), options);
+  REQUIRE(service.Start());
+  std::string counts;
+  bool done = false;
+  const auto body = [&]() -> asio::awaitable<void> {
+    HttpRequest call = Post("/book", "{}");
+    call.mHeaders.Add("Idempotency-Key", "k1");
+    const auto dropped =
+      co_await FetchOnce(service.Address(), std::move(call), kTimeout);
+    CHECK(dropped.Code() == ErrorCode::ConnectionLost);
+    HttpRequest ask;
+    ask.mTarget = "/counts";
+    const auto answer =
+      co_await FetchOnce(service.Address(), std::move(ask), kTimeout);
+    counts = answer ? answer->mBody : "";
+    done = true;
+  };
+  asio::co_spawn(context, body, asio::detached);
+  while (!done) {
+    context.run_one();
+  }
+  CHECK(json::parse(counts).at("total").to_number<int>() == (isAfter ? 1 : 0));
+}
--- a/packages/placement/src/demand_planner.cpp
+++ b/packages/placement/src/demand_planner.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <queue>
+#include <tuple>
 
 namespace carobtide {
 
@@ -12,16 +14,22 @@
 using Index = Packing::Index;
 
 /** Utilization above which a model gets another replica. */
-constexpr double kHighLevel = 0.8;
+constexpr double kHighLevel = 0.9;
 
 /** Utilization below which a replica may be taken away. */
 constexpr double kLowLevel = 0.6;
 
+/** How far below the model that takes its place a model must stay. */
+constexpr double kSwapMargin = 0.1;
+
+/** Load, in accelerators, below which a model makes way for any other. */
+constexpr double kQuietLoad = 0.05;
+
 /** Least fall of a model's utilization that is worth a load. */
-constexpr double kLeastGain = 0.1;
+constexpr double kLeastGain = 0.05;
 
 /** Rounds over all models in which the estimated split settles. */
-constexpr unsigned kSplitRounds = 3;
+constexpr unsigned kSplitRounds = 10;
 
 /** Loads that one plan may add beyond first replicas, per target. */
 constexpr double kMovesPerTarget = 1.0 / 16;
@@ -51,6 +59,7 @@
     while (mMovesLeft > 0 && Grow()) {
       mSplit.Settle(1);
     }
+    Fill();
     return mPacking.ToPlan();
   }
 
@@ -152,6 +161,34 @@
     return true;
   }
 
+  /**
+   * Puts further replicas into memory that nothing else takes: second ones
+   * first, then by load per replica. They widen what each target can serve.
+   */
+  void Fill()
+  {
+    std::priority_queue<std::tuple<bool, double, Index>> queue;
+    const auto push = [&](Index aModel) {
+      const Packing::Model& model = mPacking.Models()[aModel];
+      const std::size_t n = model.mTargets.size();
+      if (n != 0 && n < model.mMaxReplicas) {
+        queue.emplace(n == 1, mSplit.Load(aModel) / static_cast<double>(n),
+                      aModel);
+      }
+    };
+    for (Index m = 0; m < mPacking.Models().size(); ++m) {
+      push(m);
+    }
+    while (mMovesLeft > 0 && !queue.empty()) {
+      const Index m = std::get<Index>(queue.top());
+      queue.pop();
+      if (const auto room = FindRoom(mPacking, m)) {
+        AddReplica(m, *room);
+        push(m);
+      }
+    }
+  }
+
   void AddReplica(Index aModel, Index aTarget)
   {
     mPacking.Add(aModel, aTarget);
@@ -161,14 +198,19 @@
     }
   }
 
-  /** True if the others can carry the model's load without this replica. */
-  bool IsReclaimable(Index aModel, Index aTarget) const
+  /**
+   * True if the others can carry the model's load without this replica, and
+   * stay clearly below the level of the model that takes its place.
+   */
+  bool IsReclaimable(Index aModel, Index aTarget, double aLevel) const
   {
     const Packing::Model& model = mPacking.Models()[aModel];
     const std::size_t least =
       std::max<std::size_t>(1, model.mSpec->mMinReplicas);
+    const bool isQuiet = mSplit.Load(aModel) < kQuietLoad;
     if (model.mTargets.size() <= least ||
-        mSplit.LevelWithout(aModel, aTarget) > kLowLevel) {
+        (!isQuiet && mSplit.LevelWithout(aModel, aTarget) >
+                       std::max(kLowLevel, aLevel - kSwapMargin))) {
       return false;
     }
     // The rest must not fall back into one failure domain.
@@ -184,13 +226,14 @@
 
   bool CanMakeRoom(Index aModel, Index aTarget) const
   {
+    const double level = mSplit.Level(aModel);
     Bytes free = mPacking.Targets()[aTarget].mFree;
     const Bytes need = mPacking.Models()[aModel].mFootprint;
     if (free >= need) {
       return true;
     }
     for (const Index victim : mPacking.Targets()[aTarget].mModels) {
-      if (IsReclaimable(victim, aTarget)) {
+      if (IsReclaimable(victim, aTarget, level)) {
         free += mPacking.Models()[victim].mFootprint;
       }
     }
@@ -203,10 +246,11 @@
    */
   bool MakeRoom(Index aModel, Index aTarget)
   {
+    const double level = mSplit.Level(aModel);
     while (!mPacking.Fits(aModel, aTarget)) {
       std::optional<Index> victim;
       for (const Index m : mPacking.Targets()[aTarget].mModels) {
-        if (IsReclaimable(m, aTarget) &&
+        if (IsReclaimable(m, aTarget, level) &&
             (!victim ||
              mSplit.Share(m, aTarget) < mSplit.Share(*victim, aTarget))) {
           victim = m;
