--- a/tests/matrix/simulation.cpp
+++ b/tests/matrix/simulation.cpp
@@ -73,6 +73,13 @@
   return (mNow.time_since_epoch() + mStates[aProcess].mWallOffset).count();
 }
 
+bool Simulation::IsConnected(ProcessId aProcess) const
+{
+  const ProcessState& state = mStates[aProcess];
+  return mNow >= state.mPausedUntil && mNow >= state.mMuteUntil &&
+         mNow >= state.mDeafUntil;
+}
+
 bool Simulation::IsCut(ProcessId aFrom, ProcessId aTo) const
 {
   return aFrom != aTo &&
--- a/tests/matrix/simulation.hpp
+++ b/tests/matrix/simulation.hpp
@@ -94,6 +94,8 @@
   {
     return mStates[aProcess].mDiskFull;
   }
+  /** True if it runs and no fault keeps messages from or to it. */
+  bool IsConnected(ProcessId aProcess) const;
   bool IsCut(ProcessId aFrom, ProcessId aTo) const;
 
   /** Runs something later, outside of all processes. */
--- a/tests/matrix/world.hpp
+++ b/tests/matrix/world.hpp
@@ -111,12 +111,17 @@
   void Script();
   void CallModels();
   void SendOrders();
+  /** Hands an order in at any daemon. */
+  void Resend(const std::string& aKey);
   void SubmitOrder(const std::string& aKey, int aTries);
   void Operate(std::deque<OperatorAction> aActions, int aTries);
   std::deque<OperatorAction> ActionsFor(const std::string& aText,
                                         std::uint64_t aVersion);
   void StopLeader();
   void CheckServing();
+  void CheckLeases();
+  /** The configuration in force gets to every healthy daemon in time. */
+  void CheckSpread();
   void CheckEnd();
   void CheckEndOfState(const DaemonProcess& aLeader);
   DaemonProcess* Leader();
@@ -129,6 +134,10 @@
   std::map<ModelName, Instant> mLosses;
   std::set<ModelName> mServed;
   bool mCallersDone = false;
+  const DaemonProcess* mSpreadFrom = nullptr;
+  Epoch mSpreadEpoch;
+  Instant mSpreadSince;
+  std::map<std::size_t, Instant> mHealthySince;
   std::array<std::uint64_t, kStepCount> mCounts{};
 };
 
