A refused claim is not granted when it is committed again

A claim can be in the log twice: its daemon proposes it again when the first commit is late. If the first copy was refused because another attempt held the key, and that one released it, the second copy was granted to an attempt that had ended. Nobody settled the key: it was answered with 409 until the daemon was gone.

Claims refused for a key that is held, or for other content, are remembered like released attempts. A claim refused by a full store may still be granted when it is committed again, as before.

--- a/packages/ledger/src/ledger_store.cpp
+++ b/packages/ledger/src/ledger_store.cpp
@@ -66,13 +66,15 @@
 
 LedgerOutcome Ledger::Store::Decide(const ClaimKey& aCommand)
 {
-  if (mGoneIndex.contains(aCommand.mClaimant) ||
-      mReleasedIndex.contains({ aCommand.mClaimant, aCommand.mAttempt })) {
+  if (mGoneIndex.contains(aCommand.mClaimant)) {
     return Verdict(LedgerVerdict::Stale);
   }
   std::string packed = Pack(aCommand.mKey);
   const auto it = mEntries.find(packed);
   if (it == mEntries.end()) {
+    if (mReleasedIndex.contains({ aCommand.mClaimant, aCommand.mAttempt })) {
+      return Verdict(LedgerVerdict::Stale);
+    }
     if (IsFull(SizeOfKey(packed))) {
       return Verdict(LedgerVerdict::Full);
     }
@@ -84,18 +86,30 @@
   }
   const LedgerEntry& entry = it->second;
   if (entry.mContent != aCommand.mContent) {
-    return Verdict(LedgerVerdict::Conflict);
+    return Refuse(aCommand, LedgerVerdict::Conflict);
   }
   if (entry.mState == LedgerKeyState::Completed) {
     return LedgerOutcome{ LedgerVerdict::Replay, *entry.mAnswer };
   }
   const bool isSameAttempt = *entry.mClaimant->mId == aCommand.mClaimant &&
                              entry.mAttempt == aCommand.mAttempt;
-  return Verdict(entry.mState == LedgerKeyState::Claimed && isSameAttempt
+  if (!isSameAttempt) {
+    return Refuse(aCommand, LedgerVerdict::Unknown);
+  }
+  return Verdict(entry.mState == LedgerKeyState::Claimed
                    ? LedgerVerdict::Granted
                    : LedgerVerdict::Unknown);
 }
 
+LedgerOutcome Ledger::Store::Refuse(const ClaimKey& aCommand,
+                                    LedgerVerdict aVerdict)
+{
+  // Its claimant is done with it: the same claim committed again, after the
+  // key was released, would be held by an attempt that has ended.
+  Remember(ReleasedAttempt{ aCommand.mClaimant, aCommand.mAttempt, mNow });
+  return Verdict(aVerdict);
+}
+
 LedgerOutcome Ledger::Store::Decide(const CompleteKey& aCommand)
 {
   LedgerEntry* entry =
--- a/packages/ledger/src/ledger_store.hpp
+++ b/packages/ledger/src/ledger_store.hpp
@@ -121,6 +121,8 @@
   Store& operator=(const Store&) = delete;
 
   LedgerOutcome Decide(const ClaimKey& aCommand);
+  /** Refuses a claim for good, so that a copy of it is not granted later. */
+  LedgerOutcome Refuse(const ClaimKey& aCommand, LedgerVerdict aVerdict);
   LedgerOutcome Decide(const CompleteKey& aCommand);
   LedgerOutcome Decide(const ReleaseKey& aCommand);
   LedgerOutcome Decide(const AbandonKey& aCommand);
--- a/packages/ledger/tests/ledger_test.cpp
+++ b/packages/ledger/tests/ledger_test.cpp
@@ -223,3 +223,23 @@
   CHECK(ledger.Size() == 2);
   CHECK(Apply(ledger, Claim("k1", kA, 1)) == LedgerVerdict::Granted);
 }
+
+TEST_CASE("a claim that was refused is not granted when committed again")
+{
+  Ledger ledger;
+  const ClaimantId first = ClaimantOf("a");
+  const ClaimantId second = ClaimantOf("b");
+  REQUIRE(ledger.Apply(Claim("k", first, 1)).mVerdict ==
+          LedgerVerdict::Granted);
+  REQUIRE(ledger.Apply(Claim("k", second, 1)).mVerdict ==
+          LedgerVerdict::Unknown);
+  REQUIRE(ledger.Apply(Claim("k", second, 2, "other")).mVerdict ==
+          LedgerVerdict::Conflict);
+  REQUIRE(ledger.Apply(Release("k", first, 1)).mVerdict ==
+          LedgerVerdict::Settled);
+  CHECK(ledger.Apply(Claim("k", second, 1)).mVerdict == LedgerVerdict::Stale);
+  CHECK(ledger.Apply(Claim("k", second, 2, "other")).mVerdict ==
+        LedgerVerdict::Stale);
+  CHECK(ledger.OpenClaims() == 0);
+  CHECK(ledger.Apply(Claim("k", second, 3)).mVerdict == LedgerVerdict::Granted);
+}
