Fault matrix: noisy network for even seeds, failure domains cut off

With even seeds 2% of all messages between processes are lost, as many doubled and as many up to a second late while callers come. Half of the cuts both ways cut off a whole failure domain.

--- a/tests/matrix/daemon.hpp
+++ b/tests/matrix/daemon.hpp
@@ -68,6 +68,7 @@
   void OnKill() override;
   bool HasDisk() const override { return mHasDisk; }
   void LoseDisk() override;
+  std::size_t Domain() const override { return mIndex % 3; }
 
   /** A request for a model. */
   void OnModelRequest(RequestId aRequest, const ModelName& aModel);
--- a/tests/matrix/simulation.cpp
+++ b/tests/matrix/simulation.cpp
@@ -77,13 +77,36 @@
 {
   const ProcessState& state = mStates[aProcess];
   return mNow >= state.mPausedUntil && mNow >= state.mMuteUntil &&
-         mNow >= state.mDeafUntil;
+         mNow >= state.mDeafUntil && !IsDomainCut(aProcess);
+}
+
+bool Simulation::IsDomainCut(ProcessId aProcess) const
+{
+  const auto it = mDomainCutUntil.find(mStates[aProcess].mProcess->Domain());
+  return it != mDomainCutUntil.end() && mNow < it->second;
+}
+
+void Simulation::AddNoise(Verdict& aVerdict)
+{
+  const auto isDue = [this] {
+    return std::uniform_real_distribution<double>(0.0, 1.0)(mRandom) < mNoise;
+  };
+  aVerdict.mLost |= isDue();
+  aVerdict.mTwice |= isDue();
+  if (isDue()) {
+    aVerdict.mDelay += PickBetween(0s, 1s);
+  }
 }
 
 bool Simulation::IsCut(ProcessId aFrom, ProcessId aTo) const
 {
-  return aFrom != aTo &&
-         (mNow < mStates[aFrom].mMuteUntil || mNow < mStates[aTo].mDeafUntil);
+  if (aFrom == aTo) {
+    return false;
+  }
+  const bool isWithin =
+    mStates[aFrom].mProcess->Domain() == mStates[aTo].mProcess->Domain();
+  return mNow < mStates[aFrom].mMuteUntil || mNow < mStates[aTo].mDeafUntil ||
+         (!isWithin && (IsDomainCut(aFrom) || IsDomainCut(aTo)));
 }
 
 void Simulation::At(Duration aAfter, Action aAction)
@@ -114,7 +137,10 @@
   if (!IsAlive(aFrom)) {
     return;
   }
-  const Verdict verdict = aStep ? AtStep(*aStep, aFrom, aTo) : Verdict{};
+  Verdict verdict = aStep ? AtStep(*aStep, aFrom, aTo) : Verdict{};
+  if (mNoise > 0.0) {
+    AddNoise(verdict);
+  }
   if (!verdict.mLost && !IsCut(aFrom, aTo)) {
     const Instant at = mNow + Latency() + verdict.mDelay;
     Deliver(aFrom, aTo, at, aAction, aRefused);
@@ -240,6 +266,10 @@
         mNow + kCutFor;
       break;
     case Fault::CutBothWays:
+      if (random(0us, 1us).count() == 1) {
+        mDomainCutUntil[state.mProcess->Domain()] = mNow + kCutFor;
+        break;
+      }
       state.mMuteUntil = mNow + kCutFor;
       state.mDeafUntil = mNow + kCutFor;
       break;
--- a/tests/matrix/simulation.hpp
+++ b/tests/matrix/simulation.hpp
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <queue>
@@ -31,6 +32,8 @@
   virtual void OnKill() = 0;
   virtual bool HasDisk() const { return false; }
   virtual void LoseDisk() {}
+  /** Number of its failure domain. */
+  virtual std::size_t Domain() const = 0;
 };
 
 /** The fault, or the two faults, of one run. */
@@ -75,6 +78,8 @@
   /** Ends a process; it starts again after a while. */
   void Kill(ProcessId aProcess, Duration aDownFor);
   void RunUntil(Instant aEnd);
+  /** Messages are lost, doubled and late with this probability each. */
+  void SetNoise(double aNoise) { mNoise = aNoise; }
 
   Instant Now() const { return mNow; }
   /** Time on the monotonic clock of a process. */
@@ -154,6 +159,8 @@
                Action aRefused);
   void Inject(Fault aFault, ProcessId aSubject, ProcessId aOther,
               Verdict& aVerdict);
+  void AddNoise(Verdict& aVerdict);
+  bool IsDomainCut(ProcessId aProcess) const;
   ProcessId WithDisk(ProcessId aFirst, ProcessId aSecond);
   Duration Latency() { return PickBetween(500us, 3ms); }
 
@@ -167,6 +174,9 @@
   std::vector<ProcessState> mStates;
   std::array<std::uint64_t, kStepCount> mCounts{};
   std::priority_queue<Event> mEvents;
+  double mNoise = 0.0;
+  /** Until when a failure domain is cut off from the others. */
+  std::map<std::size_t, Instant> mDomainCutUntil;
 };
 
 } // namespace carobtide::matrix
--- a/tests/matrix/target.cpp
+++ b/tests/matrix/target.cpp
@@ -30,13 +30,15 @@
 } // namespace
 
 TargetProcess::TargetProcess(World& aWorld, TargetName aName,
-                             FailureDomain aDomain, TargetKind aKind,
+                             std::size_t aDomain, TargetKind aKind,
                              bool aChecksFencing)
   : mWorld(aWorld)
   , mId(aWorld.mSim.Add(*this))
+  , mDomain(aDomain)
   , mKind(aKind)
   , mEngine(std::move(aName),
-            OptionsOf(std::move(aDomain), aKind, aChecksFencing))
+            OptionsOf(FailureDomain("f" + std::to_string(aDomain)), aKind,
+                      aChecksFencing))
 {
 }
 
--- a/tests/matrix/target.hpp
+++ b/tests/matrix/target.hpp
@@ -38,11 +38,12 @@
 class TargetProcess : public Process
 {
 public:
-  TargetProcess(World& aWorld, TargetName aName, FailureDomain aDomain,
+  TargetProcess(World& aWorld, TargetName aName, std::size_t aDomain,
                 TargetKind aKind, bool aChecksFencing);
 
   void OnStart() override;
   void OnKill() override;
+  std::size_t Domain() const override { return mDomain; }
 
   /** An order arrived; `aSentAt` is when its leader sent it. */
   void OnOrder(const Order& aOrder, Instant aSentAt);
@@ -73,6 +74,7 @@
 
   World& mWorld;
   ProcessId mId;
+  std::size_t mDomain;
   TargetKind mKind;
   FakeEngine mEngine;
   bool mWasStarted = false;
--- a/tests/matrix/world.cpp
+++ b/tests/matrix/world.cpp
@@ -15,6 +15,7 @@
 constexpr Duration kCallersStop = 42s;
 constexpr Duration kRunFor = 90s;
 constexpr Duration kOrderInterval = 400ms;
+constexpr double kNoise = 0.02;
 constexpr Duration kModelInterval = 80ms;
 /** Greatest age of what a leader knew when it sent an unload. */
 constexpr Duration kKnowledgeAge = 5s;
@@ -59,6 +60,8 @@
   : mMutation(aMutation)
   , mSim(aSeed, std::move(aInjection))
 {
+  // Every other seed has a network that loses, doubles and delays.
+  mSim.SetNoise(aSeed % 2 == 0 ? kNoise : 0.0);
   const Membership initial = InitialVoters();
   for (std::size_t n = 0; n < kDaemons; ++n) {
     mDaemons.push_back(
@@ -67,8 +70,7 @@
   for (std::size_t n = 0; n < kEngines + kServices; ++n) {
     const bool isEngine = n < kEngines;
     mTargets.push_back(std::make_unique<TargetProcess>(
-      *this, TargetName("t" + std::to_string(n)),
-      FailureDomain("f" + std::to_string(n % 3)),
+      *this, TargetName("t" + std::to_string(n)), n % 3,
       isEngine ? TargetKind::Engine : TargetKind::Service, n % 2 == 0));
   }
 }
@@ -147,6 +149,7 @@
   mSim.At(33s, [this] { Operate(ActionsFor(TextOf(3, "wouter"), 3), 0); });
   mSim.At(kCallersStop, [this] {
     mCallersDone = true;
+    mSim.SetNoise(0.0);
     for (std::size_t n = 0; n < kStepCount; ++n) {
       mCounts[n] = mSim.Count(static_cast<Step>(n));
     }
