The load tool asks the next daemon when one takes no connection

A refused connection carries no byte, so the next daemon may be asked; a request that was sent still counts as lost.

--- a/packages/cli/include/carobtide/cli/load_worker.hpp
+++ b/packages/cli/include/carobtide/cli/load_worker.hpp
@@ -68,11 +68,24 @@
     std::uint64_t mEvents = 0;
   };
 
+  /** A connection with the daemon that it leads to. */
+  struct OpenDaemon
+  {
+    Endpoint mDaemon;
+    std::unique_ptr<HttpConnection> mConnection;
+  };
+
   boost::asio::awaitable<void> SendAll();
   boost::asio::awaitable<void> Serve(Arrival aArrival, bool aIsDuplicate);
+  /**
+   * Connects to a daemon, and to the next ones if it takes no connection, as
+   * the platform's balancer would.
+   */
+  boost::asio::awaitable<Result<OpenDaemon>> Connect(const LoadClass& aClass,
+                                                     std::uint64_t aFirst);
   boost::asio::awaitable<Try> TryOnce(const LoadClass& aClass,
                                       const LoadRequest& aRequest,
-                                      Endpoint aDaemon);
+                                      std::uint64_t aFirst);
   boost::asio::awaitable<void> Exchange(HttpConnection& aConnection,
                                         const LoadClass& aClass,
                                         const LoadRequest& aRequest,
@@ -83,8 +96,6 @@
                                           const LoadRequest& aRequest,
                                           const HttpResponseHead& aHead,
                                           Try& aTry);
-  const Endpoint& DaemonFor(const Arrival& aArrival,
-                            std::uint64_t aShift) const;
   void Launch(const Arrival& aArrival, bool aIsDuplicate);
   void Record(const Arrival& aArrival, const Try& aTry, std::uint32_t aResends);
 
--- a/packages/cli/src/load_worker.cpp
+++ b/packages/cli/src/load_worker.cpp
@@ -84,8 +84,9 @@
   Try result;
   std::uint32_t resends = 0;
   while (true) {
-    const std::uint64_t shift = resends + (aIsDuplicate ? 1 : 0);
-    result = co_await TryOnce(loadClass, request, DaemonFor(aArrival, shift));
+    const std::uint64_t first =
+      aArrival.mNumber / mOptions.mThreads + resends + (aIsDuplicate ? 1 : 0);
+    result = co_await TryOnce(loadClass, request, first);
     const bool isSettled = result.mOutcome == LoadOutcome::Whole ||
                            result.mOutcome == LoadOutcome::Wrong;
     if (isSettled || resends == loadClass.mResends) {
@@ -99,29 +100,50 @@
   Record(aArrival, result, resends);
 }
 
-asio::awaitable<LoadWorker::Try> LoadWorker::TryOnce(
-  const LoadClass& aClass, const LoadRequest& aRequest, Endpoint aDaemon)
+asio::awaitable<Result<LoadWorker::OpenDaemon>> LoadWorker::Connect(
+  const LoadClass& aClass, std::uint64_t aFirst)
 {
-  Try result;
   const bool isService = aClass.mKind == LoadKind::Service;
-  Result<std::unique_ptr<HttpConnection>> connection =
-    std::unique_ptr<HttpConnection>();
-  if (isService) {
-    connection = co_await ConnectHttp(aDaemon, kConnectTimeout);
-  } else {
-    connection = co_await mPool.Acquire(aDaemon, kConnectTimeout);
+  Error last{ ErrorCode::ConnectRefused, "load.connect", "", "" };
+  for (std::size_t i = 0; i < mOptions.mDaemons.size(); ++i) {
+    const Endpoint& daemon =
+      mOptions.mDaemons[(aFirst + i) % mOptions.mDaemons.size()];
+    Result<std::unique_ptr<HttpConnection>> connection =
+      std::unique_ptr<HttpConnection>();
+    if (isService) {
+      connection = co_await ConnectHttp(daemon, kConnectTimeout);
+    } else {
+      connection = co_await mPool.Acquire(daemon, kConnectTimeout);
+    }
+    if (connection) {
+      OpenDaemon open{ daemon, std::move(*connection) };
+      co_return std::move(open);
+    }
+    last = connection.GetError();
   }
-  if (!connection) {
+  co_return last;
+}
+
+asio::awaitable<LoadWorker::Try> LoadWorker::TryOnce(
+  const LoadClass& aClass, const LoadRequest& aRequest, std::uint64_t aFirst)
+{
+  Try result;
+  auto open = co_await Connect(aClass, aFirst);
+  if (!open) {
     co_return result;
   }
-  auto head = co_await (*connection)->Send(aRequest.mRequest, aClass.mTimeout);
-  if (head.Code() == ErrorCode::ConnectionLost && !isService) {
+  const Endpoint daemon = open->mDaemon;
+  std::unique_ptr<HttpConnection> connection = std::move(open->mConnection);
+  auto head = co_await connection->Send(aRequest.mRequest, aClass.mTimeout);
+  if (head.Code() == ErrorCode::ConnectionLost &&
+      aClass.mKind != LoadKind::Service) {
     // A pooled connection may have been closed while it was idle.
-    connection = co_await ConnectHttp(aDaemon, kConnectTimeout);
-    if (!connection) {
+    auto fresh = co_await ConnectHttp(daemon, kConnectTimeout);
+    if (!fresh) {
       co_return result;
     }
-    head = co_await (*connection)->Send(aRequest.mRequest, aClass.mTimeout);
+    connection = std::move(*fresh);
+    head = co_await connection->Send(aRequest.mRequest, aClass.mTimeout);
   }
   if (!head) {
     result.mOutcome = OutcomeOf(head.Code(), LoadOutcome::Cut);
@@ -129,8 +151,8 @@
   }
   result.mFirstByte = SteadyNow();
   result.mStatus = head->mStatus;
-  co_await Exchange(**connection, aClass, aRequest, *head, result);
-  mPool.Release(aDaemon, std::move(*connection));
+  co_await Exchange(*connection, aClass, aRequest, *head, result);
+  mPool.Release(daemon, std::move(connection));
   co_return result;
 }
 
@@ -188,13 +210,6 @@
   aTry.mEvents = checker.Events();
 }
 
-const Endpoint& LoadWorker::DaemonFor(const Arrival& aArrival,
-                                      std::uint64_t aShift) const
-{
-  const std::uint64_t index = aArrival.mNumber / mOptions.mThreads + aShift;
-  return mOptions.mDaemons[index % mOptions.mDaemons.size()];
-}
-
 void LoadWorker::Record(const Arrival& aArrival, const Try& aTry,
                         std::uint32_t aResends)
 {
