Dissemination that costs a daemon the same at any number of daemons

Change: a new epoch goes down a tree whose order depends on the epoch, with a random peer besides and an exchange with a random peer twice a second for repair; announcements go to all of up to fifteen peers directly, beyond that along two trees of their own; heartbeats go to the daemons with a disk only; in-flight hints to eight peers in turn, and not while there are none.

--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -220,11 +220,7 @@
   if (!announcement) {
     return MakeErrorResponse(announcement.GetError());
   }
-  const TargetChange change = TakeTargetAnnouncement(mContext, *announcement);
-  if (change != TargetChange::Ignored) {
-    Broadcast(mContext, PeerMessageType::AnnouncementGossip,
-              Encode(*announcement));
-  }
+  TakeTargetAnnouncement(mContext, *announcement, true);
   return NoContent();
 }
 
--- a/packages/daemon/src/context.hpp
+++ b/packages/daemon/src/context.hpp
@@ -5,6 +5,7 @@
  * What the daemon's request handlers share.
  */
 
+#include "announcement_gossip.hpp"
 #include "carobtide/settings.hpp"
 #include "carobtide/transport.hpp"
 #include "control_plane.hpp"
@@ -32,6 +33,7 @@
   RouterShell& mRouter;
   HttpPool& mPool;
   PeerNetwork& mNetwork;
+  AnnouncementGossip& mGossip;
   /** True while new requests are welcome. */
   std::atomic<bool>& mReady;
   /** Incarnation under which keys are claimed; grows only. */
--- a/packages/daemon/src/control_plane.cpp
+++ b/packages/daemon/src/control_plane.cpp
@@ -235,7 +235,7 @@
       mLog->OnSnapshotTaken(SteadyNow(), mAppliedIndex, mState.Save()));
   }
   NoteRoleChange(aEffects);
-  NoteBundleChange();
+  NoteBundleChange(true);
 }
 
 void ControlPlane::SendMessages(const std::vector<ConsensusEnvelope>& aMessages)
@@ -315,7 +315,7 @@
   }
 }
 
-void ControlPlane::NoteBundleChange()
+void ControlPlane::NoteBundleChange(bool aFromLog)
 {
   const Epoch epoch = mState.Bundles().CurrentEpoch();
   if (epoch <= mAnnouncedEpoch) {
@@ -329,7 +329,11 @@
                   std::to_string(bundle->mVersion) + " epoch " +
                   std::to_string(epoch.Value());
   mEvents.Record(std::move(facts));
-  mOnBundle(epoch, bundle);
+  BundleChange change;
+  change.mEpoch = epoch;
+  change.mBundle = bundle;
+  change.mFromLog = aFromLog;
+  mOnBundle(change);
 }
 
 void ControlPlane::OnConsensus(std::string_view aPayload,
@@ -428,7 +432,7 @@
   }
   const std::lock_guard lock(mMutex);
   const bool adopted = mState.Bundles().Adopt(aBundle.mEpoch, aBundle.mText);
-  NoteBundleChange();
+  NoteBundleChange(false);
   return adopted;
 }
 
--- a/packages/daemon/src/control_plane.hpp
+++ b/packages/daemon/src/control_plane.hpp
@@ -45,9 +45,17 @@
   Membership mMembership;
 };
 
+/** A new bundle came into force on this daemon. */
+struct BundleChange
+{
+  Epoch mEpoch;
+  std::shared_ptr<const Bundle> mBundle;
+  /** True if it came through the log, false if a peer told it. */
+  bool mFromLog = false;
+};
+
 /** Called with the control mutex held; must not call back. */
-using BundleHandler =
-  std::function<void(Epoch, const std::shared_ptr<const Bundle>&)>;
+using BundleHandler = std::function<void(const BundleChange&)>;
 
 /**
  * Replica, state machine, target registry and leader's duties of one daemon.
@@ -154,7 +162,7 @@
   void PerformEffects(LogEffects& aEffects, std::vector<LogEffects>& aMore);
   void ApplyEntry(const LogEntry& aEntry);
   void SendMessages(const std::vector<ConsensusEnvelope>& aMessages);
-  void NoteBundleChange();
+  void NoteBundleChange(bool aFromLog);
   void NoteRoleChange(const LogEffects& aEffects);
   void RecordCommand(const AppliedCommand& aApplied);
   void RunLeaderDuties(Instant aNow);
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -3,6 +3,7 @@
 #include "bootstrap.hpp"
 #include "caller_api.hpp"
 #include "carobtide/base/codec.hpp"
+#include "carobtide/consensus/dissemination.hpp"
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
 #include "context.hpp"
@@ -26,7 +27,7 @@
 
 namespace {
 
-constexpr std::size_t kEventCapacity = 65536;
+constexpr std::size_t kEventCapacity = 16384;
 constexpr Duration kTickInterval = std::chrono::milliseconds(5);
 constexpr Duration kHintInterval = std::chrono::milliseconds(100);
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(500);
@@ -35,6 +36,8 @@
 constexpr Duration kDrainDelay = std::chrono::milliseconds(500);
 constexpr Duration kDrainPoll = std::chrono::milliseconds(10);
 constexpr std::size_t kMaxHintsPerDatagram = 24;
+/** Peers that are sent the hints each time, in turn. */
+constexpr std::size_t kHintReceivers = 8;
 
 RouterOptions MakeRouterOptions(const DaemonSettings& aSettings,
                                 std::uint64_t aSeed)
@@ -86,6 +89,9 @@
   awaitable<void> Join();
   awaitable<void> TickLoop();
   awaitable<void> GossipLoop();
+  void OnBundle(const BundleChange& aChange);
+  void SendEpoch(const DaemonName& aTo, Epoch aEpoch,
+                 const DaemonName& aLeader);
   void SendHints();
   void SendHeartbeat();
   void ExpireTargets();
@@ -99,10 +105,17 @@
   EventLog mEvents;
   Metrics mMetrics;
   WorkerPool mWorkers;
+  /** Used by the gossip loop only. */
+  Dissemination mDissemination;
+  std::size_t mNextHint = 0;
+  std::size_t mHintsLeft = 0;
+  /** Used under the control mutex only. */
+  Dissemination mEpochTree;
   RouterShell mRouter;
   ControlPlane mControl;
   HttpPool mPool;
   PeerNetwork mNetwork;
+  AnnouncementGossip mGossip;
   DaemonContext mContext;
   PeerApi mPeerApi;
   CallerApi mCallerApi;
@@ -118,6 +131,8 @@
   , mNextRequest(FirstRequestId(mSettings.mName, mIncarnation))
   , mEvents(mSettings.mName.Text(), kEventCapacity)
   , mWorkers(static_cast<std::size_t>(mSettings.mThreads))
+  , mDissemination(MakeDissemination(mSettings, mIncarnation))
+  , mEpochTree(MakeDissemination(mSettings, mIncarnation + 1))
   , mRouter(MakeRouterOptions(mSettings, mSettings.mSeed != 0 ? mSettings.mSeed
                                                               : mIncarnation),
             [this](const Digest& aFingerprint) {
@@ -125,9 +140,7 @@
                         Encode(aFingerprint));
             })
   , mControl(mSettings, mIncarnation, mWorkers, mEvents, mMetrics,
-             [this](Epoch, const std::shared_ptr<const Bundle>& aBundle) {
-               mRouter.SetBundle(aBundle);
-             })
+             [this](const BundleChange& aChange) { OnBundle(aChange); })
   , mNetwork(
       mWorkers,
       [this](std::uint16_t aType, std::string aPayload, std::string aPeer) {
@@ -138,9 +151,10 @@
              const std::string& aPeer) {
         mPeerApi.HandleMessage(aType, aPayload, aPeer);
       })
-  , mContext{ mSettings, mWorkers,          mEvents,     mMetrics,
-              mControl,  mRouter,           mPool,       mNetwork,
-              mReady,    mClaimIncarnation, mNextRequest }
+  , mGossip(mSettings, mIncarnation + 2)
+  , mContext{ mSettings,         mWorkers,    mEvents,  mMetrics, mControl,
+              mRouter,           mPool,       mNetwork, mGossip,  mReady,
+              mClaimIncarnation, mNextRequest }
   , mPeerApi(mContext)
   , mCallerApi(mContext)
   , mOperatorApi(mContext)
@@ -239,7 +253,22 @@
   if (message.mHints.size() > kMaxHintsPerDatagram) {
     message.mHints.resize(kMaxHintsPerDatagram);
   }
-  BroadcastDatagram(mContext, PeerMessageType::Hints, Encode(message));
+  // An empty list is sent once, to take back what was said before.
+  const bool isNews = !message.mHints.empty() || mHintsLeft > 0;
+  if (message.mHints.empty()) {
+    mHintsLeft -= std::min(mHintsLeft, kHintReceivers);
+  } else {
+    mHintsLeft = mSettings.mPeers.size();
+  }
+  if (!isNews) {
+    return;
+  }
+  const std::string payload = Encode(message);
+  const std::size_t count = std::min(kHintReceivers, mSettings.mPeers.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto& peer = mSettings.mPeers[mNextHint++ % mSettings.mPeers.size()];
+    SendDatagramTo(mContext, peer.mName, PeerMessageType::Hints, payload);
+  }
 }
 
 void Daemon::Impl::SendHeartbeat()
@@ -252,12 +281,29 @@
   const ControlStatus status = mControl.Status();
   heartbeat.mReplica = status.mReplica;
   mControl.OnHeartbeat(heartbeat);
-  Broadcast(mContext, PeerMessageType::Heartbeat, Encode(heartbeat));
+  SendToDisks(mContext, PeerMessageType::Heartbeat, Encode(heartbeat));
+  const DaemonName peer = mDissemination.NextExchange();
+  SendEpoch(peer, status.mEpoch, status.mLeader);
+}
+
+void Daemon::Impl::SendEpoch(const DaemonName& aTo, Epoch aEpoch,
+                             const DaemonName& aLeader)
+{
   EpochNotice notice;
   notice.mFrom = mSettings.mName;
-  notice.mEpoch = status.mEpoch;
-  notice.mLeader = status.mLeader;
-  BroadcastDatagram(mContext, PeerMessageType::EpochNotice, Encode(notice));
+  notice.mEpoch = aEpoch;
+  notice.mLeader = aLeader;
+  SendDatagramTo(mContext, aTo, PeerMessageType::EpochNotice, Encode(notice));
+}
+
+void Daemon::Impl::OnBundle(const BundleChange& aChange)
+{
+  mRouter.SetBundle(aChange.mBundle);
+  // The control plane calls this under its mutex, which guards the tree.
+  for (const DaemonName& name :
+       mEpochTree.Receivers(aChange.mEpoch, aChange.mFromLog)) {
+    SendEpoch(name, aChange.mEpoch, DaemonName());
+  }
 }
 
 void Daemon::Impl::ExpireTargets()
--- a/packages/daemon/src/peer_api.cpp
+++ b/packages/daemon/src/peer_api.cpp
@@ -35,6 +35,26 @@
   }
 }
 
+const PeerSettings* FindPeer(const DaemonContext& aContext,
+                             const DaemonName& aDaemon)
+{
+  const auto& peers = aContext.mSettings.mPeers;
+  const auto it = std::ranges::find(peers, aDaemon, &PeerSettings::mName);
+  return it == peers.end() ? nullptr : &*it;
+}
+
+void RecordChange(DaemonContext& aContext, const Announcement& aAnnouncement)
+{
+  EventFacts facts;
+  facts.mStep = aAnnouncement.mLeaving ? EventStep::TargetLeaving
+                                       : EventStep::TargetAnnounced;
+  facts.mPeer = aAnnouncement.mTarget.Text();
+  facts.mDetail = std::to_string(aAnnouncement.mResident.size()) +
+                  " resident, incarnation " +
+                  std::to_string(aAnnouncement.mIncarnation.Value());
+  aContext.mEvents.Record(std::move(facts));
+}
+
 } // namespace
 
 void Broadcast(DaemonContext& aContext, PeerMessageType aType,
@@ -45,33 +65,53 @@
   }
 }
 
-void BroadcastDatagram(DaemonContext& aContext, PeerMessageType aType,
-                       const std::string& aPayload)
+void SendToDisks(DaemonContext& aContext, PeerMessageType aType,
+                 const std::string& aPayload)
 {
   for (const PeerSettings& peer : aContext.mSettings.mPeers) {
-    aContext.mNetwork.SendDatagram(peer.mAddress, ToWire(aType), aPayload);
+    if (peer.mHasDisk) {
+      aContext.mNetwork.Send(peer.mAddress, ToWire(aType), aPayload);
+    }
+  }
+}
+
+void SendTo(DaemonContext& aContext, const DaemonName& aDaemon,
+            PeerMessageType aType, const std::string& aPayload)
+{
+  const PeerSettings* peer = FindPeer(aContext, aDaemon);
+  if (peer != nullptr) {
+    aContext.mNetwork.Send(peer->mAddress, ToWire(aType), aPayload);
   }
 }
 
-TargetChange TakeTargetAnnouncement(DaemonContext& aContext,
-                                    const Announcement& aAnnouncement)
+void SendDatagramTo(DaemonContext& aContext, const DaemonName& aDaemon,
+                    PeerMessageType aType, const std::string& aPayload)
+{
+  const PeerSettings* peer = FindPeer(aContext, aDaemon);
+  if (peer != nullptr) {
+    aContext.mNetwork.SendDatagram(peer->mAddress, ToWire(aType), aPayload);
+  }
+}
+
+void TakeTargetAnnouncement(DaemonContext& aContext,
+                            const Announcement& aAnnouncement, bool aIsSource)
 {
   const TargetChange change = aContext.mControl.OnAnnouncement(aAnnouncement);
   if (change == TargetChange::Ignored || change == TargetChange::NameConflict) {
-    return change;
+    return;
   }
   aContext.mRouter.OnAnnouncement(aAnnouncement);
   if (change == TargetChange::Changed) {
-    EventFacts facts;
-    facts.mStep = aAnnouncement.mLeaving ? EventStep::TargetLeaving
-                                         : EventStep::TargetAnnounced;
-    facts.mPeer = aAnnouncement.mTarget.Text();
-    facts.mDetail = std::to_string(aAnnouncement.mResident.size()) +
-                    " resident, incarnation " +
-                    std::to_string(aAnnouncement.mIncarnation.Value());
-    aContext.mEvents.Record(std::move(facts));
-  }
-  return change;
+    RecordChange(aContext, aAnnouncement);
+  }
+  const auto names = aContext.mGossip.Receivers(aAnnouncement, aIsSource);
+  if (names.empty()) {
+    return;
+  }
+  const std::string payload = Encode(aAnnouncement);
+  for (const DaemonName& name : names) {
+    SendTo(aContext, name, PeerMessageType::AnnouncementGossip, payload);
+  }
 }
 
 PeerApi::PeerApi(DaemonContext& aContext)
@@ -119,7 +159,7 @@
       break;
     case PeerMessageType::AnnouncementGossip:
       Take<Announcement>(aPayload, aPeer, [this](const Announcement& aItem) {
-        TakeTargetAnnouncement(mContext, aItem);
+        TakeTargetAnnouncement(mContext, aItem, false);
       });
       break;
     case PeerMessageType::CacheEvents:
@@ -152,16 +192,24 @@
 void PeerApi::OnEpochNotice(const EpochNotice& aNotice)
 {
   mContext.mControl.OnLeaderHint(aNotice.mLeader);
-  if (aNotice.mEpoch <= mContext.mControl.CurrentEpoch()) {
+  const Epoch own = mContext.mControl.CurrentEpoch();
+  if (aNotice.mEpoch < own) {
+    EpochNotice answer;
+    answer.mFrom = mContext.mSettings.mName;
+    answer.mEpoch = own;
+    answer.mLeader = mContext.mControl.Status().mLeader;
+    SendDatagramTo(mContext, aNotice.mFrom, PeerMessageType::EpochNotice,
+                   Encode(answer));
+  }
+  if (aNotice.mEpoch <= own) {
     return;
   }
-  const auto& peers = mContext.mSettings.mPeers;
-  const auto it = std::ranges::find(peers, aNotice.mFrom, &PeerSettings::mName);
-  if (it == peers.end()) {
+  const PeerSettings* peer = FindPeer(mContext, aNotice.mFrom);
+  if (peer == nullptr) {
     return;
   }
   asio::co_spawn(mContext.mWorkers.Next(),
-                 FetchBundleFrom(mContext, it->mAddress),
+                 FetchBundleFrom(mContext, peer->mAddress),
                  [](const std::exception_ptr&, bool) {});
 }
 
--- a/packages/daemon/src/peer_api.hpp
+++ b/packages/daemon/src/peer_api.hpp
@@ -15,16 +15,24 @@
 void Broadcast(DaemonContext& aContext, PeerMessageType aType,
                const std::string& aPayload);
 
-/** Sends a datagram to every other daemon. Thread safety: any thread. */
-void BroadcastDatagram(DaemonContext& aContext, PeerMessageType aType,
-                       const std::string& aPayload);
+/** Sends a one-way frame to the daemons with a disk. Thread safety: any. */
+void SendToDisks(DaemonContext& aContext, PeerMessageType aType,
+                 const std::string& aPayload);
+
+/** Sends a one-way frame to one daemon by name. Thread safety: any thread. */
+void SendTo(DaemonContext& aContext, const DaemonName& aDaemon,
+            PeerMessageType aType, const std::string& aPayload);
+
+/** Sends a datagram to one daemon by name. Thread safety: any thread. */
+void SendDatagramTo(DaemonContext& aContext, const DaemonName& aDaemon,
+                    PeerMessageType aType, const std::string& aPayload);
 
 /**
- * Takes an announcement from a target or a peer into registry and router.
- * Thread safety: any thread.
+ * Takes an announcement from a target (`aIsSource`) or a peer into registry
+ * and router, and passes it on. Thread safety: any thread.
  */
-TargetChange TakeTargetAnnouncement(DaemonContext& aContext,
-                                    const Announcement& aAnnouncement);
+void TakeTargetAnnouncement(DaemonContext& aContext,
+                            const Announcement& aAnnouncement, bool aIsSource);
 
 /**
  * Answers the other daemons.
