--- a/packages/routing/benchmark/routing_choice.cpp
+++ b/packages/routing/benchmark/routing_choice.cpp
@@ -112,12 +112,44 @@
               static_cast<double>(prefixes.MemoryBytes()) / 1e6);
 }
 
+/** Ticks while every target is full and the queue as well. */
+void MeasureBacklog(const Size& aSize, Router& aRouter, Instant aNow,
+                    RequestFacts aFacts)
+{
+  constexpr std::uint32_t kFull = 64;
+  std::vector<InFlightHint> hints;
+  for (std::uint32_t it = 0; it < aSize.mTargets; ++it) {
+    hints.push_back({ TargetName("target-" + std::to_string(it)), kFull, 0 });
+  }
+  aRouter.OnPeerHints(aNow, DaemonName("peer"), hints);
+  const std::uint64_t count = aSize.mTargets + 4096ULL;
+  aFacts.mPriority = PriorityClass::Standard;
+  for (std::uint64_t it = 0; it < count; ++it) {
+    aFacts.mId = RequestId(kRequests + it);
+    aFacts.mCaller = CallerName("caller-" + std::to_string(it % 4));
+    aFacts.mModel = NameOf(it % aSize.mModels);
+    aRouter.Admit(aNow, aFacts);
+  }
+  constexpr int kTicks = 200;
+  const auto ticking = std::chrono::steady_clock::now();
+  for (int it = 0; it < kTicks; ++it) {
+    aNow += 5ms;
+    aRouter.Tick(aNow);
+  }
+  const RouterStats stats = aRouter.Stats();
+  std::printf("tick    %5u targets %4u models: %7.0f ns with %zu queued, %zu "
+              "in flight\n",
+              aSize.mTargets, aSize.mModels, Nanoseconds(ticking, kTicks),
+              stats.mQueued, stats.mInFlight);
+}
+
 void MeasureRequests(const Size& aSize)
 {
   RandomEngine random(7);
   const std::size_t before = gLiveBytes;
   RouterOptions options;
   options.mFailureDomain = FailureDomain("domain-0");
+  options.mDaemons = 2100;
   Router router(options);
   for (std::uint32_t it = 0; it < aSize.mTargets; ++it) {
     router.OnAnnouncement(Instant(), MakeTarget(it, aSize, random));
@@ -157,6 +189,7 @@
   }
   std::printf("tick    %5u targets %4u models: %7.0f ns when idle\n",
               aSize.mTargets, aSize.mModels, Nanoseconds(ticking, kTicks));
+  MeasureBacklog(aSize, router, now, facts);
 }
 
 } // namespace
--- a/packages/routing/src/router_admission.cpp
+++ b/packages/routing/src/router_admission.cpp
@@ -24,6 +24,10 @@
 constexpr Duration kForgetSilentAfter = 600s;
 /** Between two passes over tables that age slowly. */
 constexpr Duration kUpkeepInterval = 500ms;
+/** Between two attempts to place all that waits: slots that peers free. */
+constexpr Duration kFullDrainInterval = 20ms;
+/** Added to it for each request that waits, to bound the time spent. */
+constexpr Duration kFullDrainPace = 20us;
 
 constexpr std::array<WorkClass, kWorkClassCount> kByUrgency{
   WorkClass::ShortInteractive, WorkClass::LongInteractive,
@@ -68,11 +72,15 @@
   if (!update.mApplied) {
     return effects;
   }
+  const bool wasPending = mCrashes.IsPending(update.mIndex);
   Apply(aNow,
         update.mRestarted ? mCrashes.OnDead(update.mIndex)
                           : mCrashes.OnAlive(aNow, update.mIndex),
         effects);
-  Drain(aNow, update.mIndex, effects);
+  // A verdict may have put requests of this target back into the queue.
+  if (update.mRoutesChanged || wasPending) {
+    Drain(aNow, update.mIndex, effects);
+  }
   return effects;
 }
 
@@ -159,11 +167,14 @@
   for (const CrashVerdict& verdict : mCrashes.Expire(aNow)) {
     Apply(aNow, verdict, effects);
   }
-  DropExpired(aNow, effects);
-  PromoteBatch(aNow);
   RunSuspects(aNow, effects);
   NotePending(aNow);
-  Drain(aNow, kNoTarget, effects);
+  if (mNextFullDrain <= aNow) {
+    DropExpired(aNow, effects);
+    PromoteBatch(aNow);
+    mNextFullDrain = aNow + kFullDrainInterval + kFullDrainPace * mQueue.Size();
+    Drain(aNow, kNoTarget, effects);
+  }
   StartHedges(aNow, effects);
   return effects;
 }
@@ -349,15 +360,35 @@
     mQueue.ListKeys(aClass, it, mKeys);
   }
   const PriorityClass priority = PriorityOf(aClass);
-  while (!mKeys.empty()) {
-    const auto next =
-      std::ranges::min_element(mKeys, {}, [&](const QueueKey& aKey) {
-        return mCallers.Usage(aNow, aKey.mCaller, priority);
-      });
-    const QueueKey key = *next;
-    const bool isDispatched = DispatchFront(aNow, key, aEffects);
-    if (!isDispatched || mQueue.CountOf(key) == 0) {
-      mKeys.erase(next);
+  const auto usage = [&](const QueueKey& aKey) {
+    return mCallers.Usage(aNow, aKey.mCaller, priority);
+  };
+  // A heap whose entries may be outdated: usage only grows within a drain,
+  // so an entry is corrected when it comes up.
+  mHeap.clear();
+  for (const QueueKey& key : mKeys) {
+    mHeap.push_back({ usage(key), key });
+  }
+  std::ranges::make_heap(mHeap, std::ranges::greater{});
+  mBlocked.clear();
+  while (!mHeap.empty()) {
+    std::ranges::pop_heap(mHeap, std::ranges::greater{});
+    HeapEntry next = mHeap.back();
+    mHeap.pop_back();
+    const double now = usage(next.mKey);
+    const bool isOutdated = now > next.mUsage;
+    if (!isOutdated && mBlocked.contains(next.mKey.mRoute)) {
+      continue;
+    }
+    if (!isOutdated && !DispatchFront(aNow, next.mKey, aEffects)) {
+      // No target of the route has room for the class.
+      mBlocked.insert(next.mKey.mRoute);
+      continue;
+    }
+    if (mQueue.CountOf(next.mKey) > 0) {
+      next.mUsage = isOutdated ? now : usage(next.mKey);
+      mHeap.push_back(next);
+      std::ranges::push_heap(mHeap, std::ranges::greater{});
     }
   }
 }
--- a/packages/routing/src/router_hedging.cpp
+++ b/packages/routing/src/router_hedging.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration kLeastHedgeDelay = 20ms;
+/** Hedges without room for them that one tick tries. */
+constexpr std::size_t kMostHedgeFailures = 16;
 /** Times its expected time that an unstreamed answer is waited for. */
 constexpr double kWholeHedgeFactor = 2.5;
 /** A lone late attempt counts against its target from this ratio on. */
@@ -82,10 +84,14 @@
     }
   }
   std::ranges::sort(due);
+  std::size_t failures = 0;
   for (const RequestId id : due) {
     RequestRecord& request = mRequests.at(id);
     const TargetIndex target = Select(aNow, request);
     if (target == kNoTarget) {
+      if (++failures >= kMostHedgeFailures) {
+        return;
+      }
       continue;
     }
     if (!mHedgeBudget.Take()) {
--- a/packages/routing/src/router_impl.hpp
+++ b/packages/routing/src/router_impl.hpp
@@ -22,6 +22,8 @@
 #include "request_table.hpp"
 
 #include <map>
+#include <optional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -67,6 +69,15 @@
     Instant mSince;
   };
 
+  /** A queue key by the usage of its caller, least first. */
+  struct HeapEntry
+  {
+    double mUsage = 0.0;
+    QueueKey mKey;
+
+    auto operator<=>(const HeapEntry&) const = default;
+  };
+
   // Admission and queue: router_admission.cpp.
   RouteIndex FindRoute(const RequestFacts& aFacts) const;
   void Refuse(RequestId aRequest, ErrorCode aCode, Duration aRetryAfter,
@@ -162,9 +173,12 @@
   std::map<ModelName, DemandMeter> mDemand;
   std::vector<QueueKey> mKeys;
   std::vector<RouteIndex> mDrainRoutes;
+  std::vector<HeapEntry> mHeap;
+  std::set<RouteIndex> mBlocked;
   /** Time of the last tick. */
   Instant mNow;
   Instant mNextUpkeep;
+  Instant mNextFullDrain;
   std::uint64_t mLastAttempt = 0;
   RouterStats mStats;
 };
