Fault matrix: a refused proposal is certain

A copy of a message to the leader could be proposed after another copy had been refused, which the daemon, that proposes again only what may have been proposed, never does.

--- a/tests/matrix/daemon_leader.cpp
+++ b/tests/matrix/daemon_leader.cpp
@@ -179,11 +179,20 @@
                        }
                      });
   };
+  // A daemon proposes again only what may have been proposed, so that a
+  // refusal is certain whatever the copies of the message come to.
+  const auto first = std::make_shared<std::optional<bool>>();
   mWorld.mSim.Send(aStep, mId, leader->Id(),
-                   [leader, send, command = std::move(aCommand)] {
-                     if (!leader->Propose(command, send)) {
+                   [leader, send, first, command = std::move(aCommand)] {
+                     if (*first == false) {
+                       return;
+                     }
+                     const bool isProposed =
+                       leader->Propose(command, send).has_value();
+                     if (!isProposed && !*first) {
                        send(AskResult{ AskEnd::Refused, 0, {}, {} });
                      }
+                     *first = first->value_or(isProposed);
                    });
 }
 
--- a/tests/matrix/world.cpp
+++ b/tests/matrix/world.cpp
@@ -483,7 +483,10 @@
     mChecker.Fail(Invariant::Convergence, "the last roll did not finish");
   }
   if (aLeader.GetLedger().OpenClaims() != 0) {
-    mChecker.Fail(Invariant::Convergence, "claims are left open");
+    const ClaimantId claimant = aLeader.GetLedger().OpenClaimants().front();
+    mChecker.Fail(Invariant::Convergence,
+                  "a claim of " + claimant.mDaemon.Text() + "/" +
+                    std::to_string(claimant.mIncarnation) + " is left open");
   }
   if (!aLeader.GetPlacement().OpenOrders().empty()) {
     const Order& order = aLeader.GetPlacement().OpenOrders().begin()->second;
