--- a/tools/lib/bench.py
+++ b/tools/lib/bench.py
@@ -141,6 +141,7 @@
         timer.cancel()
     for process in cluster.daemons + cluster.standins:
         process.send(signal.SIGCONT)
+    save_timeline(cluster, output)
     if arguments.progress:
         print(done.stdout)
     if done.returncode not in (0, 1):
@@ -153,6 +154,19 @@
     return result
 
 
+def save_timeline(cluster, output):
+    """Writes the merged time line of the daemons that still answer."""
+    for form, suffix in (("json", "jsonl"), ("html", "html")):
+        cluster.cli(
+            "timeline",
+            "--format",
+            form,
+            "--output",
+            f"{output}-timeline.{suffix}",
+            check=False,
+        )
+
+
 def share(cell):
     return cell["attained"] / cell["offered"] if cell["offered"] else 0.0
 
