--- a/packages/bundle/include/carobtide/bundle/bundle.hpp
+++ b/packages/bundle/include/carobtide/bundle/bundle.hpp
@@ -161,14 +161,15 @@
   const ClassSpec& ClassFor(PriorityClass aClass) const;
 
   /**
-   * The caller that a bearer token names, or null. Compares against every
-   * token in constant time.
+   * The caller that a bearer token names, or null. The time it takes depends on
+   * no token but the given one.
    */
   const CallerSpec* FindCallerByToken(std::string_view aToken) const;
 
   /** Indexes into the lists, ordered by name. */
   std::vector<std::uint32_t> mModelIndex;
   std::vector<std::uint32_t> mServiceIndex;
+  /** Ordered by first byte. */
   std::vector<TokenDigest> mTokenDigests;
 };
 
--- a/packages/bundle/src/bundle.cpp
+++ b/packages/bundle/src/bundle.cpp
@@ -59,6 +59,12 @@
   return &aList[*it];
 }
 
+std::uint8_t FirstByte(const TokenDigest& aDigest)
+{
+  return aDigest.mDigest[0];
+}
+
+/** Digests of all tokens, ordered by their first byte. */
 std::vector<TokenDigest> DigestsOfTokens(
   const std::vector<CallerSpec>& aCallers)
 {
@@ -68,9 +74,29 @@
       digests.push_back(TokenDigest{ DigestOfToken(token), n });
     }
   }
+  std::ranges::stable_sort(digests, {}, FirstByte);
   return digests;
 }
 
+/**
+ * Compares with all digests that begin with the same byte, and with each to its
+ * end, so that the time tells at most that byte of the token's own digest.
+ */
+const CallerSpec* FindInDigests(const std::vector<CallerSpec>& aCallers,
+                                const std::vector<TokenDigest>& aDigests,
+                                std::string_view aToken)
+{
+  const auto digest = DigestOfToken(aToken);
+  const CallerSpec* found = nullptr;
+  auto it = std::ranges::lower_bound(aDigests, digest[0], {}, FirstByte);
+  for (; it != aDigests.end() && FirstByte(*it) == digest[0]; ++it) {
+    if (CRYPTO_memcmp(it->mDigest.data(), digest.data(), digest.size()) == 0) {
+      found = &aCallers[it->mCaller];
+    }
+  }
+  return found;
+}
+
 bool Lists(const std::vector<std::string>& aNames, const std::string& aName)
 {
   return std::ranges::any_of(aNames, [&](const std::string& aEntry) {
@@ -122,22 +148,10 @@
   if (aToken.empty()) {
     return nullptr;
   }
-  if (mTokenDigests.empty() && !mCallers.empty()) {
-    Bundle indexed;
-    indexed.mCallers = mCallers;
-    indexed.mTokenDigests = DigestsOfTokens(mCallers);
-    const CallerSpec* found = indexed.FindCallerByToken(aToken);
-    return found ? &mCallers[found - indexed.mCallers.data()] : nullptr;
-  }
-  const auto digest = DigestOfToken(aToken);
-  const CallerSpec* found = nullptr;
-  for (const TokenDigest& entry : mTokenDigests) {
-    if (CRYPTO_memcmp(entry.mDigest.data(), digest.data(), digest.size()) ==
-        0) {
-      found = &mCallers[entry.mCaller];
-    }
+  if (mTokenDigests.empty()) {
+    return FindInDigests(mCallers, DigestsOfTokens(mCallers), aToken);
   }
-  return found;
+  return FindInDigests(mCallers, mTokenDigests, aToken);
 }
 
 bool IsEntitledToModel(const CallerSpec& aCaller, const ModelName& aModel)
--- a/packages/bundle/tests/bundle_test.cpp
+++ b/packages/bundle/tests/bundle_test.cpp
@@ -121,6 +121,25 @@
   CHECK_FALSE(bundle.FindCallerByToken(""));
 }
 
+TEST_CASE("each of many tokens names its caller")
+{
+  Bundle bundle;
+  constexpr int kCallers = 1'000;
+  for (int n = 0; n < kCallers; ++n) {
+    CallerSpec caller;
+    caller.mName = CallerName("caller" + std::to_string(n));
+    caller.mTokens = { "first-token-" + std::to_string(n),
+                       "second-token-" + std::to_string(n) };
+    bundle.mCallers.push_back(caller);
+  }
+  bundle.BuildIndexes();
+  for (const CallerSpec& caller : bundle.mCallers) {
+    CHECK(bundle.FindCallerByToken(caller.mTokens[0]) == &caller);
+    CHECK(bundle.FindCallerByToken(caller.mTokens[1]) == &caller);
+    CHECK_FALSE(bundle.FindCallerByToken(caller.mTokens[0] + "x"));
+  }
+}
+
 TEST_CASE("classes have their deadlines or the defaults")
 {
   const auto bundle = std::get<Bundle>(ParseBundle(kText));
--- a/packages/ledger/include/carobtide/ledger/ledger.hpp
+++ b/packages/ledger/include/carobtide/ledger/ledger.hpp
@@ -152,6 +152,9 @@
   }
 };
 
+/** Most keys that one ExpireKeys drops; the next one goes on. */
+inline constexpr std::size_t kMaxExpiredAtOnce = 10'000;
+
 /** Most ledger time that one ExpireKeys lets pass. */
 inline constexpr Duration kMaxExpiryStep = std::chrono::minutes(10);
 
--- a/packages/ledger/src/ledger_store.cpp
+++ b/packages/ledger/src/ledger_store.cpp
@@ -294,8 +294,11 @@
 void Ledger::Store::DropExpired()
 {
   const Duration before = mNow - mLimits.mRetention;
-  while (!mSettled.empty() && mSettled.front().mSettledAt < before) {
+  std::size_t dropped = 0;
+  while (!mSettled.empty() && mSettled.front().mSettledAt < before &&
+         dropped < kMaxExpiredAtOnce) {
     Erase(mSettled.front());
+    ++dropped;
   }
   while (!mReleased.empty() && mReleased.front().mAt < before) {
     const ReleasedAttempt& oldest = mReleased.front();
--- a/packages/ledger/tests/ledger_expiry_test.cpp
+++ b/packages/ledger/tests/ledger_expiry_test.cpp
@@ -118,3 +118,21 @@
   PassTime(ledger, wall, 1s);
   CHECK(Apply(ledger, Claim("k", kA, 1)) == LedgerVerdict::Granted);
 }
+
+TEST_CASE("one command drops a bounded number of keys and the next goes on")
+{
+  Ledger ledger(Limits());
+  Duration wall = 0s;
+  ledger.Apply(Tick(wall));
+  const std::size_t count = kMaxExpiredAtOnce + 5;
+  for (std::size_t n = 0; n < count; ++n) {
+    Apply(ledger, Claim(std::to_string(n), kA, n));
+  }
+  Apply(ledger, AbandonClaimant{ kA });
+  PassTime(ledger, wall, kRetention);
+  CHECK(ledger.Size() == count);
+  PassTime(ledger, wall, 1us);
+  CHECK(ledger.Size() == count - kMaxExpiredAtOnce);
+  PassTime(ledger, wall, 1us);
+  CHECK(ledger.Size() == 0);
+}
