A restarted voter's disk counts as the group's history

Cause: a daemon with an empty disk asked its peers for their commit index, which is 0 after a restart until a leader is heard. With one disk lost while the other voters restarted it took its first identity again and could vote without what it had acknowledged. Found by reading; also, a message to a replica outside this replica's own membership was dropped, so that a joining replica could not answer a leader admitted after it left.

Messages to replicas outside the membership go to the daemon whose heartbeat named that replica.

--- a/packages/daemon/src/bootstrap.cpp
+++ b/packages/daemon/src/bootstrap.cpp
@@ -30,7 +30,7 @@
 {
   bool mAllAnswered = true;
   bool mAllHaveIdentity = true;
-  bool mAnyCommitted = false;
+  bool mAnyHistory = false;
 };
 
 awaitable<void> Pause(Duration aTime)
@@ -58,7 +58,7 @@
                               : Result<BootstrapStatus>(reply.GetError());
     summary.mAllAnswered &= status.HasValue();
     summary.mAllHaveIdentity &= status && status->mHasIdentity;
-    summary.mAnyCommitted |= status && status->mCommitIndex > 0;
+    summary.mAnyHistory |= status && status->mHasHistory;
   }
   co_return summary;
 }
@@ -77,7 +77,7 @@
   while (true) {
     auto probing = ProbePeers(aContext);
     const ProbeSummary summary = co_await std::move(probing);
-    if (summary.mAnyCommitted) {
+    if (summary.mAnyHistory) {
       co_return NewReplicaId();
     }
     if (summary.mAllAnswered) {
--- a/packages/daemon/src/control_plane.cpp
+++ b/packages/daemon/src/control_plane.cpp
@@ -18,6 +18,12 @@
 /** A daemon not heard of for this long is no candidate. */
 constexpr Duration kCandidateTimeout = std::chrono::seconds(3);
 
+bool HasHistory(const RecoveredState& aState)
+{
+  return aState.mHardState.mTerm > 0 || aState.mSnapshot ||
+         !aState.mEntries.empty();
+}
+
 } // namespace
 
 ControlPlane::ControlPlane(const DaemonSettings& aSettings,
@@ -87,7 +93,8 @@
   const std::lock_guard lock(mMutex);
   BootstrapStatus status;
   status.mHasIdentity = mReplica != ReplicaId();
-  status.mCommitIndex = mLog ? mLog->CommitIndex() : 0;
+  status.mHasHistory =
+    mLog ? mLog->Term() > 0 || mLog->LastIndex() > 0 : HasHistory(mRecovered);
   return status;
 }
 
@@ -241,11 +248,7 @@
 void ControlPlane::SendMessages(const std::vector<ConsensusEnvelope>& aMessages)
 {
   for (const ConsensusEnvelope& envelope : aMessages) {
-    const Member* member = mLog->CurrentMembership().Find(envelope.mTo);
-    if (member == nullptr) {
-      continue;
-    }
-    const auto address = AddressOf(member->mDaemon);
+    const auto address = AddressOf(DaemonOf(envelope.mTo));
     if (address) {
       mNetwork->Send(*address,
                      static_cast<std::uint16_t>(PeerMessageType::Consensus),
@@ -254,6 +257,19 @@
   }
 }
 
+DaemonName ControlPlane::DaemonOf(ReplicaId aReplica) const
+{
+  const Member* member = mLog->CurrentMembership().Find(aReplica);
+  if (member != nullptr) {
+    return member->mDaemon;
+  }
+  // A replica that joins, or that leads a membership not seen here yet.
+  const auto it = std::ranges::find_if(mPeers, [&](const auto& aEntry) {
+    return aEntry.second.mReplica == aReplica;
+  });
+  return it == mPeers.end() ? DaemonName() : it->first;
+}
+
 void ControlPlane::ApplyEntry(const LogEntry& aEntry)
 {
   mAppliedIndex = aEntry.mIndex;
@@ -376,9 +392,9 @@
 DaemonName ControlPlane::LeaderName() const
 {
   if (mLog) {
-    const Member* leader = mLog->CurrentMembership().Find(mLog->Leader());
-    if (leader != nullptr) {
-      return leader->mDaemon;
+    DaemonName leader = DaemonOf(mLog->Leader());
+    if (!leader.IsEmpty()) {
+      return leader;
     }
   }
   return mLeaderHint;
--- a/packages/daemon/src/control_plane.hpp
+++ b/packages/daemon/src/control_plane.hpp
@@ -170,6 +170,7 @@
   std::vector<ReplicaCandidate> FindCandidates(Instant aNow) const;
   void ProposeUnattended(ControlBody aBody);
   DaemonName LeaderName() const;
+  DaemonName DaemonOf(ReplicaId aReplica) const;
   std::optional<Endpoint> LeaderAddress() const;
   std::optional<Endpoint> AddressOf(const DaemonName& aDaemon) const;
 
--- a/packages/daemon/src/peer_messages.hpp
+++ b/packages/daemon/src/peer_messages.hpp
@@ -54,13 +54,13 @@
 {
   /** True once its replica has an identity on its disk. */
   bool mHasIdentity = false;
-  /** Zero until anything was committed. */
-  std::uint64_t mCommitIndex = 0;
+  /** True once it has voted or holds any entry: the group exists. */
+  bool mHasHistory = false;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mHasIdentity, mCommitIndex);
+    aArchive(mHasIdentity, mHasHistory);
   }
 };
 
