--- a/packages/placement/benchmark/placement_planning.cpp
+++ b/packages/placement/benchmark/placement_planning.cpp
@@ -139,7 +139,7 @@
   PlacementController controller({}, FencingToken(1));
   Instant now{};
   const auto step = [&] {
-    now += 1s;
+    now += 60s; // Longer than any interval between plans.
     controller.Step(now, bundle, registry, record, {});
   };
   step();
--- a/packages/placement/src/cluster_view.cpp
+++ b/packages/placement/src/cluster_view.cpp
@@ -68,6 +68,7 @@
 {
   const Announcement& said = aRecord.mAnnouncement;
   ViewTarget target;
+  target.mCopies.reserve(said.mResident.size());
   target.mRecord = &aRecord;
   target.mId = { said.mTarget, said.mIncarnation };
   const TargetAccount* account =
@@ -75,6 +76,8 @@
   if (account != nullptr) {
     target.mIsFresh = said.mSequence >= account->Sequence();
     target.mReserved = account->Reserved();
+    target.mCopies.reserve(
+      std::max(said.mResident.size(), account->Copies().size()));
     for (const auto& [key, copy] : account->Copies()) {
       target.mCopies.push_back({ key, copy.mMemory, copy.mState, false });
     }
@@ -198,6 +201,7 @@
     entry.mPool = said.mPool;
     entry.mMemory = said.mMemory;
     entry.mCapacity = said.mAccelerators;
+    entry.mHolds.reserve(target.mCopies.size());
     entry.mLeaving = target.mRecord->mState == TargetState::Leaving;
     for (const ViewCopy& copy : target.mCopies) {
       if (copy.mState != CopyState::Unloading) {
--- a/packages/placement/src/placement_controller.cpp
+++ b/packages/placement/src/placement_controller.cpp
@@ -15,6 +15,12 @@
 /** Greatest age of the announcement of a replica that an unload relies on. */
 constexpr Duration kWitnessAge = std::chrono::milliseconds(1500);
 
+/** Least time between two passes over the plan, for few targets. */
+constexpr Duration kReconcileInterval = std::chrono::milliseconds(100);
+
+/** Targets above which plans and passes over them become rarer. */
+constexpr std::size_t kTargetsPerPace = 700;
+
 /** A load of a silent target takes a place at the store for this long. */
 constexpr Duration kSilentLoadTimeout = std::chrono::minutes(1);
 
@@ -237,10 +243,11 @@
                            ? OrderId{}
                            : mPlacement->OpenOrders().rbegin()->first;
     const std::pair progress{ last, mPlacement->OpenOrders().size() };
-    if (!isPlanDue && progress == mProgress) {
+    if (!isPlanDue && (progress == mProgress || mNow < mReconcileAt)) {
       return;
     }
     mProgress = progress;
+    mReconcileAt = mNow + Paced(kReconcileInterval);
     ClusterView view(*mTargets, *mPlacement, mPending);
     if (isPlanDue) {
       MakePlan(aBundle, aDemand, view);
@@ -267,12 +274,21 @@
     input.mTargets = aView.ForPlanner();
     input.mDemand = &aDemand;
     input.mNow = mNow;
+    mPlan = {};
     mPlan = mPlanner->MakePlan(input);
-    mPlanAt = mNow + mOptions.mPlanInterval;
+    mPlanAt = mNow + Paced(mOptions.mPlanInterval);
     mPlannedDigest = aBundle.mDigest;
     mPlannedVersion = aBundle.mVersion;
   }
 
+  /** An interval, longer in proportion where there are many targets. */
+  Duration Paced(Duration aInterval) const
+  {
+    const auto factor = static_cast<std::int64_t>(
+      std::max<std::size_t>(1, mTargets->All().size() / kTargetsPerPace));
+    return aInterval * factor;
+  }
+
   LoadAllowance Allowance(const StoreSpec& aStore) const
   {
     std::size_t models = 0;
@@ -422,6 +438,7 @@
 
   Plan mPlan;
   Instant mPlanAt;
+  Instant mReconcileAt;
   Digest mPlannedDigest;
   std::uint64_t mPlannedVersion = 0;
   std::pair<OrderId, std::size_t> mProgress;
--- a/packages/placement/src/reconciler.cpp
+++ b/packages/placement/src/reconciler.cpp
@@ -1,9 +1,22 @@
 #include "reconciler.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace carobtide {
 
+namespace {
+
+using TiedKey = std::tuple<const ModelName&, const AdapterName&, std::uint32_t>;
+
+/** The key of a wanted copy, without copying its names. */
+TiedKey KeyTiedTo(const WantedCopy* aCopy)
+{
+  return { aCopy->mModel, aCopy->mAdapter, aCopy->mVersion };
+}
+
+} // namespace
+
 Reconciler::Reconciler(const Bundle& aBundle, const Plan& aPlan,
                        ClusterView& aView, LoadAllowance aAllowance,
                        FencingToken aFence)
@@ -44,12 +57,15 @@
 {
   for (const WantedCopy& copy : mPlan.mCopies) {
     if (const auto index = mView.Find(copy.mTarget)) {
-      mWanted[*index].insert({ copy.mModel, copy.mAdapter, copy.mVersion });
+      mWanted[*index].push_back(&copy);
       if (copy.mAdapter.IsEmpty()) {
         mWantedOn[copy.mModel].push_back(*index);
       }
     }
   }
+  for (auto& wanted : mWanted) {
+    std::ranges::sort(wanted, {}, KeyTiedTo);
+  }
 }
 
 bool Reconciler::IsWanted(const TargetName& aTarget, const CopyKey& aKey) const
@@ -60,7 +76,8 @@
 
 bool Reconciler::IsWantedAt(Index aTarget, const CopyKey& aKey) const
 {
-  return mWanted[aTarget].contains(aKey);
+  const TiedKey key{ aKey.mModel, aKey.mAdapter, aKey.mVersion };
+  return std::ranges::binary_search(mWanted[aTarget], key, {}, KeyTiedTo);
 }
 
 const Reconciler::SpecOf* Reconciler::Find(const ModelName& aModel,
--- a/packages/placement/src/reconciler.hpp
+++ b/packages/placement/src/reconciler.hpp
@@ -98,7 +98,7 @@
   LoadAllowance mAllowance;
   FencingToken mFence;
   std::map<std::pair<ModelName, AdapterName>, SpecOf> mSpecs;
-  std::vector<std::set<CopyKey>> mWanted; // per target
+  std::vector<std::vector<const WantedCopy*>> mWanted; // per target, by key
   std::map<ModelName, std::vector<Index>> mWantedOn;
   std::set<ModelName> mBlocked;
   std::vector<CommitOrder> mOrders;
--- a/packages/placement/tests/placement_fault_test.cpp
+++ b/packages/placement/tests/placement_fault_test.cpp
@@ -70,15 +70,6 @@
   return faults;
 }
 
-std::string Join(const std::vector<std::string>& aLines)
-{
-  std::string text = aLines.empty() ? "none" : "";
-  for (std::size_t n = 0; n < std::min<std::size_t>(5, aLines.size()); ++n) {
-    text += aLines[n] + "; ";
-  }
-  return text;
-}
-
 } // namespace
 
 TEST_CASE("a bundle becomes resident without faults")
@@ -92,7 +83,7 @@
     INFO(planner);
     CHECK(pump.RunUntilSettled(120s));
     CHECK(pump.IsBundleResident());
-    CHECK(Join(pump.Violations()) == "none");
+    CHECK(pump.Summary() == "none");
   }
 }
 
@@ -113,13 +104,13 @@
     pump.SetBundle(MakeBundle(9, 3));
     pump.Run(30s);
     INFO("seed " << seed);
-    CHECK(Join(pump.Violations()) == "none");
+    CHECK(pump.Summary() == "none");
     pump.SetFaults({});
     pump.SetDemand({});
     pump.Run(30s); // Drains under way end, late messages arrive.
     CHECK(pump.RunUntilSettled(400s));
     CHECK(pump.IsBundleResident());
     CHECK(pump.IsCleanedUp());
-    CHECK(Join(pump.Violations()) == "none");
+    CHECK(pump.Summary() == "none");
   }
 }
--- a/packages/placement/tests/placement_pump.cpp
+++ b/packages/placement/tests/placement_pump.cpp
@@ -55,6 +55,15 @@
   mLeaders.push_back(std::move(next));
 }
 
+void PlacementPump::StopEngine(const std::string& aName)
+{
+  FakeEngine& engine = Engine(aName);
+  Excuse(engine);
+  engine.Stop();
+  mStopAt.erase(engine.Name());
+  mStartAt[engine.Name()] = mNow + std::chrono::seconds(5);
+}
+
 void PlacementPump::Run(Duration aTime)
 {
   for (const Instant end = mNow + aTime; mNow < end;) {
@@ -73,6 +82,16 @@
   return false;
 }
 
+std::string PlacementPump::Summary() const
+{
+  constexpr std::size_t kMost = 5;
+  std::string text = mViolations.empty() ? "none" : "";
+  for (std::size_t n = 0; n < std::min(kMost, mViolations.size()); ++n) {
+    text += mViolations[n] + "; ";
+  }
+  return text;
+}
+
 std::size_t PlacementPump::Sent(OrderAction aAction) const
 {
   return static_cast<std::size_t>(std::ranges::count_if(
@@ -164,10 +183,7 @@
     const bool isDrained = mStopAt.contains(name) && mNow >= mStopAt[name];
     if (engine.IsUp() &&
         (isDrained || Chance(PerTick(mFaults.mTargetRestart)))) {
-      Excuse(engine);
-      engine.Stop();
-      mStopAt.erase(name);
-      mStartAt[name] = mNow + std::chrono::seconds(5);
+      StopEngine(name.Text());
     }
     if (!engine.IsUp() && mNow >= mStartAt[name]) {
       engine.Start();
--- a/packages/placement/tests/placement_pump.hpp
+++ b/packages/placement/tests/placement_pump.hpp
@@ -46,7 +46,7 @@
   Instant mDeposedAt;
 };
 
-/** The pump. Violations collect in Violations(). */
+/** The pump. It notes every violation of the invariants. */
 class PlacementPump
 {
 public:
@@ -61,6 +61,8 @@
     mMaxReportDelay = std::max(mMaxReportDelay, aFaults.mMaxReportDelay);
   }
   void ChangeLeader();
+  /** Ends an engine's process; it starts again five seconds later. */
+  void StopEngine(const std::string& aName);
 
   /** Runs that long; checks the invariants after every tick. */
   void Run(Duration aTime);
@@ -72,7 +74,8 @@
   const Placement& Record() const { return mRecord; }
   std::vector<FakeEngine>& Engines() { return mEngines; }
   FakeEngine& Engine(const std::string& aName);
-  const std::vector<std::string>& Violations() const { return mViolations; }
+  /** The first violations of the invariants; "none" if there is none. */
+  std::string Summary() const;
   /** Orders sent for the first time, by action. */
   std::size_t Sent(OrderAction aAction) const;
   std::size_t Replicas(const ModelName& aModel) const;
