--- a/packages/consensus/tests/replica_rules_test.cpp
+++ b/packages/consensus/tests/replica_rules_test.cpp
@@ -1,87 +1,9 @@
 // Rules of one replica, message by message.
 
-#include "carobtide/consensus/replicated_log.hpp"
-
-#include <catch2/catch.hpp>
-
-#include <algorithm>
+#include "replica_fixture.hpp"
 
 using namespace carobtide;
 
-namespace {
-
-const GroupId kGroup(1);
-const ReplicaId kSelf(1);
-const ReplicaId kSecond(2);
-const ReplicaId kThird(3);
-/** After the time in which a started replica votes for nobody. */
-const Instant kLater = Instant{} + 10s;
-
-ReplicatedLog MakeReplica(std::vector<LogEntry> aEntries = {})
-{
-  Membership members;
-  for (const auto replica : { kSelf, kSecond, kThird }) {
-    members.mMembers.push_back(
-      Member{ replica, DaemonName("d"), {}, MemberRole::Voter });
-  }
-  RecoveredState disk;
-  disk.mReplica = kSelf;
-  disk.mEntries = std::move(aEntries);
-  disk.mHardState.mTerm =
-    disk.mEntries.empty() ? 0 : disk.mEntries.back().mTerm;
-  return ReplicatedLog(kGroup, std::move(disk), members, {}, Instant{}, 1);
-}
-
-LogEffects Deliver(ReplicatedLog& aLog, ReplicaId aFrom,
-                   ConsensusMessage aMessage, Instant aNow = kLater)
-{
-  return aLog.Receive(
-    aNow, ConsensusEnvelope{ kGroup, aFrom, kSelf, std::move(aMessage) });
-}
-
-template<class Message>
-const Message* Find(const LogEffects& aEffects)
-{
-  const auto it =
-    std::ranges::find_if(aEffects.mMessages, [](const auto& aEnvelope) {
-      return std::holds_alternative<Message>(aEnvelope.mMessage);
-    });
-  return it == aEffects.mMessages.end() ? nullptr
-                                        : std::get_if<Message>(&it->mMessage);
-}
-
-LogEffects Persisted(ReplicatedLog& aLog, const LogEffects& aEffects)
-{
-  return aLog.OnPersisted(kLater, aEffects.mPersist.mSequence);
-}
-
-/** Elects the replica with the vote of kSecond; returns the last effects. */
-LogEffects Elect(ReplicatedLog& aLog)
-{
-  auto effects = aLog.Tick(kLater);
-  const auto term = aLog.Term() + 1;
-  effects = Deliver(aLog, kSecond, VoteReply{ term, true, true });
-  REQUIRE(aLog.Role() == ReplicaRole::Candidate);
-  CHECK(Find<VoteRequest>(effects) == nullptr);
-  effects = Persisted(aLog, effects);
-  REQUIRE(Find<VoteRequest>(effects) != nullptr);
-  return Deliver(aLog, kSecond, VoteReply{ term, true, false });
-}
-
-LogEffects Acknowledge(ReplicatedLog& aLog, ReplicaId aFrom,
-                       std::uint64_t aMatch, bool aDurable = true)
-{
-  AppendReply reply;
-  reply.mTerm = aLog.Term();
-  reply.mSuccess = true;
-  reply.mMatchIndex = aMatch;
-  reply.mSentAtMicros = kLater.time_since_epoch().count();
-  reply.mDurable = aDurable;
-  return Deliver(aLog, aFrom, reply);
-}
-
-} // namespace
-
 TEST_CASE("a vote leaves the replica only once it is durable")
 {
   auto log = MakeReplica();
@@ -189,3 +111,71 @@
                                          VoteRequest{ 9, 0, 0 } });
   CHECK(log.Term() == 0);
 }
+
+TEST_CASE("a malformed append is ignored")
+{
+  auto log = MakeReplica();
+  AppendRequest request;
+  request.mTerm = 1;
+  SECTION("a gap in the entries")
+  {
+    request.mEntries = { LogEntry{ 1, 1, EntryKind::Command, "a" },
+                         LogEntry{ 3, 1, EntryKind::Command, "b" } };
+  }
+  SECTION("a membership that cannot be decoded")
+  {
+    request.mEntries = { LogEntry{ 1, 1, EntryKind::Membership, "?" } };
+  }
+  SECTION("an entry of a later term")
+  {
+    request.mEntries = { LogEntry{ 1, 2, EntryKind::Command, "a" } };
+  }
+  const auto effects = Deliver(log, kSecond, request);
+  CHECK(log.LastIndex() == 0);
+  CHECK(Find<AppendReply>(effects) == nullptr);
+}
+
+TEST_CASE("an append never replaces what is committed")
+{
+  auto log = MakeReplica();
+  AppendRequest request;
+  request.mTerm = 1;
+  request.mCommitIndex = 1;
+  request.mEntries = { LogEntry{ 1, 1, EntryKind::Command, "a" } };
+  Deliver(log, kSecond, request);
+  REQUIRE(log.CommitIndex() == 1);
+  request.mTerm = 2;
+  request.mEntries[0].mTerm = 2;
+  Deliver(log, kThird, request);
+  CHECK(log.LastIndex() == 1);
+  CHECK(log.CommitIndex() == 1);
+}
+
+TEST_CASE("an acknowledgement beyond the log is ignored")
+{
+  auto log = MakeReplica();
+  Persisted(log, Elect(log));
+  Acknowledge(log, kSecond, 50);
+  CHECK(log.MatchIndex(kSecond) == 0);
+  CHECK(log.CommitIndex() == 0);
+  CHECK_FALSE(log.Tick(kLater + 60ms).mMessages.empty());
+}
+
+TEST_CASE("a commit notice is not answered, a heartbeat is")
+{
+  auto log = MakeReplica();
+  AppendRequest request;
+  request.mTerm = 1;
+  request.mEntries = { LogEntry{ 1, 1, EntryKind::Command, "a" } };
+  Persisted(log, Deliver(log, kSecond, request));
+  request.mPreviousIndex = 1;
+  request.mPreviousTerm = 1;
+  request.mCommitIndex = 1;
+  request.mEntries.clear();
+  request.mCommitNotice = true;
+  const auto noticed = Deliver(log, kSecond, request);
+  CHECK(noticed.mCommitted.size() == 1);
+  CHECK(noticed.mMessages.empty());
+  request.mCommitNotice = false;
+  CHECK(Find<AppendReply>(Deliver(log, kSecond, request)) != nullptr);
+}
--- a/packages/daemon/src/control_plane.cpp
+++ b/packages/daemon/src/control_plane.cpp
@@ -14,6 +14,15 @@
 namespace {
 
 constexpr GroupId kControlGroup{ 1 };
+constexpr Duration kMembershipInterval = std::chrono::seconds(1);
+/** A daemon not heard of for this long is no candidate. */
+constexpr Duration kCandidateTimeout = std::chrono::seconds(3);
+
+bool HasHistory(const RecoveredState& aState)
+{
+  return aState.mHardState.mTerm > 0 || aState.mSnapshot ||
+         !aState.mEntries.empty();
+}
 
 } // namespace
 
@@ -30,6 +39,7 @@
   , mRandom(aIncarnation)
   , mState(MakeLedgerLimits(aSettings))
   , mTargets(aSettings.mTargetTimeout)
+  , mMembers(MakeMembershipPolicy(aSettings))
 {
 }
 
@@ -64,32 +74,6 @@
   return stored;
 }
 
-ReplicaId ControlPlane::FirstReplicaOf(const DaemonName& aDaemon)
-{
-  return ReplicaId(ComputeChecksum(aDaemon.Text()) | 1U);
-}
-
-Membership ControlPlane::InitialMembership() const
-{
-  Membership membership;
-  const auto add = [&](const DaemonName& aName, const FailureDomain& aDomain) {
-    Member member;
-    member.mReplica = FirstReplicaOf(aName);
-    member.mDaemon = aName;
-    member.mFailureDomain = aDomain;
-    member.mRole = MemberRole::Voter;
-    membership.mMembers.push_back(member);
-  };
-  add(mSettings.mName, mSettings.mFailureDomain);
-  for (const PeerSettings& peer : mSettings.mPeers) {
-    if (peer.mHasDisk) {
-      add(peer.mName, peer.mFailureDomain);
-    }
-  }
-  std::ranges::sort(membership.mMembers, {}, &Member::mReplica);
-  return membership;
-}
-
 void ControlPlane::StartReplica()
 {
   const std::lock_guard lock(mMutex);
@@ -98,8 +82,9 @@
     std::move(mStorage),
     [this](std::uint64_t aSequence) { OnDurable(aSequence); },
     [this](const Error& aError) { OnStorageFailure(aError); });
-  mLog.emplace(kControlGroup, std::move(mRecovered), InitialMembership(),
-               ReplicatedLogOptions{}, now, mRandom());
+  mLog.emplace(kControlGroup, std::move(mRecovered),
+               MakeInitialMembership(mSettings), ReplicatedLogOptions{}, now,
+               mRandom());
   HandleEffects(mLog->Tick(now));
 }
 
@@ -108,7 +93,8 @@
   const std::lock_guard lock(mMutex);
   BootstrapStatus status;
   status.mHasIdentity = mReplica != ReplicaId();
-  status.mCommitIndex = mLog ? mLog->CommitIndex() : 0;
+  status.mHasHistory =
+    mLog ? mLog->Term() > 0 || mLog->LastIndex() > 0 : HasHistory(mRecovered);
   return status;
 }
 
@@ -141,7 +127,48 @@
   }
   if (IsLeading()) {
     RunLeaderDuties(now);
+    RunMembership(now);
+  }
+}
+
+void ControlPlane::RunMembership(Instant aNow)
+{
+  if (aNow < mNextMembership) {
+    return;
+  }
+  mNextMembership = aNow + kMembershipInterval;
+  const auto proposal =
+    mMembers.Next(aNow, ViewOf(*mLog), FindCandidates(aNow));
+  if (!proposal) {
+    return;
   }
+  LogEffects effects;
+  const auto proposed = mLog->ProposeMembership(aNow, proposal->mNext, effects);
+  HandleEffects(std::move(effects));
+  EventFacts facts;
+  facts.mStep = EventStep::MemberChanged;
+  facts.mPeer = proposal->mMember.mDaemon.Text();
+  facts.mDetail = std::string(proposed ? "proposed " : "could not propose ") +
+                  std::string(kMembershipSteps.Name(proposal->mStep)) + " " +
+                  std::to_string(proposal->mMember.mReplica.Value());
+  mEvents.Record(std::move(facts));
+}
+
+std::vector<ReplicaCandidate> ControlPlane::FindCandidates(Instant aNow) const
+{
+  std::vector<ReplicaCandidate> candidates;
+  for (const auto& [name, peer] : mPeers) {
+    const bool isAlive = aNow - peer.mHeardAt <= kCandidateTimeout;
+    if (peer.mReplica == ReplicaId() || !isAlive) {
+      continue;
+    }
+    ReplicaCandidate candidate;
+    candidate.mReplica = peer.mReplica;
+    candidate.mDaemon = name;
+    candidate.mFailureDomain = DomainOf(mSettings, name);
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
 }
 
 bool ControlPlane::IsLeading() const
@@ -215,17 +242,13 @@
       mLog->OnSnapshotTaken(SteadyNow(), mAppliedIndex, mState.Save()));
   }
   NoteRoleChange(aEffects);
-  NoteBundleChange();
+  NoteBundleChange(true);
 }
 
 void ControlPlane::SendMessages(const std::vector<ConsensusEnvelope>& aMessages)
 {
   for (const ConsensusEnvelope& envelope : aMessages) {
-    const Member* member = mLog->CurrentMembership().Find(envelope.mTo);
-    if (member == nullptr) {
-      continue;
-    }
-    const auto address = AddressOf(member->mDaemon);
+    const auto address = AddressOf(DaemonOf(envelope.mTo));
     if (address) {
       mNetwork->Send(*address,
                      static_cast<std::uint16_t>(PeerMessageType::Consensus),
@@ -234,6 +257,19 @@
   }
 }
 
+DaemonName ControlPlane::DaemonOf(ReplicaId aReplica) const
+{
+  const Member* member = mLog->CurrentMembership().Find(aReplica);
+  if (member != nullptr) {
+    return member->mDaemon;
+  }
+  // A replica that joins, or that leads a membership not seen here yet.
+  const auto it = std::ranges::find_if(mPeers, [&](const auto& aEntry) {
+    return aEntry.second.mReplica == aReplica;
+  });
+  return it == mPeers.end() ? DaemonName() : it->first;
+}
+
 void ControlPlane::ApplyEntry(const LogEntry& aEntry)
 {
   mAppliedIndex = aEntry.mIndex;
@@ -295,7 +331,7 @@
   }
 }
 
-void ControlPlane::NoteBundleChange()
+void ControlPlane::NoteBundleChange(bool aFromLog)
 {
   const Epoch epoch = mState.Bundles().CurrentEpoch();
   if (epoch <= mAnnouncedEpoch) {
@@ -309,7 +345,11 @@
                   std::to_string(bundle->mVersion) + " epoch " +
                   std::to_string(epoch.Value());
   mEvents.Record(std::move(facts));
-  mOnBundle(epoch, bundle);
+  BundleChange change;
+  change.mEpoch = epoch;
+  change.mBundle = bundle;
+  change.mFromLog = aFromLog;
+  mOnBundle(change);
 }
 
 void ControlPlane::OnConsensus(std::string_view aPayload,
@@ -352,9 +392,9 @@
 DaemonName ControlPlane::LeaderName() const
 {
   if (mLog) {
-    const Member* leader = mLog->CurrentMembership().Find(mLog->Leader());
-    if (leader != nullptr) {
-      return leader->mDaemon;
+    DaemonName leader = DaemonOf(mLog->Leader());
+    if (!leader.IsEmpty()) {
+      return leader;
     }
   }
   return mLeaderHint;
@@ -408,7 +448,7 @@
   }
   const std::lock_guard lock(mMutex);
   const bool adopted = mState.Bundles().Adopt(aBundle.mEpoch, aBundle.mText);
-  NoteBundleChange();
+  NoteBundleChange(false);
   return adopted;
 }
 
--- a/packages/daemon/src/control_plane.hpp
+++ b/packages/daemon/src/control_plane.hpp
@@ -12,6 +12,7 @@
 #include "command_waiter.hpp"
 #include "control_state.hpp"
 #include "event_log.hpp"
+#include "initial_membership.hpp"
 #include "leader_duties.hpp"
 #include "metrics.hpp"
 #include "peer_messages.hpp"
@@ -44,9 +45,17 @@
   Membership mMembership;
 };
 
+/** A new bundle came into force on this daemon. */
+struct BundleChange
+{
+  Epoch mEpoch;
+  std::shared_ptr<const Bundle> mBundle;
+  /** True if it came through the log, false if a peer told it. */
+  bool mFromLog = false;
+};
+
 /** Called with the control mutex held; must not call back. */
-using BundleHandler =
-  std::function<void(Epoch, const std::shared_ptr<const Bundle>&)>;
+using BundleHandler = std::function<void(const BundleChange&)>;
 
 /**
  * Replica, state machine, target registry and leader's duties of one daemon.
@@ -75,9 +84,6 @@
   /** Starts the replica. Precondition: OpenStorage, and an identity. */
   void StartReplica();
 
-  /** The identity that a daemon's first disk has. */
-  static ReplicaId FirstReplicaOf(const DaemonName& aDaemon);
-
   /** The answer to a peer's probe. */
   BootstrapStatus GetBootstrapStatus() const;
 
@@ -156,15 +162,17 @@
   void PerformEffects(LogEffects& aEffects, std::vector<LogEffects>& aMore);
   void ApplyEntry(const LogEntry& aEntry);
   void SendMessages(const std::vector<ConsensusEnvelope>& aMessages);
-  void NoteBundleChange();
+  void NoteBundleChange(bool aFromLog);
   void NoteRoleChange(const LogEffects& aEffects);
   void RecordCommand(const AppliedCommand& aApplied);
   void RunLeaderDuties(Instant aNow);
+  void RunMembership(Instant aNow);
+  std::vector<ReplicaCandidate> FindCandidates(Instant aNow) const;
   void ProposeUnattended(ControlBody aBody);
   DaemonName LeaderName() const;
+  DaemonName DaemonOf(ReplicaId aReplica) const;
   std::optional<Endpoint> LeaderAddress() const;
   std::optional<Endpoint> AddressOf(const DaemonName& aDaemon) const;
-  Membership InitialMembership() const;
 
   void OnDurable(std::uint64_t aSequence);
   void OnStorageFailure(const Error& aError);
@@ -189,6 +197,8 @@
   std::uint64_t mAppliedIndex = 0;
   CommandWaiters mWaiters;
   std::unique_ptr<LeaderDuties> mDuties;
+  MembershipManager mMembers;
+  Instant mNextMembership;
   PeerTable mPeers;
   DaemonName mLeaderHint;
   Epoch mAnnouncedEpoch;
