--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -98,64 +98,72 @@
   co_await std::move(responding);
 }
 
-awaitable<void> CallerApi::ServeCompletion(HttpExchange& aExchange)
+Result<CallerApi::CheckedRequest> CallerApi::Check(const HttpRequest& aRequest,
+                                                   RequestId aId,
+                                                   Planner aPlanner) const
 {
-  const RequestId id = NextRequestId();
-  const HttpRequest& request = aExchange.Request();
+  CheckedRequest checked;
   const auto bundle = GetBundle();
   if (!bundle) {
-    co_await Refuse(aExchange, bundle.GetError(), id);
-    co_return;
+    return bundle.GetError();
   }
-  const auto caller = FindCaller(**bundle, request);
+  checked.mBundle = *bundle;
+  const auto caller = FindCaller(**bundle, aRequest);
   if (!caller) {
-    co_await Refuse(aExchange, caller.GetError(), id);
-    co_return;
+    return caller.GetError();
   }
-  const auto plan = PlanCompletion(**bundle, **caller, request, id);
+  auto plan = aPlanner(**bundle, **caller, aRequest, aId);
   if (!plan) {
-    co_await Refuse(aExchange, plan.GetError(), id);
-    co_return;
+    return plan.GetError();
   }
-  RequestRunner runner(mContext, aExchange, *plan);
+  checked.mPlan = std::move(*plan);
+  return checked;
+}
+
+awaitable<void> CallerApi::RunRequest(HttpExchange& aExchange,
+                                      std::shared_ptr<const ForwardPlan> aPlan)
+{
+  RequestRunner runner(mContext, aExchange, std::move(aPlan));
   auto running = runner.Run();
   co_await std::move(running);
 }
 
-awaitable<void> CallerApi::ServeService(HttpExchange& aExchange)
+awaitable<void> CallerApi::ServeCompletion(HttpExchange& aExchange)
 {
   const RequestId id = NextRequestId();
-  const HttpRequest& request = aExchange.Request();
-  const auto bundle = GetBundle();
-  if (!bundle) {
-    co_await Refuse(aExchange, bundle.GetError(), id);
+  const auto checked = Check(aExchange.Request(), id, PlanCompletion);
+  if (!checked) {
+    auto refusing = Refuse(aExchange, checked.GetError(), id);
+    co_await std::move(refusing);
     co_return;
   }
-  const auto caller = FindCaller(**bundle, request);
-  if (!caller) {
-    co_await Refuse(aExchange, caller.GetError(), id);
-    co_return;
-  }
-  const auto plan = PlanServiceCall(**bundle, **caller, request, id);
-  if (!plan) {
-    co_await Refuse(aExchange, plan.GetError(), id);
+  auto running = RunRequest(aExchange, checked->mPlan);
+  co_await std::move(running);
+}
+
+awaitable<void> CallerApi::ServeService(HttpExchange& aExchange)
+{
+  const RequestId id = NextRequestId();
+  const HttpRequest& request = aExchange.Request();
+  const auto checked = Check(request, id, PlanServiceCall);
+  if (!checked) {
+    auto refusing = Refuse(aExchange, checked.GetError(), id);
+    co_await std::move(refusing);
     co_return;
   }
+  const RequestFacts& facts = checked->mPlan->mFacts;
   const bool hasKey = request.mHeaders.Has("Idempotency-Key");
-  const auto* service = (*bundle)->FindService((*plan)->mFacts.mService);
-  if (!(*plan)->mFacts.mIdempotent && hasKey) {
-    auto running = RunOrder(aExchange, *plan);
-    co_await std::move(running);
-    co_return;
-  }
-  if (!(*plan)->mFacts.mIdempotent && !service->mKeyOptional) {
+  const ServiceSpec* service = checked->mBundle->FindService(facts.mService);
+  if (!facts.mIdempotent && !hasKey && !service->mKeyOptional) {
     Error error = MakeError(ErrorCode::Malformed, "caller.idempotency-key", "",
                             "this call needs an Idempotency-Key");
-    co_await Refuse(aExchange, std::move(error), id);
+    auto refusing = Refuse(aExchange, std::move(error), id);
+    co_await std::move(refusing);
     co_return;
   }
-  RequestRunner runner(mContext, aExchange, *plan);
-  auto running = runner.Run();
+  auto running = !facts.mIdempotent && hasKey
+                   ? RunOrder(aExchange, checked->mPlan)
+                   : RunRequest(aExchange, checked->mPlan);
   co_await std::move(running);
 }
 
--- a/packages/daemon/src/caller_api.hpp
+++ b/packages/daemon/src/caller_api.hpp
@@ -24,8 +24,21 @@
   boost::asio::awaitable<void> Handle(HttpExchange& aExchange);
 
 private:
+  /** A request that may be run, under the bundle that it was checked with. */
+  struct CheckedRequest
+  {
+    std::shared_ptr<const Bundle> mBundle;
+    std::shared_ptr<const ForwardPlan> mPlan;
+  };
+  using Planner = Result<std::shared_ptr<const ForwardPlan>> (*)(
+    const Bundle&, const CallerSpec&, const HttpRequest&, RequestId);
+
   boost::asio::awaitable<void> ServeCompletion(HttpExchange& aExchange);
   boost::asio::awaitable<void> ServeService(HttpExchange& aExchange);
+  boost::asio::awaitable<void> RunRequest(
+    HttpExchange& aExchange, std::shared_ptr<const ForwardPlan> aPlan);
+  Result<CheckedRequest> Check(const HttpRequest& aRequest, RequestId aId,
+                               Planner aPlanner) const;
   boost::asio::awaitable<void> RunOrder(
     HttpExchange& aExchange, std::shared_ptr<const ForwardPlan> aPlan);
   boost::asio::awaitable<void> Refuse(HttpExchange& aExchange, Error aError,
