--- a/tests/matrix/simulation.cpp
+++ b/tests/matrix/simulation.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-constexpr Duration kCutFor = 6s;
-constexpr Duration kPauseFor = 8s;
+/** Of cuts and pauses; both sides of every timeout of the system. */
+constexpr Duration kShortest = 1s;
+constexpr Duration kLongest = 15s;
 constexpr Duration kDiskFullFor = 5s;
 constexpr Duration kWallJump = std::chrono::hours(36);
 
@@ -263,15 +264,16 @@
       break;
     case Fault::CutOneWay:
       (random(0us, 1us).count() == 1 ? state.mMuteUntil : state.mDeafUntil) =
-        mNow + kCutFor;
+        mNow + random(kShortest, kLongest);
       break;
     case Fault::CutBothWays:
       if (random(0us, 1us).count() == 1) {
-        mDomainCutUntil[state.mProcess->Domain()] = mNow + kCutFor;
+        mDomainCutUntil[state.mProcess->Domain()] =
+          mNow + random(kShortest, kLongest);
         break;
       }
-      state.mMuteUntil = mNow + kCutFor;
-      state.mDeafUntil = mNow + kCutFor;
+      state.mMuteUntil = mNow + random(kShortest, kLongest);
+      state.mDeafUntil = state.mMuteUntil;
       break;
     case Fault::DiskFull: {
       const ProcessId disk = WithDisk(aSubject, aOther);
@@ -287,7 +289,7 @@
       break;
     }
     case Fault::LongPause:
-      state.mPausedUntil = mNow + kPauseFor;
+      state.mPausedUntil = mNow + random(kShortest, kLongest);
       break;
     case Fault::ClockJump:
       state.mClockOffset += random(5s, 60s);
