--- a/tests/matrix/world.cpp
+++ b/tests/matrix/world.cpp
@@ -355,6 +355,9 @@
   for (const ModelName& model : ModelsInForce()) {
     if (aTarget.Serves(model)) {
       mLosses[model] = mSim.Now();
+      if (CountServing(model) == 1) {
+        mUnserved[model] = mSim.Now();
+      }
     }
   }
 }
@@ -365,6 +368,7 @@
   const auto loss = mLosses.find(aModel);
   const bool isExcused =
     loss != mLosses.end() && loss->second > aSentAt - kKnowledgeAge;
+  mUnserved[aModel] = mSim.Now();
   if (std::ranges::find(models, aModel) != models.end() && !isExcused) {
     mChecker.Fail(Invariant::Reachable,
                   "the last copy of " + aModel.Text() + " was unloaded");
@@ -428,9 +432,9 @@
       mServed.insert(model);
       continue;
     }
-    const auto loss = mLosses.find(model);
+    const auto since = mUnserved.find(model);
     const bool isExcused =
-      loss != mLosses.end() && mSim.Now() - loss->second < kReloadTime;
+      since != mUnserved.end() && mSim.Now() - since->second < kReloadTime;
     if (mServed.contains(model) && !isExcused) {
       mServed.erase(model);
       mChecker.Fail(Invariant::Reachable, "nothing serves " + model.Text());
--- a/tests/matrix/world.hpp
+++ b/tests/matrix/world.hpp
@@ -132,6 +132,8 @@
   std::uint64_t mLastNumber = 0;
   std::map<std::string, bool> mOrders;
   std::map<ModelName, Instant> mLosses;
+  /** When the end of an engine took the only copy. */
+  std::map<ModelName, Instant> mUnserved;
   std::set<ModelName> mServed;
   bool mCallersDone = false;
   const DaemonProcess* mSpreadFrom = nullptr;
