--- a/packages/routing/include/carobtide/routing/target_selector.hpp
+++ b/packages/routing/include/carobtide/routing/target_selector.hpp
@@ -66,6 +66,9 @@
 
   /** Slowness from which a target is shunned. */
   static constexpr double kShunned = 2.5;
+  /** Wait, over its expected time, after which long work may leave its share.
+   */
+  static constexpr double kLongPatience = 0.75;
   /** Time between two probes of a shunned target, over all daemons. */
   static constexpr Duration kProbeInterval = 250ms;
   /** Candidates gathered from one list before the policy decides. */
--- a/packages/routing/src/target_selector.cpp
+++ b/packages/routing/src/target_selector.cpp
@@ -28,6 +28,18 @@
   return std::max(1U, static_cast<std::uint32_t>(slots));
 }
 
+/**
+ * The class whose slots a request may use: long work that waited for long is
+ * no longer held to its share, so that daemons that have some of it running
+ * cannot keep the others' out.
+ */
+WorkClass SlotClass(const SelectionRequest& aRequest)
+{
+  const bool isAged = IsLong(aRequest.mClass) &&
+                      aRequest.mWaitedRatio >= TargetSelector::kLongPatience;
+  return isAged ? WorkClass::ShortStandard : aRequest.mClass;
+}
+
 bool Contains(std::span<const TargetIndex> aList, TargetIndex aIndex)
 {
   return std::ranges::find(aList, aIndex) != aList.end();
@@ -118,7 +130,7 @@
     return false;
   }
   return aRequest.mIgnoreSlots ||
-         mRules.HasRoom(aRequest.mClass, UseOf(aTarget));
+         mRules.HasRoom(SlotClass(aRequest), UseOf(aTarget));
 }
 
 void TargetSelector::DropShunned(const SelectionRequest& aRequest)
--- a/packages/routing/tests/target_selector_test.cpp
+++ b/packages/routing/tests/target_selector_test.cpp
@@ -152,6 +152,20 @@
         kNoTarget);
 }
 
+TEST_CASE("long work that waited may leave its share, not the reserve's")
+{
+  Bench bench;
+  TargetEntry& target = bench.Add("a");
+  target.mOwnInFlight = 4;
+  target.mOwnLong = 4;
+  bench.mRequest.mClass = WorkClass::LongStandard;
+  CHECK(bench.Choose().empty());
+  bench.mRequest.mWaitedRatio = 1.0;
+  CHECK(bench.Choose() == "a");
+  target.mOwnInFlight = 7;
+  CHECK(bench.Choose().empty());
+}
+
 TEST_CASE("a cached prefix draws work, up to a bound")
 {
   Bench bench;
