--- a/packages/placement/src/demand_planner.cpp
+++ b/packages/placement/src/demand_planner.cpp
@@ -119,6 +119,7 @@
       const Packing::Model& model = mPacking.Models()[m];
       const double level = mSplit.Level(m);
       if (!model.mTargets.empty() && level > kHighLevel &&
+          mSplit.Load(m) >= kQuietLoad &&
           model.mTargets.size() < model.mMaxReplicas) {
         order.emplace_back(-level * model.mSpec->mWeight, m);
       }
@@ -193,9 +194,9 @@
   {
     mPacking.Add(aModel, aTarget);
     mSplit.Refill(aModel);
-    if (!mPacking.WasHeld(aModel, aTarget)) {
-      --mMovesLeft;
-    }
+    // Held replicas count as well: two models that displace each other in
+    // turn would go on for ever.
+    --mMovesLeft;
   }
 
   /**
--- a/packages/placement/tests/placement_fault_test.cpp
+++ b/packages/placement/tests/placement_fault_test.cpp
@@ -110,30 +110,50 @@
   CHECK(longest / 1ms < PlacementOptions{}.mOrderLifetime / 1ms + 3000);
 }
 
+namespace {
+
+/** Faults, changing demand and two rolls; then calm until all is settled. */
+void RunFaults(std::uint64_t aSeed)
+{
+  PlacementPump pump(aSeed);
+  AddEngines(pump, 60 + static_cast<Bytes>(aSeed % 4) * 15);
+  const Bundle first = MakeBundle(9);
+  pump.SetBundle(first);
+  pump.SetFaults(MakeFaults());
+  for (std::uint64_t n = 0; n < 6; ++n) {
+    pump.SetDemand(MakeDemand(aSeed * 100 + n, 9));
+    pump.Run(15s);
+  }
+  pump.SetBundle(MakeBundle(9, 2));
+  pump.Run(30s);
+  pump.SetBundle(MakeBundle(9, 3));
+  pump.Run(30s);
+  INFO("seed " << aSeed);
+  CHECK(pump.Summary() == "none");
+  pump.SetFaults({});
+  pump.SetDemand({});
+  pump.Run(30s); // Drains under way end, late messages arrive.
+  CHECK(pump.RunUntilSettled(400s));
+  CHECK(pump.IsBundleResident());
+  CHECK(pump.IsCleanedUp());
+  CHECK(pump.Summary() == "none");
+}
+
+} // namespace
+
 TEST_CASE("memory, serving and store limits hold under faults")
 {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-    PlacementPump pump(seed);
-    AddEngines(pump, 60 + static_cast<Bytes>(seed % 4) * 15);
-    const Bundle first = MakeBundle(9);
-    pump.SetBundle(first);
-    pump.SetFaults(MakeFaults());
-    for (std::uint64_t n = 0; n < 6; ++n) {
-      pump.SetDemand(MakeDemand(seed * 100 + n, 9));
-      pump.Run(15s);
-    }
-    pump.SetBundle(MakeBundle(9, 2));
-    pump.Run(30s);
-    pump.SetBundle(MakeBundle(9, 3));
-    pump.Run(30s);
-    INFO("seed " << seed);
-    CHECK(pump.Summary() == "none");
-    pump.SetFaults({});
-    pump.SetDemand({});
-    pump.Run(30s); // Drains under way end, late messages arrive.
-    CHECK(pump.RunUntilSettled(400s));
-    CHECK(pump.IsBundleResident());
-    CHECK(pump.IsCleanedUp());
-    CHECK(pump.Summary() == "none");
+    RunFaults(seed);
   }
 }
+
+TEST_CASE("a plan ends where two models displace each other in turn")
+{
+  RunFaults(361);
+}
+
+TEST_CASE("a load delivered again after its unload takes no place at the store")
+{
+  RunFaults(66);
+}
--- a/packages/placement/tests/roll_test.cpp
+++ b/packages/placement/tests/roll_test.cpp
@@ -124,4 +124,17 @@
     pump.Run(100ms);
     CHECK(pump.Summary().starts_with("too many loads at once"));
   }
+  SECTION("more loads in a while than the store allows")
+  {
+    PlacementPump fresh = MakePump(2, 25);
+    Bundle bundle = MakeBundle({ 1, 1 }, 10);
+    fresh.SetBundle(bundle);
+    fresh.Run(5s);
+    REQUIRE(fresh.Sent(OrderAction::Load) > 1);
+    REQUIRE(fresh.Summary() == "none");
+    bundle.mStore.mLoadsPerSecond = 0.0;
+    fresh.SetBundle(bundle);
+    fresh.Run(100ms);
+    CHECK(fresh.Summary().starts_with("too many loads in ten seconds"));
+  }
 }
