--- a/packages/daemon/src/control_plane.cpp
+++ b/packages/daemon/src/control_plane.cpp
@@ -14,9 +14,8 @@
 namespace {
 
 constexpr GroupId kControlGroup{ 1 };
-constexpr Duration kMembershipInterval = std::chrono::seconds(1);
-/** A daemon not heard of for this long is no candidate. */
-constexpr Duration kCandidateTimeout = std::chrono::seconds(3);
+/** After this silence a lower incarnation replaces a higher one. */
+constexpr Duration kReplacedTimeout = std::chrono::seconds(5);
 
 bool HasHistory(const RecoveredState& aState)
 {
@@ -116,7 +115,6 @@
   const std::lock_guard lock(mMutex);
   const Instant now = SteadyNow();
   PeerRecord& self = mPeers[mSettings.mName];
-  self.mIncarnation = mIncarnation;
   self.mReplica = mReplica;
   self.mHeardAt = now;
   if (!mLog) {
@@ -131,83 +129,6 @@
   }
 }
 
-void ControlPlane::RunMembership(Instant aNow)
-{
-  if (aNow < mNextMembership) {
-    return;
-  }
-  mNextMembership = aNow + kMembershipInterval;
-  const auto proposal =
-    mMembers.Next(aNow, ViewOf(*mLog), FindCandidates(aNow));
-  if (!proposal) {
-    return;
-  }
-  LogEffects effects;
-  const auto proposed = mLog->ProposeMembership(aNow, proposal->mNext, effects);
-  HandleEffects(std::move(effects));
-  EventFacts facts;
-  facts.mStep = EventStep::MemberChanged;
-  facts.mPeer = proposal->mMember.mDaemon.Text();
-  facts.mDetail = std::string(proposed ? "proposed " : "could not propose ") +
-                  std::string(kMembershipSteps.Name(proposal->mStep)) + " " +
-                  std::to_string(proposal->mMember.mReplica.Value());
-  mEvents.Record(std::move(facts));
-}
-
-std::vector<ReplicaCandidate> ControlPlane::FindCandidates(Instant aNow) const
-{
-  std::vector<ReplicaCandidate> candidates;
-  for (const auto& [name, peer] : mPeers) {
-    const bool isAlive = aNow - peer.mHeardAt <= kCandidateTimeout;
-    if (peer.mReplica == ReplicaId() || !isAlive) {
-      continue;
-    }
-    ReplicaCandidate candidate;
-    candidate.mReplica = peer.mReplica;
-    candidate.mDaemon = name;
-    candidate.mFailureDomain = DomainOf(mSettings, name);
-    candidates.push_back(std::move(candidate));
-  }
-  return candidates;
-}
-
-bool ControlPlane::IsLeading() const
-{
-  return mLog && mDuties && !mHandingOver && mLog->HasLease(SteadyNow());
-}
-
-void ControlPlane::RunLeaderDuties(Instant aNow)
-{
-  auto duties = mDuties->Step(aNow, WallMicros(), mState, mTargets, mPeers);
-  for (auto& body : duties.mPropose) {
-    ProposeUnattended(std::move(body));
-  }
-  for (const Order& order : duties.mSend) {
-    const TargetRecord* target = mTargets.Find(order.mTarget);
-    if (target == nullptr) {
-      continue;
-    }
-    EventFacts facts;
-    facts.mStep = EventStep::OrderSent;
-    facts.mPeer = order.mTarget.Text();
-    facts.mOrder = order.mId;
-    mEvents.Record(std::move(facts));
-    mMetrics.Add(Counter::OrdersSent);
-    SendOrder(mWorkers, target->mAnnouncement.mAddress, order);
-  }
-}
-
-void ControlPlane::ProposeUnattended(ControlBody aBody)
-{
-  ControlCommand command;
-  command.mBody = std::move(aBody);
-  LogEffects effects;
-  const auto proposed = mLog->Propose(SteadyNow(), Encode(command), effects);
-  if (proposed) {
-    HandleEffects(std::move(effects));
-  }
-}
-
 void ControlPlane::HandleEffects(LogEffects aEffects)
 {
   std::vector<LogEffects> pending;
@@ -309,28 +230,6 @@
   }
 }
 
-void ControlPlane::NoteRoleChange(const LogEffects& aEffects)
-{
-  EventFacts facts;
-  if (aEffects.mBecameLeader) {
-    mDuties =
-      std::make_unique<LeaderDuties>(mSettings, mLog->Term(), SteadyNow());
-    facts.mStep = EventStep::LeaderElected;
-    facts.mDetail = "term " + std::to_string(mLog->Term());
-    mEvents.Record(std::move(facts));
-  } else if (aEffects.mLostLeadership) {
-    mDuties.reset();
-    mWaiters.WakeAll();
-    facts.mStep = EventStep::LeaderLost;
-    mEvents.Record(std::move(facts));
-  }
-  if (aEffects.mMembershipChanged) {
-    EventFacts changed;
-    changed.mStep = EventStep::MemberChanged;
-    mEvents.Record(std::move(changed));
-  }
-}
-
 void ControlPlane::NoteBundleChange(bool aFromLog)
 {
   const Epoch epoch = mState.Bundles().CurrentEpoch();
@@ -371,12 +270,20 @@
   mEvents.Observe(aMessage.mStamp);
   const std::lock_guard lock(mMutex);
   PeerRecord& peer = mPeers[aMessage.mFrom];
-  if (aMessage.mIncarnation < peer.mIncarnation) {
+  const Instant now = SteadyNow();
+  // A late heartbeat of a process that was replaced; a process whose clock was
+  // set back is taken up once the old one has been silent.
+  const bool isLate = aMessage.mIncarnation < peer.mIncarnation &&
+                      now - peer.mHeardAt < kReplacedTimeout;
+  if (isLate) {
     return;
   }
-  peer.mIncarnation = aMessage.mIncarnation;
+  if (aMessage.mIncarnation != peer.mIncarnation) {
+    peer.mIncarnation = aMessage.mIncarnation;
+    peer.mIncarnationAt = now;
+  }
   peer.mReplica = aMessage.mReplica;
-  peer.mHeardAt = SteadyNow();
+  peer.mHeardAt = now;
   peer.mDemand = aMessage.mDemand;
 }
 
@@ -475,32 +382,6 @@
   return CheckFeasible(aBundle, current.get(), targets);
 }
 
-void ControlPlane::HandOverLeadership()
-{
-  const std::lock_guard lock(mMutex);
-  mHandingOver = true;
-  if (mLog && mLog->Role() == ReplicaRole::Leader) {
-    HandleEffects(mLog->TransferLeadership(SteadyNow()));
-  }
-}
-
-Result<Unit> ControlPlane::ChangeMembers(const Membership& aMembership)
-{
-  const std::lock_guard lock(mMutex);
-  if (!mLog) {
-    return MakeError(ErrorCode::NotLeader, "member.change",
-                     LeaderName().Text());
-  }
-  LogEffects effects;
-  const auto proposed =
-    mLog->ProposeMembership(SteadyNow(), aMembership, effects);
-  if (!proposed) {
-    return proposed.GetError();
-  }
-  HandleEffects(std::move(effects));
-  return Success();
-}
-
 ControlStatus ControlPlane::Status() const
 {
   const std::lock_guard lock(mMutex);
--- a/tests/matrix/world.cpp
+++ b/tests/matrix/world.cpp
@@ -13,8 +13,9 @@
 constexpr std::size_t kServices = 2;
 
 constexpr Duration kCallersStop = 42s;
-constexpr Duration kRunFor = 100s;
+constexpr Duration kRunFor = 90s;
 constexpr Duration kOrderInterval = 400ms;
+constexpr double kNoise = 0.02;
 constexpr Duration kModelInterval = 80ms;
 /** Greatest age of what a leader knew when it sent an unload. */
 constexpr Duration kKnowledgeAge = 5s;
@@ -24,11 +25,12 @@
   std::string text = "# " + aOperator +
                      "\nname: desk\nversion: " + std::to_string(aVersion) +
                      "\nmodels:\n";
-  const auto add = [&](const std::string& aName, std::uint64_t aModelVersion) {
+  const auto add = [&](const std::string& aName, std::uint64_t aModelVersion,
+                       const std::string& aAdapters = "") {
     text += "  - {name: " + aName + ", pool: engines, memory: 10GiB, " +
-            "version: " + std::to_string(aModelVersion) + "}\n";
+            "version: " + std::to_string(aModelVersion) + aAdapters + "}\n";
   };
-  add("tags", aVersion);
+  add("tags", aVersion, ", adapters: [{name: hides, memory: 200MiB}]");
   add("lugs", 1);
   add(aVersion < 2 ? "boots" : "props", 1);
   text += "services:\n  - {name: orders, pool: desk}\n"
@@ -58,6 +60,8 @@
   : mMutation(aMutation)
   , mSim(aSeed, std::move(aInjection))
 {
+  // Every other seed has a network that loses, doubles and delays.
+  mSim.SetNoise(aSeed % 2 == 0 ? kNoise : 0.0);
   const Membership initial = InitialVoters();
   for (std::size_t n = 0; n < kDaemons; ++n) {
     mDaemons.push_back(
@@ -66,8 +70,7 @@
   for (std::size_t n = 0; n < kEngines + kServices; ++n) {
     const bool isEngine = n < kEngines;
     mTargets.push_back(std::make_unique<TargetProcess>(
-      *this, TargetName("t" + std::to_string(n)),
-      FailureDomain("f" + std::to_string(n % 3)),
+      *this, TargetName("t" + std::to_string(n)), n % 3,
       isEngine ? TargetKind::Engine : TargetKind::Service, n % 2 == 0));
   }
 }
@@ -146,6 +149,7 @@
   mSim.At(33s, [this] { Operate(ActionsFor(TextOf(3, "wouter"), 3), 0); });
   mSim.At(kCallersStop, [this] {
     mCallersDone = true;
+    mSim.SetNoise(0.0);
     for (std::size_t n = 0; n < kStepCount; ++n) {
       mCounts[n] = mSim.Count(static_cast<Step>(n));
     }
@@ -232,17 +236,22 @@
 {
   constexpr int kMostTries = 8;
   constexpr Duration kPatience = 5s;
-  DaemonProcess* daemon = mDaemons[mSim.Pick(kDaemons)].get();
   if (mOrders[aKey] || aTries == kMostTries) {
     return;
   }
+  Resend(aKey);
+  mSim.At(kPatience, [this, aKey, aTries] { SubmitOrder(aKey, aTries + 1); });
+}
+
+void World::Resend(const std::string& aKey)
+{
+  DaemonProcess* daemon = mDaemons[mSim.Pick(kDaemons)].get();
   if (mSim.IsAlive(daemon->Id())) {
     const std::uint64_t submission = NextNumber();
     mSim.After(daemon->Id(), 1ms, [daemon, aKey, submission] {
       daemon->OnOrderRequest(aKey, submission);
     });
   }
-  mSim.At(kPatience, [this, aKey, aTries] { SubmitOrder(aKey, aTries + 1); });
 }
 
 void World::OnOrderAnswered(const std::string& aKey,
@@ -254,6 +263,14 @@
     return;
   }
   mOrders[aKey] = true;
+  // Some callers lost the answer and ask again, now or much later.
+  if (mSim.Pick(3) == 0) {
+    mSim.At(mSim.PickBetween(100ms, 20s), [this, aKey] {
+      if (!mCallersDone) {
+        Resend(aKey);
+      }
+    });
+  }
   if (aAnswer.mOutcome == RunOutcome::Ran && aAnswer.mAnswer) {
     mChecker.OnToldRan(aKey, aAnswer.mAnswer->mBody);
   }
@@ -354,11 +371,58 @@
   }
 }
 
+void World::CheckLeases()
+{
+  const auto holders =
+    std::ranges::count_if(mDaemons, [&](const auto& aDaemon) {
+      return mSim.IsAlive(aDaemon->Id()) && !mSim.IsPaused(aDaemon->Id()) &&
+             aDaemon->Leads();
+    });
+  if (holders > 1) {
+    mChecker.Fail(Invariant::Agreement, "two daemons hold the lease");
+  }
+}
+
+void World::CheckSpread()
+{
+  constexpr Duration kWithin = 3s;
+  const Instant now = mSim.Now();
+  const DaemonProcess* leader = Leader();
+  if (leader == nullptr || leader != mSpreadFrom ||
+      leader->Bundles().CurrentEpoch() != mSpreadEpoch) {
+    mSpreadFrom = leader;
+    mSpreadEpoch = leader ? leader->Bundles().CurrentEpoch() : Epoch();
+    mSpreadSince = now;
+  }
+  for (const auto& daemon : mDaemons) {
+    Instant& since = mHealthySince[daemon->Index()];
+    if (!mSim.IsAlive(daemon->Id()) || !mSim.IsConnected(daemon->Id())) {
+      since = now;
+    }
+  }
+  if (leader == nullptr) {
+    return;
+  }
+  const Instant start = std::max(mSpreadSince, mHealthySince[leader->Index()]);
+  for (const auto& daemon : mDaemons) {
+    const Instant since = std::max(start, mHealthySince[daemon->Index()]);
+    if (now - since > kWithin &&
+        daemon->Bundles().CurrentEpoch() < mSpreadEpoch) {
+      mHealthySince[daemon->Index()] = now;
+      mChecker.Fail(Invariant::Configuration,
+                    "daemon " + std::to_string(daemon->Index()) +
+                      " lacks an epoch that the leader has had for 3 s");
+    }
+  }
+}
+
 void World::CheckServing()
 {
   constexpr Duration kInterval = 100ms;
   constexpr Duration kReloadTime = 20s;
   mSim.At(kInterval, [this] { CheckServing(); });
+  CheckLeases();
+  CheckSpread();
   for (const ModelName& model : ModelsInForce()) {
     if (CountServing(model) > 0) {
       mServed.insert(model);
@@ -419,7 +483,10 @@
     mChecker.Fail(Invariant::Convergence, "the last roll did not finish");
   }
   if (aLeader.GetLedger().OpenClaims() != 0) {
-    mChecker.Fail(Invariant::Convergence, "claims are left open");
+    const ClaimantId claimant = aLeader.GetLedger().OpenClaimants().front();
+    mChecker.Fail(Invariant::Convergence,
+                  "a claim of " + claimant.mDaemon.Text() + "/" +
+                    std::to_string(claimant.mIncarnation) + " is left open");
   }
   if (!aLeader.GetPlacement().OpenOrders().empty()) {
     const Order& order = aLeader.GetPlacement().OpenOrders().begin()->second;
