A resumed answer keeps its time; a retry avoids the target that refused

Change: the first byte's deadline ends once it is met; a refusing target is avoided before the retry is placed; refused connections are not counted as attempts.

--- a/packages/routing/src/request_table.hpp
+++ b/packages/routing/src/request_table.hpp
@@ -45,6 +45,8 @@
   /** Tokens seen of the attempt that wins. */
   double mTokens = 0.0;
   std::uint32_t mAttempts = 0;
+  /** Attempts among them whose connection was refused. */
+  std::uint32_t mRefusedConnects = 0;
   /** Attempts that run now. */
   std::vector<AttemptId> mRunning;
   std::vector<TargetIndex> mTried;
--- a/packages/routing/src/router_attempts.cpp
+++ b/packages/routing/src/router_attempts.cpp
@@ -44,6 +44,8 @@
   const double seconds = ToSeconds(aNow - attempt.mDispatchedAt);
   attempt.mFirstByteAt = aNow;
   attempt.mTokensAt = aNow;
+  // Met. An attempt that resumes the answer has the whole deadline only.
+  request.mFacts.mFirstByteDeadline = request.mFacts.mDeadline;
   if (request.mFacts.mStreaming) {
     LatencyTracker& latency = mTargets.At(attempt.mTarget).mLatency;
     latency.Observe(aNow, seconds / ExpectedFirstByte(request));
@@ -101,6 +103,10 @@
     LearnFromWhole(aNow, attempt, request);
   }
   RemoveAttempt(aNow, aAttempt);
+  if (aEnd == AttemptEnd::ConnectRefused) {
+    // Before the retry, which must not go to the same target.
+    Avoid(aNow, attempt.mTarget);
+  }
   switch (aEnd) {
     case AttemptEnd::Whole:
       mQuarantine.Clear(request.mFacts.mFingerprint);
@@ -120,7 +126,7 @@
       break;
   }
   if (aEnd == AttemptEnd::ConnectRefused) {
-    NoteRefused(aNow, attempt.mTarget, effects);
+    Apply(aNow, mCrashes.OnDead(attempt.mTarget), effects);
   }
   RunSuspects(aNow, effects);
   Drain(aNow, attempt.mTarget, effects);
@@ -275,26 +281,29 @@
   mTargets.At(aAttempt.mTarget).mRefusals = 0;
 }
 
-void Router::Impl::NoteRefused(Instant aNow, TargetIndex aTarget,
-                               RouterEffects& aEffects)
+void Router::Impl::Avoid(Instant aNow, TargetIndex aTarget)
 {
   TargetEntry& target = mTargets.At(aTarget);
   const std::uint32_t doublings =
     std::min(target.mRefusals, kMostAvoidDoublings);
   target.mAvoidUntil = aNow + kAvoidAfterRefusal * (1U << doublings);
   ++target.mRefusals;
-  Apply(aNow, mCrashes.OnDead(aTarget), aEffects);
 }
 
 void Router::Impl::RetryOrFail(Instant aNow, RequestRecord& aRequest,
                                AttemptEnd aEnd, bool aDelivered,
                                RouterEffects& aEffects)
 {
+  // A refused connection cost its target nothing: it needs no budget and does
+  // not count as an attempt. Avoiding the target bounds how often it happens.
+  const bool isFree = aEnd == AttemptEnd::ConnectRefused;
+  if (isFree) {
+    ++aRequest.mRefusedConnects;
+  }
+  const std::uint32_t counted = aRequest.mAttempts - aRequest.mRefusedConnects;
   const bool mayRetry = aRequest.mFacts.mIdempotent && !aDelivered &&
-                        aRequest.mAttempts < mOptions.mMaxAttempts &&
+                        counted < mOptions.mMaxAttempts &&
                         aRequest.mFacts.mDeadline > aNow;
-  // A refused connection cost its target nothing, so it needs no budget.
-  const bool isFree = aEnd == AttemptEnd::ConnectRefused;
   if (mayRetry && (isFree || mRetryBudget.Take())) {
     ++mStats.mRetries;
     Requeue(aNow, aRequest, aEffects);
--- a/packages/routing/src/router_impl.hpp
+++ b/packages/routing/src/router_impl.hpp
@@ -113,7 +113,7 @@
   void EndRequest(Instant aNow, RequestId aRequest, RouterEffects& aEffects);
   void LearnFromWhole(Instant aNow, const AttemptRecord& aAttempt,
                       const RequestRecord& aRequest);
-  void NoteRefused(Instant aNow, TargetIndex aTarget, RouterEffects& aEffects);
+  void Avoid(Instant aNow, TargetIndex aTarget);
   void RetryOrFail(Instant aNow, RequestRecord& aRequest, AttemptEnd aEnd,
                    bool aDelivered, RouterEffects& aEffects);
   /** Puts a request back in front, or among the suspects if it is one. */
--- /dev/null
+++ b/packages/routing/tests/resume_test.cpp
@@ -0,0 +1,95 @@
+#include "routing_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace carobtide;
+using namespace carobtide::test;
+
+namespace {
+
+constexpr Duration kFirstByteLimit = 800ms;
+
+/** A request that must have its first byte soon, and half a minute in all. */
+RequestFacts ShortDeadline()
+{
+  RequestFacts facts = ModelRequest(1);
+  facts.mStreaming = true;
+  facts.mFirstByteDeadline = At(kFirstByteLimit);
+  facts.mDeadline = At(30s);
+  return facts;
+}
+
+/** Lets time pass; returns what the ticks brought about. */
+RouterEffects Pass(Router& aRouter, Duration aFrom, Duration aTo)
+{
+  RouterEffects all;
+  for (Duration at = aFrom; at <= aTo; at += 10ms) {
+    const RouterEffects effects = aRouter.Tick(At(at));
+    all.insert(all.end(), effects.begin(), effects.end());
+  }
+  return all;
+}
+
+} // namespace
+
+TEST_CASE("a resumed answer is not held to the first byte's deadline")
+{
+  Router router(Options());
+  router.OnAnnouncement(At(0s), Engine("a", { "tagger" }));
+  const auto first =
+    Only<DispatchAttempt>(router.Admit(At(0s), ShortDeadline()));
+  REQUIRE(first.size() == 1);
+  router.OnAnnouncement(At(0s), Engine("b", { "tagger" }));
+  router.OnFirstByte(At(100ms), first[0].mAttempt);
+
+  // Two seconds on, well after that deadline, the target dies.
+  auto effects = router.OnFinished(At(2s), first[0].mAttempt,
+                                   AttemptEnd::ConnectionLost, false);
+  auto silent = router.OnTargetSilent(At(2s), TargetName("a"));
+  effects.insert(effects.end(), silent.begin(), silent.end());
+  const auto later = Pass(router, 2s, 8s);
+  effects.insert(effects.end(), later.begin(), later.end());
+  CHECK(Only<FailRequest>(effects).empty());
+  CHECK(Only<RefuseRequest>(effects).empty());
+  const auto second = Only<DispatchAttempt>(effects);
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].mTarget == TargetName("b"));
+}
+
+TEST_CASE("a retry does not go back to the target that refused")
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    RouterOptions options = Options();
+    options.mSeed = seed;
+    Router router(options);
+    router.OnAnnouncement(At(0s), Engine("a", { "tagger" }));
+    router.OnAnnouncement(At(0s), Engine("b", { "tagger" }));
+    auto sent = Only<DispatchAttempt>(router.Admit(At(0s), ModelRequest(1)));
+    REQUIRE(sent.size() == 1);
+    const TargetName refusing = sent[0].mTarget;
+    sent = Only<DispatchAttempt>(router.OnFinished(
+      At(1ms), sent[0].mAttempt, AttemptEnd::ConnectRefused, false));
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].mTarget != refusing);
+  }
+}
+
+TEST_CASE("refused connections do not use up a request's attempts")
+{
+  Router router(Options());
+  for (const char* name : { "a", "b", "c", "d", "e" }) {
+    router.OnAnnouncement(At(0s), Engine(name, { "tagger" }));
+  }
+  auto sent = Only<DispatchAttempt>(router.Admit(At(0s), ModelRequest(1)));
+  std::vector<TargetName> tried;
+  while (sent.size() == 1 && tried.size() < 4) {
+    tried.push_back(sent[0].mTarget);
+    sent = Only<DispatchAttempt>(router.OnFinished(
+      At(1ms), sent[0].mAttempt, AttemptEnd::ConnectRefused, false));
+  }
+  // The fifth target is reached after four refusals.
+  REQUIRE(sent.size() == 1);
+  tried.push_back(sent[0].mTarget);
+  std::ranges::sort(tried);
+  CHECK(std::ranges::unique(tried).empty());
+}
