Pass the router's urgency on to engines; count tokens of whole answers

Cause: the excess slots for urgent work rely on the engine's order, but the daemon sent the caller's class; and lengths of answers that are not streamed were never learnt.

Change: Carobtide-Priority is the dispatch's urgency; the usage of a whole answer is reported before its end.

--- a/packages/daemon/src/attempt.cpp
+++ b/packages/daemon/src/attempt.cpp
@@ -24,8 +24,8 @@
                        std::to_string(aPlan.mFacts.mId.Value()));
   request.mHeaders.Add("Carobtide-Attempt",
                        std::to_string(aAttempt.mDispatch.mAttempt.Value()));
-  request.mHeaders.Add("Carobtide-Priority", std::string(kPriorityClasses.Name(
-                                               aPlan.mFacts.mPriority)));
+  request.mHeaders.Add("Carobtide-Priority",
+                       std::to_string(aAttempt.mDispatch.mUrgency));
   if (aAttempt.mResumeOffset > 0) {
     request.mHeaders.Add("Carobtide-Resume-Offset",
                          std::to_string(aAttempt.mResumeOffset));
--- a/packages/daemon/src/event_stream.cpp
+++ b/packages/daemon/src/event_stream.cpp
@@ -1,5 +1,7 @@
 #include "event_stream.hpp"
 
+#include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace carobtide {
@@ -25,6 +27,20 @@
 
 } // namespace
 
+std::uint32_t CountGeneratedTokens(std::string_view aBody)
+{
+  constexpr std::string_view kField = "\"completion_tokens\":";
+  const auto at = aBody.rfind(kField);
+  if (at == std::string_view::npos) {
+    return 0;
+  }
+  std::string_view rest = aBody.substr(at + kField.size());
+  rest.remove_prefix(std::min(rest.find_first_not_of(' '), rest.size()));
+  std::uint32_t tokens = 0;
+  std::from_chars(rest.data(), rest.data() + rest.size(), tokens);
+  return tokens;
+}
+
 std::string_view EventStream::Take(std::string_view aPart)
 {
   mWhole.clear();
--- a/packages/daemon/src/event_stream.hpp
+++ b/packages/daemon/src/event_stream.hpp
@@ -12,6 +12,12 @@
 
 namespace carobtide {
 
+/**
+ * The number of generated tokens that a whole answer states in its usage; 0 if
+ * it states none. Thread safety: any thread.
+ */
+std::uint32_t CountGeneratedTokens(std::string_view aBody);
+
 /**
  * The events of one answer, over all the attempts that deliver it.
  *
--- a/packages/daemon/src/request_runner.cpp
+++ b/packages/daemon/src/request_runner.cpp
@@ -170,6 +170,10 @@
 awaitable<void> RequestRunner::RelayWhole(AttemptPtr aAttempt,
                                           HttpResponseHead aHead)
 {
+  const std::uint32_t tokens = CountGeneratedTokens(aAttempt->mBody);
+  if (mPlan->mIsEngine && tokens > 0) {
+    mContext.mRouter.OnTokens(aAttempt->mDispatch.mAttempt, tokens);
+  }
   HttpResponse response;
   response.mHead = CallerHead(aHead);
   response.mBody = std::move(aAttempt->mBody);
--- a/packages/daemon/tests/event_stream_test.cpp
+++ b/packages/daemon/tests/event_stream_test.cpp
@@ -49,3 +49,11 @@
   events.Take("NE]\n\n");
   CHECK(events.HasEnded());
 }
+
+TEST_CASE("the tokens of a whole answer are read from its usage")
+{
+  CHECK(CountGeneratedTokens(R"({"usage":{"completion_tokens":17}})") == 17);
+  CHECK(CountGeneratedTokens(R"({"usage":{"completion_tokens": 5 }})") == 5);
+  CHECK(CountGeneratedTokens(R"({"usage":{"completion_tokens":)") == 0);
+  CHECK(CountGeneratedTokens("{}") == 0);
+}
