--- a/packages/consensus/include/carobtide/consensus/dissemination.hpp
+++ b/packages/consensus/include/carobtide/consensus/dissemination.hpp
@@ -36,7 +36,7 @@
 {
 public:
   /** Precondition: aAll contains aSelf. */
-  Dissemination(DaemonName aSelf, std::vector<DaemonName> aAll,
+  Dissemination(const DaemonName& aSelf, std::vector<DaemonName> aAll,
                 DisseminationOptions aOptions, std::uint64_t aSeed);
 
   /**
--- a/packages/consensus/src/dissemination.cpp
+++ b/packages/consensus/src/dissemination.cpp
@@ -6,7 +6,8 @@
 
 namespace carobtide {
 
-Dissemination::Dissemination(DaemonName aSelf, std::vector<DaemonName> aAll,
+Dissemination::Dissemination(const DaemonName& aSelf,
+                             std::vector<DaemonName> aAll,
                              DisseminationOptions aOptions, std::uint64_t aSeed)
   : mAll(std::move(aAll))
   , mOptions(aOptions)
@@ -67,8 +68,7 @@
     chosen.push_back(RandomOther());
   }
   std::ranges::sort(chosen);
-  const auto repeated = std::ranges::unique(chosen);
-  chosen.erase(repeated.begin(), repeated.end());
+  chosen.erase(std::unique(chosen.begin(), chosen.end()), chosen.end());
   std::vector<DaemonName> names;
   std::ranges::transform(chosen, std::back_inserter(names),
                          [this](std::size_t aIndex) { return mAll[aIndex]; });
--- a/packages/daemon/src/announcement_gossip.cpp
+++ b/packages/daemon/src/announcement_gossip.cpp
@@ -51,8 +51,7 @@
                       std::back_inserter(names));
   }
   std::ranges::sort(names);
-  const auto repeated = std::ranges::unique(names);
-  names.erase(repeated.begin(), repeated.end());
+  names.erase(std::unique(names.begin(), names.end()), names.end());
   return names;
 }
 
--- a/packages/daemon/src/answers.cpp
+++ b/packages/daemon/src/answers.cpp
@@ -29,7 +29,6 @@
     case ErrorCode::AlreadyExists:
     case ErrorCode::InvalidState:
     case ErrorCode::Infeasible:
-    case ErrorCode::OutcomeUnknown:
       return HttpStatus::Conflict;
     case ErrorCode::Quarantined:
       return HttpStatus::Unprocessable;
@@ -38,6 +37,7 @@
     case ErrorCode::ConnectionLost:
       return HttpStatus::BadGateway;
     case ErrorCode::Timeout:
+    case ErrorCode::OutcomeUnknown:
       return HttpStatus::GatewayTimeout;
     case ErrorCode::Internal:
       return HttpStatus::InternalError;
