--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -1,6 +1,8 @@
 # Helpers that declare one package of the workspace.
 
-include(/usr/lib/cmake/Catch2/Catch.cmake OPTIONAL)
+if(CAROBTIDE_TESTS)
+  include(/usr/lib/cmake/Catch2/Catch.cmake)
+endif()
 
 add_library(carobtide_options INTERFACE)
 target_compile_options(carobtide_options INTERFACE -Wall -Wextra -Wpedantic
@@ -50,7 +52,7 @@
   target_include_directories(carobtide_${NAME} ${scope} include)
   target_link_libraries(carobtide_${NAME} ${scope} carobtide_options
                         ${ARG_DEPENDS})
-  if(tests AND NOT CAROBTIDE_FUZZERS)
+  if(tests AND CAROBTIDE_TESTS AND NOT CAROBTIDE_FUZZERS)
     add_executable(test_${NAME} ${tests})
     target_include_directories(test_${NAME} PRIVATE tests)
     target_link_libraries(test_${NAME} PRIVATE carobtide_${NAME} catch_main
@@ -58,13 +60,14 @@
     catch_discover_tests(test_${NAME} TEST_PREFIX "${NAME}: "
                          PROPERTIES TIMEOUT 300)
   endif()
-  if(NOT CAROBTIDE_FUZZERS)
+  if(CAROBTIDE_TESTS AND NOT CAROBTIDE_FUZZERS)
     foreach(file ${benchmarks})
       get_filename_component(stem ${file} NAME_WE)
       add_executable(bench_${stem} ${file})
       target_link_libraries(bench_${stem} PRIVATE carobtide_${NAME})
     endforeach()
-  else()
+  endif()
+  if(CAROBTIDE_FUZZERS)
     foreach(file ${fuzzers})
       get_filename_component(stem ${file} NAME_WE)
       add_executable(fuzz_${stem} ${file})
--- /dev/null
+++ b/main/carobtided.cpp
@@ -0,0 +1,175 @@
+#include "carobtide/daemon.hpp"
+#include "carobtide/daemon/control_node.hpp"
+#include "carobtide/daemon/edge_node.hpp"
+#include "carobtide/platform.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <variant>
+
+namespace {
+
+constexpr int kExitFailure = 1;
+constexpr int kExitFaults = 2;
+
+template<class Settings>
+using Parser = std::variant<Settings, std::vector<carobtide::YamlFault>> (*)(
+  std::string_view);
+
+/** Reads the settings; prints every fault and returns nothing on any. */
+template<class Settings>
+std::optional<Settings> LoadSettings(const std::string& aPath,
+                                     Parser<Settings> aParse)
+{
+  const std::ifstream file(aPath);
+  if (!file) {
+    std::cerr << aPath << ": cannot be read\n";
+    return std::nullopt;
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  auto parsed = aParse(text.str());
+  if (auto* settings = std::get_if<Settings>(&parsed)) {
+    return std::move(*settings);
+  }
+  for (const auto& fault :
+       std::get<std::vector<carobtide::YamlFault>>(parsed)) {
+    std::cerr << aPath << ':' << fault.ToString() << '\n';
+  }
+  return std::nullopt;
+}
+
+/** Blocks the signals that a thread of its own waits for. */
+sigset_t BlockSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+/**
+ * Waits for signals: SIGHUP reloads, the first other one stops gracefully, the
+ * second at once.
+ */
+void HandleSignals(sigset_t aSignals, const std::function<void()>& aStop,
+                   const std::function<void()>& aReload)
+{
+  bool isStopping = false;
+  while (true) {
+    int signal = 0;
+    sigwait(&aSignals, &signal);
+    if (signal == SIGHUP) {
+      aReload();
+    } else if (isStopping) {
+      std::_Exit(kExitFailure);
+    } else {
+      isStopping = true;
+      aStop();
+    }
+  }
+}
+
+/** The daemon of deployments with bundles. */
+int RunDaemon(const std::string& aPath)
+{
+  auto settings = LoadSettings<carobtide::DaemonSettings>(
+    aPath, carobtide::ParseDaemonSettings);
+  if (!settings) {
+    return kExitFaults;
+  }
+  const sigset_t signals = BlockSignals();
+  carobtide::InitLogging(settings->mName.Text(), settings->mLogLevel);
+  carobtide::Daemon daemon(std::move(*settings));
+  const auto started = daemon.Start();
+  if (!started) {
+    carobtide::LogError(started.GetError());
+    return kExitFailure;
+  }
+  std::thread(
+    HandleSignals, signals, [&daemon] { daemon.RequestStop(); }, [] {})
+    .detach();
+  daemon.Wait();
+  return 0;
+}
+
+/** Takes the settings again; faulty ones are logged and left. */
+template<class Node>
+void Reload(Node& aNode, const std::string& aPath)
+{
+  auto settings =
+    LoadSettings<carobtide::NodeSettings>(aPath, carobtide::ParseNodeSettings);
+  if (settings) {
+    aNode.Reload(std::move(*settings));
+  }
+}
+
+template<class Node>
+int RunNode(carobtide::NodeSettings aSettings,
+            std::unique_ptr<carobtide::Dialect> aDialect,
+            const std::string& aPath, sigset_t aSignals)
+{
+  Node node(std::move(aSettings), std::move(aDialect));
+  const auto started = node.Start();
+  if (!started) {
+    carobtide::LogError(started.GetError());
+    return kExitFailure;
+  }
+  std::thread(
+    HandleSignals, aSignals, [&node] { node.RequestStop(); },
+    [&node, aPath] { Reload(node, aPath); })
+    .detach();
+  node.Run();
+  std::_Exit(0);
+}
+
+/** A daemon of deployments with catalogs. */
+int RunNode(const std::string& aPath)
+{
+  auto settings =
+    LoadSettings<carobtide::NodeSettings>(aPath, carobtide::ParseNodeSettings);
+  if (!settings) {
+    return kExitFaults;
+  }
+  auto dialect = carobtide::MakePlatformDialect();
+  if (settings->mDialect != dialect->Name()) {
+    std::cerr << aPath << ": dialect: unknown name '" << settings->mDialect
+              << "'\n";
+    return kExitFaults;
+  }
+  const sigset_t signals = BlockSignals();
+  carobtide::InitLogging(settings->mName.Text(), settings->mLogLevel);
+  if (settings->mRole == carobtide::NodeRole::Edge) {
+    return RunNode<carobtide::EdgeNode>(std::move(*settings),
+                                        std::move(dialect), aPath, signals);
+  }
+  return RunNode<carobtide::ControlNode>(std::move(*settings),
+                                         std::move(dialect), aPath, signals);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+  CLI::App app{ "carobtided, the daemon of carobtide" };
+  std::string path;
+  bool isNode = false;
+  app.set_version_flag("--version", std::string(carobtide::Version()));
+  app.add_flag("--node", isNode,
+               "The settings are those of a deployment with catalogs");
+  app.add_option("settings", path, "Settings file (YAML)")->required();
+  CLI11_PARSE(app, argc, argv);
+  return isNode ? RunNode(path) : RunDaemon(path);
+}
--- /dev/null
+++ b/packages/catalog/include/carobtide/catalog.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+/**
+ * @file
+ * Umbrella header of package catalog: what is served, and which version of it
+ * is in force.
+ */
+
+#include "carobtide/catalog/catalog.hpp"
+#include "carobtide/catalog/catalog_register.hpp"
+#include "carobtide/catalog/route_map.hpp"
--- /dev/null
+++ b/packages/catalog/src/catalog.cpp
@@ -0,0 +1,81 @@
+#include "carobtide/catalog/catalog.hpp"
+
+#include <algorithm>
+#include <numeric>
+#include <set>
+#include <utility>
+
+namespace carobtide {
+
+namespace {
+
+Error Invalid(const Route& aRoute, std::string aReason)
+{
+  return Error{ ErrorCode::Malformed, "catalog.check", aRoute.mName,
+                std::move(aReason) };
+}
+
+Result<Unit> CheckRoute(const Catalog& aCatalog, const Route& aRoute)
+{
+  const auto& prefix = aRoute.mPathPrefix;
+  if (aRoute.mHost.empty() || prefix.empty() || prefix.front() != '/' ||
+      prefix.back() != '/') {
+    return Invalid(aRoute, "host or path prefix is not usable");
+  }
+  if (aRoute.mTimeout <= Duration::zero()) {
+    return Invalid(aRoute, "the timeout is not positive");
+  }
+  const auto unknown =
+    std::ranges::find_if(aRoute.mServices, [&](const ServiceShare& aShare) {
+      return aCatalog.FindService(aShare.mService) == nullptr;
+    });
+  if (unknown != aRoute.mServices.end()) {
+    return Invalid(aRoute, "unknown service " + unknown->mService.Text());
+  }
+  const auto total = std::accumulate(
+    aRoute.mServices.begin(), aRoute.mServices.end(), std::uint64_t{ 0 },
+    [](std::uint64_t aSum, const ServiceShare& aShare) {
+      return aSum + aShare.mWeight;
+    });
+  if (total == 0) {
+    return Invalid(aRoute, "the weights add up to 0");
+  }
+  return Success();
+}
+
+} // namespace
+
+const CatalogModel* EngineSpec::FindModel(const ModelName& aName) const
+{
+  const auto it = std::ranges::find(mModels, aName, &CatalogModel::mName);
+  return it == mModels.end() ? nullptr : &*it;
+}
+
+const CatalogService* Catalog::FindService(const ServiceName& aName) const
+{
+  const auto it = std::ranges::find(mServices, aName, &CatalogService::mName);
+  return it == mServices.end() ? nullptr : &*it;
+}
+
+Result<Unit> CheckCatalog(const Catalog& aCatalog)
+{
+  std::set<ServiceName> services;
+  for (const CatalogService& service : aCatalog.mServices) {
+    if (service.mName.IsEmpty() || !services.insert(service.mName).second) {
+      return Error{ ErrorCode::Malformed, "catalog.check", service.mName.Text(),
+                    "a service has no name or one that another has" };
+    }
+  }
+  std::set<std::pair<std::string, std::string>> places;
+  for (const Route& route : aCatalog.mRoutes) {
+    if (auto checked = CheckRoute(aCatalog, route); !checked) {
+      return checked;
+    }
+    if (!places.emplace(route.mHost, route.mPathPrefix).second) {
+      return Invalid(route, "another route has the same host and prefix");
+    }
+  }
+  return Success();
+}
+
+} // namespace carobtide
--- a/packages/consensus/include/carobtide/consensus/membership_manager.hpp
+++ b/packages/consensus/include/carobtide/consensus/membership_manager.hpp
@@ -78,6 +78,8 @@
   Duration mAliveTimeout = std::chrono::seconds(1);
   /** A learner that lags by more entries is not promoted. */
   std::uint64_t mPromotionLag = 100;
+  /** Every candidate becomes a learner, needed as a voter or not. */
+  bool mEveryoneLearns = false;
 };
 
 /**
--- a/packages/daemon/src/json_fields.hpp
+++ b/packages/daemon/include/carobtide/daemon/json_fields.hpp
@@ -51,6 +51,11 @@
   std::vector<std::int64_t> Integers(std::string_view aName,
                                      std::size_t aLimit) const;
 
+  /** A list of texts; empty if missing. */
+  std::vector<std::string> Texts(std::string_view aName,
+                                 std::size_t aLimit) const;
+  bool Has(std::string_view aName) const { return Find(aName) != nullptr; }
+
   /** A name out of a table of names. */
   template<class Enum, std::size_t Count>
   Enum EnumOr(std::string_view aName, const EnumTable<Enum, Count>& aTable,
--- a/packages/daemon/src/announcement_json.cpp
+++ b/packages/daemon/src/announcement_json.cpp
@@ -1,6 +1,6 @@
 #include "carobtide/daemon/announcement_json.hpp"
 
-#include "json_fields.hpp"
+#include "carobtide/daemon/json_fields.hpp"
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
--- a/packages/daemon/src/caller_request.cpp
+++ b/packages/daemon/src/caller_request.cpp
@@ -1,7 +1,7 @@
 #include "caller_request.hpp"
 
+#include "carobtide/daemon/json_fields.hpp"
 #include "clock.hpp"
-#include "json_fields.hpp"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
--- /dev/null
+++ b/packages/daemon/src/control_node.cpp
@@ -0,0 +1,355 @@
+#include "control_node_impl.hpp"
+
+#include "carobtide/base/codec.hpp"
+#include "carobtide/daemon/logging.hpp"
+#include "clock.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <utility>
+
+namespace carobtide {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+/** Timers of the log are looked at this often. */
+constexpr Duration kTickInterval = std::chrono::milliseconds(25);
+constexpr Duration kGreetingInterval = std::chrono::milliseconds(250);
+/** A daemon not heard of for four greetings is no candidate for the log. */
+constexpr Duration kCandidateTimeout = std::chrono::milliseconds(1000);
+constexpr Duration kMembershipInterval = std::chrono::milliseconds(200);
+constexpr Duration kExpiryInterval = std::chrono::milliseconds(200);
+/** Between handing leadership over and the end of the process. */
+constexpr Duration kHandOverTime = std::chrono::milliseconds(500);
+/** A routing daemon is forgotten after this long without a watch. */
+constexpr Duration kEdgeTimeout = std::chrono::seconds(5);
+/** Heartbeats missed before a target counts as silent. */
+constexpr int kMissedHeartbeats = 3;
+
+/**
+ * A lease and elections that a core at a third of its speed, stopped for a
+ * tenth of a second at a time, does not trip.
+ */
+ReplicatedLogOptions MakeLogOptions()
+{
+  ReplicatedLogOptions options;
+  options.mHeartbeatInterval = std::chrono::milliseconds(100);
+  options.mElectionTimeout = std::chrono::milliseconds(800);
+  options.mLeaseDuration = std::chrono::milliseconds(600);
+  // A catalog may take 100 KB, the disk 100 MB.
+  options.mSnapshotInterval = 64;
+  options.mTrailingEntries = 32;
+  return options;
+}
+
+MembershipPolicy MakePolicy(const NodeSettings& aSettings)
+{
+  MembershipPolicy policy;
+  policy.mTargetVoters =
+    static_cast<std::size_t>(2 * aSettings.mToleratedLosses + 1);
+  // A lost voter is replaced before a second loss may follow.
+  policy.mDeadVoterTimeout = std::chrono::milliseconds(2000);
+  policy.mAliveTimeout = std::chrono::milliseconds(800);
+  policy.mEveryoneLearns = true;
+  return policy;
+}
+
+TargetDirectoryOptions MakeDirectoryOptions(const NodeSettings& aSettings)
+{
+  TargetDirectoryOptions options;
+  options.mSilenceTimeout = kMissedHeartbeats * aSettings.mHeartbeatInterval;
+  return options;
+}
+
+DaemonName NameOf(const Endpoint& aPeer)
+{
+  return DaemonName(aPeer.ToString());
+}
+
+/** The same identity on every daemon for the founders of a deployment. */
+ReplicaId FounderId(const Endpoint& aPeer)
+{
+  return ReplicaId(ComputeChecksum("founder " + aPeer.ToString()) | 1U);
+}
+
+} // namespace
+
+ControlNode::Impl::Impl(NodeSettings aSettings,
+                        std::unique_ptr<Dialect> aDialect)
+  : mSettings(std::move(aSettings))
+  , mDialect(std::move(aDialect))
+  , mEpoch(static_cast<std::uint64_t>(WallMicros()))
+  , mRandom(mEpoch ^ ComputeChecksum(mSettings.mName.Text()))
+  , mWorkers(1)
+  , mExecutor(mWorkers.At(0))
+  , mPeers(mSettings.mPeerAddress)
+  , mTargets(MakeDirectoryOptions(mSettings))
+  , mReplica(
+      mExecutor,
+      ReplicaHandlers{
+        [this](const ConsensusEnvelope& aEnvelope) {
+          const Member* member =
+            mReplica.Log().CurrentMembership().Find(aEnvelope.mTo);
+          std::optional<Endpoint> to;
+          if (member != nullptr) {
+            to = ParseEndpoint(member->mDaemon.Text());
+          } else {
+            for (const PeerInfo& peer :
+                 mPeers.HeardWithin(SteadyNow(), kEdgeTimeout)) {
+              if (peer.mReplica == aEnvelope.mTo) {
+                to = peer.mAddress;
+              }
+            }
+          }
+          if (to) {
+            mNetwork.Send(
+              *to, static_cast<std::uint16_t>(FleetMessageType::Consensus),
+              Encode(aEnvelope));
+          }
+        },
+        [this](const LogEntry& aEntry) { ApplyCommand(aEntry); },
+        [this](const std::string& aState) {
+          const auto loaded = mCatalogs.Load(aState);
+          if (!loaded) {
+            LogError(loaded.GetError());
+          }
+          OnCatalogChange();
+        },
+        [this] { return mCatalogs.Save(); }, [this] { OnReplicaChange(); } })
+  , mMembers(MakePolicy(mSettings))
+  , mNetwork(
+      mWorkers,
+      [this](std::uint16_t aType, std::string aPayload, std::string aPeer) {
+        return OnPeerCall(aType, std::move(aPayload), std::move(aPeer));
+      },
+      [this](std::uint16_t aType, const std::string& aPayload,
+             const std::string& aPeer) {
+        OnPeerMessage(aType, aPayload, aPeer);
+      })
+  , mServer(mWorkers, HttpLimits{},
+            [this](HttpExchange& aExchange) { return HandleCall(aExchange); })
+{
+  mPeers.SetSeeds(SeedPeers());
+}
+
+std::vector<Endpoint> ControlNode::Impl::SeedPeers() const
+{
+  std::vector<Endpoint> peers;
+  std::ranges::transform(
+    mSettings.mSeeds, std::back_inserter(peers), [this](const Endpoint& aSeed) {
+      return Endpoint{ aSeed.mHost, mSettings.mPeerAddress.mPort };
+    });
+  return peers;
+}
+
+Membership ControlNode::Impl::InitialMembership() const
+{
+  Membership membership;
+  for (const Endpoint& peer : SeedPeers()) {
+    // The founders' failure domains are not known yet; each counts as its own.
+    membership.mMembers.push_back({ FounderId(peer), NameOf(peer),
+                                    FailureDomain(peer.mHost),
+                                    MemberRole::Voter });
+  }
+  std::ranges::sort(membership.mMembers, {}, &Member::mReplica);
+  return membership;
+}
+
+Result<Unit> ControlNode::Impl::OpenReplica()
+{
+  std::error_code ec;
+  std::filesystem::create_directories(mSettings.mDataDir, ec);
+  const auto found = mReplica.Open(mSettings.mDataDir);
+  if (!found) {
+    return found.GetError();
+  }
+  mReplicaId = *found;
+  const auto seeds = SeedPeers();
+  const bool isSeed =
+    std::ranges::find(seeds, mSettings.mPeerAddress) != seeds.end();
+  if (mReplicaId == ReplicaId()) {
+    // Only the very first start founds a group; an empty disk later on is a
+    // lost one and joins as somebody new.
+    mReplicaId = mSettings.mFirstStart && isSeed
+                   ? FounderId(mSettings.mPeerAddress)
+                   : ReplicaId(mRandom() | 1U);
+    if (auto stored = mReplica.SetIdentity(mReplicaId); !stored) {
+      return stored;
+    }
+  }
+  const bool isFounder = mReplicaId == FounderId(mSettings.mPeerAddress);
+  mReplica.Start(isFounder && isSeed ? InitialMembership() : Membership{},
+                 MakeLogOptions(), mRandom());
+  return Success();
+}
+
+Result<Unit> ControlNode::Impl::Start()
+{
+  auto started = mNetwork.Listen(mSettings.mPeerAddress);
+  if (started) {
+    started = OpenReplica();
+  }
+  if (started) {
+    started = mServer.Listen(mSettings.mControlAddress);
+  }
+  if (!started) {
+    return started;
+  }
+  LogFields fields;
+  fields.mStep = "control.start";
+  const std::string message = "replica " + std::to_string(mReplicaId.Value()) +
+                              ", first start " +
+                              (mSettings.mFirstStart ? "yes" : "no");
+  fields.mMessage = message;
+  Log(LogLevel::Info, fields);
+  asio::co_spawn(
+    mExecutor, [this] { return TickLoop(); }, asio::detached);
+  asio::co_spawn(
+    mExecutor, [this] { return GreetingLoop(); }, asio::detached);
+  return Success();
+}
+
+void ControlNode::Impl::Run()
+{
+  mWorkers.Start();
+  mWorkers.Join();
+}
+
+void ControlNode::Impl::RequestStop()
+{
+  asio::co_spawn(
+    mExecutor, [this] { return StopWhenAsked(); }, asio::detached);
+}
+
+awaitable<void> ControlNode::Impl::StopWhenAsked()
+{
+  if (std::exchange(mStopping, true)) {
+    co_return;
+  }
+  Log(LogLevel::Info, { "control.stop", {}, {}, {}, "leadership handed over" });
+  mReplica.HandOver();
+  asio::steady_timer timer(mExecutor, kHandOverTime);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  mWorkers.Stop();
+}
+
+void ControlNode::Impl::Reload(NodeSettings aSettings)
+{
+  asio::post(mExecutor, [this, settings = std::move(aSettings)] {
+    mSettings.mSeeds = settings.mSeeds;
+    mPeers.SetSeeds(SeedPeers());
+    Log(LogLevel::Info, { "control.reload", {}, {}, {}, "seeds taken" });
+  });
+}
+
+awaitable<void> ControlNode::Impl::TickLoop()
+{
+  asio::steady_timer timer(mExecutor);
+  while (true) {
+    const Instant now = SteadyNow();
+    mReplica.Tick();
+    if (now >= mNextExpiry) {
+      mNextExpiry = now + kExpiryInterval;
+      for (const TargetName& target : mTargets.Expire(now)) {
+        Log(LogLevel::Info, { "target.silent", target.Text(), {}, {}, {} });
+        OnDirectoryChange(target);
+      }
+      std::erase_if(mEdges, [&](const auto& aEdge) {
+        return now - aEdge.second > kEdgeTimeout;
+      });
+    }
+    if (mReplica.IsLeading() && !mStopping) {
+      StepPlanner();
+      if (now >= mNextMembership) {
+        mNextMembership = now + kMembershipInterval;
+        RunMembership(now);
+      }
+    }
+    timer.expires_after(kTickInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
+void ControlNode::Impl::RunMembership(Instant aNow)
+{
+  std::vector<ReplicaCandidate> candidates;
+  candidates.push_back(
+    { mReplicaId, NameOf(mSettings.mPeerAddress), mSettings.mFailureDomain });
+  for (const PeerInfo& peer : mPeers.HeardWithin(aNow, kCandidateTimeout)) {
+    if (peer.mReplica != ReplicaId()) {
+      candidates.push_back(
+        { peer.mReplica, NameOf(peer.mAddress), peer.mFailureDomain });
+    }
+  }
+  const auto proposal = mMembers.Next(aNow, ViewOf(mReplica.Log()), candidates);
+  if (!proposal) {
+    return;
+  }
+  LogFields fields;
+  fields.mStep = "member.change";
+  fields.mPeer = proposal->mMember.mDaemon.Text();
+  const std::string message =
+    std::string(kMembershipSteps.Name(proposal->mStep)) + " replica " +
+    std::to_string(proposal->mMember.mReplica.Value());
+  fields.mMessage = message;
+  Log(LogLevel::Info, fields);
+  mReplica.ProposeMembership(proposal->mNext);
+}
+
+awaitable<void> ControlNode::Impl::GreetingLoop()
+{
+  asio::steady_timer timer(mExecutor);
+  while (true) {
+    const Instant now = SteadyNow();
+    mPeers.Expire(now);
+    Greeting greeting;
+    greeting.mFrom = { mSettings.mPeerAddress, mSettings.mFailureDomain,
+                       mReplicaId };
+    for (const PeerInfo& peer : mPeers.HeardWithin(now, kEdgeTimeout)) {
+      greeting.mKnown.push_back(peer.mAddress);
+    }
+    SendToPeers(FleetMessageType::Greeting, greeting);
+    timer.expires_after(kGreetingInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
+ControlNode::ControlNode(NodeSettings aSettings,
+                         std::unique_ptr<Dialect> aDialect)
+  : mImpl(std::make_unique<Impl>(std::move(aSettings), std::move(aDialect)))
+{
+}
+
+ControlNode::~ControlNode() = default;
+
+Result<Unit> ControlNode::Start()
+{
+  return mImpl->Start();
+}
+
+void ControlNode::Run()
+{
+  mImpl->Run();
+}
+
+void ControlNode::RequestStop()
+{
+  mImpl->RequestStop();
+}
+
+void ControlNode::Reload(NodeSettings aSettings)
+{
+  mImpl->Reload(std::move(aSettings));
+}
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/daemon/src/control_node_calls.cpp
@@ -0,0 +1,358 @@
+// Calls to a control daemon: from operators, targets and other daemons.
+#include "carobtide/base/codec.hpp"
+#include "carobtide/daemon/logging.hpp"
+#include "clock.hpp"
+#include "control_node_impl.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobtide {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+constexpr std::uint16_t kOk = 200;
+constexpr std::uint16_t kBadRequest = 400;
+constexpr std::uint16_t kNotFound = 404;
+constexpr std::uint16_t kUnavailable = 503;
+
+/** Operators move on to another daemon after a second without an answer. */
+constexpr Duration kCommitTimeout = std::chrono::milliseconds(900);
+/** A watch without news is answered after this, which shows that both live. */
+constexpr Duration kWatchTimeout = std::chrono::milliseconds(1000);
+/** An adapter that takes longer is not waited for. */
+constexpr Duration kAdapterTimeout = std::chrono::milliseconds(250);
+
+HttpResponse MakeAnswer(std::uint16_t aStatus, std::string aBody = "{}")
+{
+  return MakeResponse(aStatus, "application/json", std::move(aBody));
+}
+
+} // namespace
+
+template<class Message>
+void ControlNode::Impl::SendToPeers(FleetMessageType aType,
+                                    const Message& aMessage)
+{
+  const std::string payload = Encode(aMessage);
+  for (const Endpoint& peer : mPeers.Addresses()) {
+    mNetwork.Send(peer, static_cast<std::uint16_t>(aType), payload);
+  }
+}
+
+template void ControlNode::Impl::SendToPeers(FleetMessageType, const Greeting&);
+
+awaitable<void> ControlNode::Impl::HandleCall(HttpExchange& aExchange)
+{
+  auto answering = Answer(aExchange.Request());
+  auto response = co_await std::move(answering);
+  auto sending = aExchange.Respond(std::move(response));
+  const auto sent = co_await std::move(sending);
+  if (!sent) {
+    LogError(sent.GetError());
+  }
+}
+
+awaitable<HttpResponse> ControlNode::Impl::Answer(const HttpRequest& aRequest)
+{
+  const ControlCall call = mDialect->ReadControlCall(aRequest);
+  switch (call.mKind) {
+    case ControlCallKind::Heartbeat:
+      co_return OnHeartbeatCall(call.mTarget, aRequest);
+    case ControlCallKind::Leave:
+      co_return OnLeaveCall(call.mTarget, aRequest);
+    case ControlCallKind::PutCatalog: {
+      auto putting = OnPutCatalog(aRequest.mBody);
+      auto response = co_await std::move(putting);
+      co_return response;
+    }
+    case ControlCallKind::GetCatalog: {
+      auto getting = OnGetCatalog();
+      auto response = co_await std::move(getting);
+      co_return response;
+    }
+    case ControlCallKind::Unknown:
+      break;
+  }
+  co_return MakeAnswer(kNotFound);
+}
+
+HttpResponse ControlNode::Impl::OnHeartbeatCall(const TargetName& aTarget,
+                                                const HttpRequest& aRequest)
+{
+  const auto heartbeat = mDialect->ReadHeartbeat(aTarget, aRequest.mBody);
+  if (!heartbeat) {
+    LogError(heartbeat.GetError());
+    return MakeAnswer(kBadRequest);
+  }
+  const auto effect = mTargets.OnHeartbeat(SteadyNow(), *heartbeat);
+  if (effect != HeartbeatEffect::Stale) {
+    SendToPeers(FleetMessageType::HeartbeatNotice, *heartbeat);
+    OnDirectoryChange(aTarget);
+  }
+  return MakeAnswer(kOk);
+}
+
+HttpResponse ControlNode::Impl::OnLeaveCall(const TargetName& aTarget,
+                                            const HttpRequest& aRequest)
+{
+  const auto incarnation = mDialect->ReadLeave(aRequest.mBody);
+  if (!incarnation) {
+    LogError(incarnation.GetError());
+    return MakeAnswer(kBadRequest);
+  }
+  if (mTargets.OnLeave(SteadyNow(), aTarget, *incarnation)) {
+    Log(LogLevel::Info, { "target.left", aTarget.Text(), {}, {}, {} });
+    LeaveNotice notice;
+    notice.mTarget = aTarget;
+    notice.mIncarnation = mTargets.Find(aTarget)->mLast.mIncarnation;
+    SendToPeers(FleetMessageType::LeaveNotice, notice);
+    OnDirectoryChange(aTarget);
+  }
+  return MakeAnswer(kOk);
+}
+
+awaitable<HttpResponse> ControlNode::Impl::OnPutCatalog(std::string aText)
+{
+  const auto catalog = mDialect->ReadCatalog(aText);
+  const auto checked =
+    catalog ? CheckCatalog(*catalog) : Result<Unit>(catalog.GetError());
+  if (!checked) {
+    LogError(checked.GetError());
+    co_return MakeAnswer(kBadRequest);
+  }
+  PutCatalog put;
+  put.mCatalog = CatalogText{ catalog->mVersion, std::move(aText) };
+  auto executing = Execute(std::move(put));
+  const auto reply = co_await std::move(executing);
+  const auto outcome = static_cast<CommitOutcome>(reply.mOutcome);
+  const bool isCommitted = outcome == CommitOutcome::Committed;
+  LogFields fields;
+  fields.mStep = "catalog.put";
+  const std::string message =
+    "version " + std::to_string(catalog->mVersion) +
+    (isCommitted ? " committed" : " not known to be committed");
+  fields.mMessage = message;
+  Log(LogLevel::Info, fields);
+  co_return MakeAnswer(isCommitted ? kOk : kUnavailable);
+}
+
+awaitable<HttpResponse> ControlNode::Impl::OnGetCatalog()
+{
+  auto executing = Execute(ReadBarrier{});
+  auto reply = co_await std::move(executing);
+  const auto outcome = static_cast<CommitOutcome>(reply.mOutcome);
+  const bool isKnown =
+    outcome == CommitOutcome::Committed && reply.mCatalog.mVersion > 0;
+  co_return isKnown ? MakeAnswer(kOk, std::move(reply.mCatalog.mText))
+                    : MakeAnswer(kUnavailable);
+}
+
+awaitable<ProposeReply> ControlNode::Impl::ExecuteHere(std::string aCommand)
+{
+  auto committing = mReplica.Commit(std::move(aCommand), kCommitTimeout);
+  const CommitOutcome outcome = co_await std::move(committing);
+  ProposeReply reply;
+  reply.mOutcome = static_cast<std::uint8_t>(outcome);
+  if (outcome == CommitOutcome::Committed) {
+    reply.mCatalog = mCatalogs.Current();
+  }
+  co_return reply;
+}
+
+awaitable<ProposeReply> ControlNode::Impl::Execute(CatalogCommand aCommand)
+{
+  std::string command = Encode(aCommand);
+  if (mReplica.IsLeading()) {
+    auto executing = ExecuteHere(std::move(command));
+    auto reply = co_await std::move(executing);
+    co_return reply;
+  }
+  ProposeReply unknown;
+  unknown.mOutcome = static_cast<std::uint8_t>(CommitOutcome::Unknown);
+  const Endpoint leader = LeaderAddress();
+  if (leader.mHost.empty() || leader == mSettings.mPeerAddress) {
+    co_return unknown;
+  }
+  auto calling =
+    mNetwork.Call(leader, static_cast<std::uint16_t>(FleetMessageType::Propose),
+                  std::move(command), kCommitTimeout);
+  const auto answer = co_await std::move(calling);
+  if (!answer) {
+    LogError(answer.GetError());
+    co_return unknown;
+  }
+  auto reply = Decode<ProposeReply>(*answer, leader.ToString());
+  if (!reply) {
+    LogError(reply.GetError());
+    co_return unknown;
+  }
+  co_return std::move(*reply);
+}
+
+awaitable<std::string> ControlNode::Impl::OnPeerCall(std::uint16_t aType,
+                                                     std::string aPayload,
+                                                     std::string aPeer)
+{
+  switch (static_cast<FleetMessageType>(aType)) {
+    case FleetMessageType::Watch: {
+      auto request = Decode<WatchRequest>(aPayload, aPeer);
+      if (request) {
+        auto watching = OnWatch(std::move(*request));
+        auto reply = co_await std::move(watching);
+        co_return reply;
+      }
+      LogError(request.GetError());
+      break;
+    }
+    case FleetMessageType::GetCatalog: {
+      std::string reply = Encode(mCatalogs.Current());
+      co_return reply;
+    }
+    case FleetMessageType::EnsureAdapter: {
+      auto wanted = Decode<EnsureAdapter>(aPayload, aPeer);
+      if (wanted) {
+        auto ensuring = OnEnsureAdapter(std::move(*wanted));
+        auto reply = co_await std::move(ensuring);
+        co_return reply;
+      }
+      LogError(wanted.GetError());
+      break;
+    }
+    case FleetMessageType::Propose: {
+      auto executing = ExecuteHere(std::move(aPayload));
+      const auto reply = co_await std::move(executing);
+      std::string encoded = Encode(reply);
+      co_return encoded;
+    }
+    default:
+      break;
+  }
+  std::string nothing;
+  co_return nothing;
+}
+
+void ControlNode::Impl::OnPeerMessage(std::uint16_t aType,
+                                      const std::string& aPayload,
+                                      const std::string& aPeer)
+{
+  const auto take = [&]<class Message>(Message, auto aHandler) {
+    const auto message = Decode<Message>(aPayload, aPeer);
+    if (message) {
+      aHandler(*message);
+    } else {
+      LogError(message.GetError());
+    }
+  };
+  const Instant now = SteadyNow();
+  switch (static_cast<FleetMessageType>(aType)) {
+    case FleetMessageType::Consensus:
+      take(ConsensusEnvelope{}, [&](const ConsensusEnvelope& aEnvelope) {
+        mReplica.OnMessage(aEnvelope);
+      });
+      break;
+    case FleetMessageType::Greeting:
+      take(Greeting{}, [&](const Greeting& aGreeting) {
+        mPeers.OnGreeting(now, aGreeting.mFrom);
+        for (const Endpoint& peer : aGreeting.mKnown) {
+          mPeers.OnMention(now, peer);
+        }
+      });
+      break;
+    case FleetMessageType::HeartbeatNotice:
+      take(Heartbeat{}, [&](const Heartbeat& aHeartbeat) {
+        if (mTargets.OnHeartbeat(now, aHeartbeat) != HeartbeatEffect::Stale) {
+          OnDirectoryChange(aHeartbeat.mTarget);
+        }
+      });
+      break;
+    case FleetMessageType::LeaveNotice:
+      take(LeaveNotice{}, [&](const LeaveNotice& aNotice) {
+        if (mTargets.OnLeave(now, aNotice.mTarget, aNotice.mIncarnation)) {
+          OnDirectoryChange(aNotice.mTarget);
+        }
+      });
+      break;
+    case FleetMessageType::Demand:
+      take(DemandReport{}, [&](const DemandReport& aReport) {
+        if (mPlanner) {
+          mPlanner->OnDemand(now, aReport);
+        }
+      });
+      break;
+    default:
+      break;
+  }
+}
+
+bool ControlNode::Impl::HasNews(const WatchRequest& aRequest) const
+{
+  return aRequest.mEpoch != mEpoch || aRequest.mChange < mTargets.Change() ||
+         aRequest.mCatalogVersion < mCatalogs.Current().mVersion ||
+         std::tie(aRequest.mResidencyTerm, aRequest.mResidencyVersion) <
+           std::tie(mResidency.mTerm, mResidency.mVersion);
+}
+
+WatchReply ControlNode::Impl::MakeWatchReply(const WatchRequest& aRequest) const
+{
+  WatchReply reply;
+  reply.mEpoch = mEpoch;
+  reply.mChange = mTargets.Change();
+  const bool isKnown =
+    aRequest.mEpoch == mEpoch && !mTargets.HasForgottenSince(aRequest.mChange);
+  reply.mReset = !isKnown;
+  reply.mTargets = mTargets.ChangedSince(isKnown ? aRequest.mChange : 0);
+  reply.mCatalogVersion = mCatalogs.Current().mVersion;
+  reply.mLeader = LeaderAddress();
+  if (std::tie(aRequest.mResidencyTerm, aRequest.mResidencyVersion) <
+      std::tie(mResidency.mTerm, mResidency.mVersion)) {
+    reply.mResidency.push_back(mResidency);
+  }
+  reply.mCores = mPeers.Addresses();
+  reply.mCores.push_back(mSettings.mPeerAddress);
+  for (const auto& [edge, heardAt] : mEdges) {
+    reply.mEdges.push_back(edge);
+  }
+  return reply;
+}
+
+awaitable<std::string> ControlNode::Impl::OnWatch(WatchRequest aRequest)
+{
+  mEdges[aRequest.mFrom] = SteadyNow();
+  if (!HasNews(aRequest)) {
+    auto waiting = mNews.Wait(kWatchTimeout);
+    co_await std::move(waiting);
+  }
+  std::string reply = Encode(MakeWatchReply(aRequest));
+  co_return reply;
+}
+
+awaitable<std::string> ControlNode::Impl::OnEnsureAdapter(EnsureAdapter aWanted)
+{
+  const ModelKey key{ aWanted.mService, aWanted.mModel, aWanted.mAdapter };
+  const Instant deadline = SteadyNow() + kAdapterTimeout;
+  EnsureAdapterReply reply;
+  if (mPlanner && mReplica.IsLeading()) {
+    reply.mTargets = mPlanner->HoldersOf(key);
+    const std::size_t before = reply.mTargets.size();
+    if (before == 0 || aWanted.mOneMore) {
+      mPlanner->WantAdapter(SteadyNow(), aWanted);
+      StepPlanner();
+      while (mPlanner && reply.mTargets.size() <= before &&
+             SteadyNow() < deadline) {
+        auto waiting = mAdapterNews.Wait(deadline - SteadyNow());
+        co_await std::move(waiting);
+        if (mPlanner) {
+          reply.mTargets = mPlanner->HoldersOf(key);
+        }
+      }
+    }
+  }
+  std::string encoded = Encode(reply);
+  co_return encoded;
+}
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/daemon/src/control_node_impl.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+/**
+ * @file
+ * Parts of ControlNode, spread over several sources by topic.
+ */
+
+#include "carobtide/daemon/control_node.hpp"
+#include "carobtide/consensus/membership_manager.hpp"
+#include "carobtide/placement/residency_planner.hpp"
+#include "carobtide/transport.hpp"
+#include "control_messages.hpp"
+#include "replica_host.hpp"
+#include "watch_board.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace carobtide {
+
+class ControlNode::Impl
+{
+public:
+  Impl(NodeSettings aSettings, std::unique_ptr<Dialect> aDialect);
+
+  Result<Unit> Start();
+  void Run();
+  void RequestStop();
+  void Reload(NodeSettings aSettings);
+
+private:
+  using Executor = boost::asio::any_io_executor;
+
+  // control_node.cpp: start, stop, timers.
+  Result<Unit> OpenReplica();
+  Membership InitialMembership() const;
+  std::vector<Endpoint> SeedPeers() const;
+  boost::asio::awaitable<void> TickLoop();
+  boost::asio::awaitable<void> GreetingLoop();
+  boost::asio::awaitable<void> StopWhenAsked();
+  void RunMembership(Instant aNow);
+
+  // control_node_calls.cpp: operators, targets and other daemons.
+  boost::asio::awaitable<void> HandleCall(HttpExchange& aExchange);
+  boost::asio::awaitable<HttpResponse> Answer(const HttpRequest& aRequest);
+  HttpResponse OnHeartbeatCall(const TargetName& aTarget,
+                               const HttpRequest& aRequest);
+  HttpResponse OnLeaveCall(const TargetName& aTarget,
+                           const HttpRequest& aRequest);
+  boost::asio::awaitable<HttpResponse> OnPutCatalog(std::string aText);
+  boost::asio::awaitable<HttpResponse> OnGetCatalog();
+  boost::asio::awaitable<std::string> OnPeerCall(std::uint16_t aType,
+                                                 std::string aPayload,
+                                                 std::string aPeer);
+  void OnPeerMessage(std::uint16_t aType, const std::string& aPayload,
+                     const std::string& aPeer);
+  boost::asio::awaitable<std::string> OnWatch(WatchRequest aRequest);
+  boost::asio::awaitable<std::string> OnEnsureAdapter(EnsureAdapter aWanted);
+  boost::asio::awaitable<ProposeReply> Execute(CatalogCommand aCommand);
+  boost::asio::awaitable<ProposeReply> ExecuteHere(std::string aCommand);
+  WatchReply MakeWatchReply(const WatchRequest& aRequest) const;
+  bool HasNews(const WatchRequest& aRequest) const;
+  template<class Message>
+  void SendToPeers(FleetMessageType aType, const Message& aMessage);
+
+  // control_node_leader.cpp: state machine and the leader's decisions.
+  void ApplyCommand(const LogEntry& aEntry);
+  void OnCatalogChange();
+  void OnReplicaChange();
+  void OnDirectoryChange(const TargetName& aTarget);
+  void StepPlanner();
+  void Perform(const AskReport& aEffect);
+  void Perform(const IssueOrder& aEffect);
+  boost::asio::awaitable<void> FetchReport(AskReport aAsk);
+  boost::asio::awaitable<void> SendOrder(ResidencyOrder aOrder);
+  void PublishResidency();
+  Endpoint LeaderAddress() const;
+
+  NodeSettings mSettings;
+  std::unique_ptr<Dialect> mDialect;
+  const std::uint64_t mEpoch;
+  RandomEngine mRandom;
+  WorkerPool mWorkers;
+  Executor mExecutor;
+  PeerDirectory mPeers;
+  TargetDirectory mTargets;
+  CatalogRegister mCatalogs;
+  std::shared_ptr<const Catalog> mCatalog;
+  ReplicaHost mReplica;
+  ReplicaId mReplicaId;
+  MembershipManager mMembers;
+  Instant mNextMembership;
+  Instant mNextExpiry;
+  std::optional<ResidencyPlanner> mPlanner;
+  std::uint64_t mPlannerTerm = 0;
+  ResidencyMap mResidency;
+  std::map<Endpoint, Instant> mEdges;
+  WatchBoard mNews;
+  WatchBoard mAdapterNews;
+  bool mStopping = false;
+  PeerNetwork mNetwork;
+  HttpPool mPool;
+  HttpServer mServer;
+};
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/daemon/src/control_node_leader.cpp
@@ -0,0 +1,243 @@
+// What a control daemon applies from the log and decides as leader.
+#include "carobtide/base/codec.hpp"
+#include "carobtide/daemon/logging.hpp"
+#include "clock.hpp"
+#include "control_node_impl.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace carobtide {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+/** Added to the lease period before a new leader gives its first order. */
+constexpr Duration kLeaseMargin = std::chrono::milliseconds(300);
+/** An order or a report without an answer for this long is lost. */
+constexpr Duration kTargetTimeout = std::chrono::milliseconds(400);
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+constexpr Bytes kMaxAnswerBytes = 4 * kMiB;
+/** An adapter is usable this long after its order was accepted. */
+constexpr Duration kAdapterLoadTime = std::chrono::milliseconds(10);
+constexpr std::uint16_t kOk = 200;
+
+} // namespace
+
+void ControlNode::Impl::ApplyCommand(const LogEntry& aEntry)
+{
+  auto command = Decode<CatalogCommand>(aEntry.mPayload, "log");
+  if (!command) {
+    LogError(command.GetError());
+    return;
+  }
+  if (auto* put = std::get_if<PutCatalog>(&*command)) {
+    if (mCatalogs.Apply(std::move(put->mCatalog)) == CatalogPut::InForce) {
+      OnCatalogChange();
+    }
+  }
+}
+
+void ControlNode::Impl::OnCatalogChange()
+{
+  const CatalogText& text = mCatalogs.Current();
+  if (text.mVersion == 0) {
+    return;
+  }
+  auto catalog = mDialect->ReadCatalog(text.mText);
+  if (!catalog) {
+    LogError(catalog.GetError());
+    return;
+  }
+  mCatalog = std::make_shared<const Catalog>(std::move(*catalog));
+  if (mPlanner) {
+    mPlanner->SetCatalog(mCatalog);
+  }
+  LogFields fields;
+  fields.mStep = "catalog.in-force";
+  const std::string message = "version " + std::to_string(text.mVersion);
+  fields.mMessage = message;
+  Log(LogLevel::Info, fields);
+  mNews.Notify();
+}
+
+void ControlNode::Impl::OnReplicaChange()
+{
+  const ReplicatedLog& log = mReplica.Log();
+  const bool isLeader = log.Role() == ReplicaRole::Leader;
+  if (isLeader && mPlannerTerm != log.Term()) {
+    mPlannerTerm = log.Term();
+    mPlanner.emplace(SteadyNow() + mSettings.mLeasePeriod + kLeaseMargin);
+    if (mCatalog) {
+      mPlanner->SetCatalog(mCatalog);
+    }
+    for (const FleetRecord* record : mTargets.All()) {
+      mPlanner->OnTarget(SteadyNow(), *record);
+    }
+  } else if (!isLeader) {
+    mPlanner.reset();
+    mPlannerTerm = 0;
+    mAdapterNews.Notify();
+  }
+  LogFields fields;
+  fields.mStep = "replica.change";
+  const std::string message =
+    std::string(kReplicaRoles.Name(log.Role())) + " of term " +
+    std::to_string(log.Term()) + ", " +
+    std::to_string(log.CurrentMembership().VoterCount()) + " voters of " +
+    std::to_string(log.CurrentMembership().mMembers.size());
+  fields.mMessage = message;
+  Log(LogLevel::Info, fields);
+}
+
+Endpoint ControlNode::Impl::LeaderAddress() const
+{
+  if (!mReplica.IsStarted()) {
+    return {};
+  }
+  const ReplicatedLog& log = mReplica.Log();
+  const Member* leader = log.CurrentMembership().Find(log.Leader());
+  if (leader == nullptr) {
+    return {};
+  }
+  return ParseEndpoint(leader->mDaemon.Text()).value_or(Endpoint{});
+}
+
+void ControlNode::Impl::OnDirectoryChange(const TargetName& aTarget)
+{
+  const FleetRecord* record = mTargets.Find(aTarget);
+  if (mPlanner && record != nullptr) {
+    mPlanner->OnTarget(SteadyNow(), *record);
+  }
+  mNews.Notify();
+}
+
+void ControlNode::Impl::StepPlanner()
+{
+  if (!mPlanner) {
+    return;
+  }
+  for (const ResidencyEffect& effect : mPlanner->Step(SteadyNow())) {
+    std::visit([this](const auto& aEffect) { Perform(aEffect); }, effect);
+  }
+  PublishResidency();
+}
+
+void ControlNode::Impl::PublishResidency()
+{
+  auto engines = mPlanner->Map();
+  if (mResidency.mTerm == mPlannerTerm && engines == mResidency.mEngines) {
+    return;
+  }
+  mResidency.mVersion =
+    mResidency.mTerm == mPlannerTerm ? mResidency.mVersion + 1 : 1;
+  mResidency.mTerm = mPlannerTerm;
+  mResidency.mEngines = std::move(engines);
+  mNews.Notify();
+}
+
+void ControlNode::Impl::Perform(const AskReport& aEffect)
+{
+  asio::co_spawn(
+    mExecutor, [this, ask = aEffect] { return FetchReport(ask); },
+    asio::detached);
+}
+
+void ControlNode::Impl::Perform(const IssueOrder& aEffect)
+{
+  LogFields fields;
+  fields.mStep = "order.send";
+  fields.mPeer = aEffect.mOrder.mTarget.Text();
+  fields.mOrder = aEffect.mOrder.mId;
+  const std::string message =
+    std::string(kResidencyActions.Name(aEffect.mOrder.mAction)) + " " +
+    aEffect.mOrder.mModel.Text() + " " + aEffect.mOrder.mAdapter.Text() + ": " +
+    aEffect.mReason;
+  fields.mMessage = message;
+  Log(LogLevel::Info, fields);
+  asio::co_spawn(
+    mExecutor, [this, order = aEffect.mOrder] { return SendOrder(order); },
+    asio::detached);
+}
+
+awaitable<void> ControlNode::Impl::FetchReport(AskReport aAsk)
+{
+  const Instant askedAt = SteadyNow();
+  std::optional<EngineReport> report;
+  auto acquiring = mPool.Acquire(aAsk.mAddress, kConnectTimeout);
+  auto connection = co_await std::move(acquiring);
+  if (connection) {
+    const HttpRequest request = mDialect->MakeReportRequest(aAsk.mTarget);
+    auto sending = (*connection)->Send(request, kTargetTimeout);
+    const auto head = co_await std::move(sending);
+    if (head && head->mStatus == kOk) {
+      auto reading = (*connection)->ReadAll(kMaxAnswerBytes, kTargetTimeout);
+      const auto body = co_await std::move(reading);
+      const auto read = body ? mDialect->ReadReport(*body)
+                             : Result<EngineReport>(body.GetError());
+      if (read) {
+        report = *read;
+        mPool.Release(aAsk.mAddress, std::move(*connection));
+      } else {
+        LogError(read.GetError());
+      }
+    }
+  } else {
+    LogError(connection.GetError());
+  }
+  if (mPlanner) {
+    mPlanner->OnReport(SteadyNow(), aAsk.mTarget, aAsk.mIncarnation, askedAt,
+                       report);
+  }
+}
+
+awaitable<void> ControlNode::Impl::SendOrder(ResidencyOrder aOrder)
+{
+  const std::uint64_t term = mPlannerTerm;
+  ResidencyAnswer answer = ResidencyAnswer::Unknown;
+  auto acquiring = mPool.Acquire(aOrder.mAddress, kConnectTimeout);
+  auto connection = co_await std::move(acquiring);
+  // Connecting takes time: the lease must hold when the order goes out.
+  if (connection && mReplica.IsLeading() && mPlannerTerm == term) {
+    const HttpRequest request =
+      mDialect->MakeOrder(aOrder, mSettings.mName, FencingToken(term));
+    auto sending = (*connection)->Send(request, kTargetTimeout);
+    const auto head = co_await std::move(sending);
+    if (head) {
+      answer = mDialect->ReadOrderAnswer(head->mStatus);
+      auto reading = (*connection)->ReadAll(kMaxAnswerBytes, kTargetTimeout);
+      const auto body = co_await std::move(reading);
+      if (body) {
+        mPool.Release(aOrder.mAddress, std::move(*connection));
+      }
+    } else {
+      LogError(head.GetError());
+    }
+  } else if (!connection) {
+    LogError(connection.GetError());
+  }
+  if (answer == ResidencyAnswer::Accepted && !aOrder.mAdapter.IsEmpty()) {
+    asio::steady_timer timer(mExecutor, kAdapterLoadTime);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  LogFields fields;
+  fields.mStep = "order.answer";
+  fields.mPeer = aOrder.mTarget.Text();
+  fields.mOrder = aOrder.mId;
+  fields.mMessage = kResidencyAnswers.Name(answer);
+  Log(LogLevel::Info, fields);
+  if (mPlanner && mPlannerTerm == term) {
+    mPlanner->OnAnswer(SteadyNow(), aOrder.mTarget, aOrder.mId, answer);
+    StepPlanner();
+    mAdapterNews.Notify();
+  }
+}
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/daemon/src/edge_context.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+/**
+ * @file
+ * What the requests of an edge share.
+ */
+
+#include "carobtide/daemon/dialect.hpp"
+#include "carobtide/routing/dispatcher.hpp"
+#include "carobtide/transport.hpp"
+#include "watch_board.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+
+namespace carobtide {
+
+/**
+ * References to the parts of one edge; they outlive every request.
+ *
+ * Thread safety: everything on the edge's one thread.
+ */
+struct EdgeContext
+{
+  const Dialect& mDialect;
+  Dispatcher& mDispatcher;
+  HttpPool& mPool;
+  /** Notified when a send ends: room for a request that waits. */
+  WatchBoard& mRoom;
+  /** Has the leader load an adapter, and takes note of where it is. */
+  std::function<boost::asio::awaitable<void>(EnsureAdapter)> mEnsureAdapter;
+};
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/daemon/src/edge_request.cpp
@@ -0,0 +1,426 @@
+#include "edge_request.hpp"
+
+#include "carobtide/daemon/logging.hpp"
+#include "clock.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace carobtide {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+constexpr std::uint16_t kTooManyRequests = 429;
+constexpr std::uint16_t kRequestTimeout = 408;
+constexpr std::uint16_t kMisdirected = 421;
+constexpr std::uint16_t kServerErrors = 500;
+constexpr std::uint16_t kBadGateway = 502;
+constexpr std::uint16_t kUnavailable = 503;
+constexpr std::uint16_t kGatewayTimeout = 504;
+
+/** A lost opening packet is sent again after a second: another target first. */
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+/** Answers to other requests that are read past on one connection. */
+constexpr int kMostStrayAnswers = 2;
+/** Largest answer that is not a stream. */
+constexpr Bytes kMaxAnswerBytes = 16 * kMiB;
+/** Time for the answer to reach the caller before its time is over. */
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(5);
+/** One in so many requests that went well is logged. */
+constexpr std::uint64_t kLogEvery = 16;
+
+bool IsPromise(std::uint16_t aStatus)
+{
+  return aStatus == kTooManyRequests || aStatus == kUnavailable ||
+         aStatus == kRequestTimeout || aStatus == kMisdirected;
+}
+
+bool IsSuccess(std::uint16_t aStatus)
+{
+  constexpr std::uint16_t kFirst = 200;
+  constexpr std::uint16_t kLast = 299;
+  return aStatus >= kFirst && aStatus <= kLast;
+}
+
+} // namespace
+
+EdgeRequest::EdgeRequest(EdgeContext& aContext, HttpExchange& aExchange,
+                         CallerRequest aCaller, const Route& aRoute,
+                         ServiceName aService, Instant aArrived)
+  : mContext(aContext)
+  , mExchange(aExchange)
+  , mCaller(std::move(aCaller))
+  , mRoute(aRoute)
+{
+  const Duration patience =
+    std::min(mCaller.mPatience.value_or(mRoute.mTimeout), mRoute.mTimeout);
+  mDeadline = aArrived + patience;
+  DispatchFacts& facts = mState.mFacts;
+  facts.mService = std::move(aService);
+  facts.mKind = mRoute.mKind;
+  facts.mPriority = mRoute.mPriority;
+  facts.mMaxAttempts = std::max(mRoute.mMaxAttempts, 1U);
+  facts.mObjective = mRoute.mObjective;
+  facts.mModel = mCaller.mModel;
+  facts.mAdapter = mCaller.mAdapter;
+  facts.mSharedPart = mCaller.mSharedPart;
+  facts.mArrived = aArrived;
+  facts.mDeadline = mDeadline;
+}
+
+Duration EdgeRequest::Left() const
+{
+  return std::max(mDeadline - kAnswerMargin - SteadyNow(), Duration(1));
+}
+
+void EdgeRequest::OnCallerGone()
+{
+  mIsGone = true;
+  if (mConnection != nullptr) {
+    mConnection->Cancel();
+  }
+  mContext.mRoom.Notify();
+}
+
+awaitable<void> EdgeRequest::Run()
+{
+  const auto self = shared_from_this();
+  mExchange.OnClientGone([self] { self->OnCallerGone(); });
+  mContext.mDispatcher.OnArrival(SteadyNow(), mState.mFacts);
+  while (!mIsGone) {
+    if (SteadyNow() >= mDeadline) {
+      auto failing = Fail(SendEnd::TimedOut);
+      co_await std::move(failing);
+      co_return;
+    }
+    auto decision = mContext.mDispatcher.Choose(SteadyNow(), mState);
+    if (auto* away = std::get_if<TurnAway>(&decision)) {
+      auto refusing = Refuse(std::move(*away));
+      co_await std::move(refusing);
+      co_return;
+    }
+    if (const auto* wait = std::get_if<WaitForRoom>(&decision)) {
+      auto waiting = Wait(std::min(wait->mUntil, mDeadline));
+      co_await std::move(waiting);
+      continue;
+    }
+    if (const auto* load = std::get_if<LoadAdapter>(&decision)) {
+      EnsureAdapter wanted;
+      wanted.mService = mState.mFacts.mService;
+      wanted.mModel = mCaller.mModel;
+      wanted.mAdapter = mCaller.mAdapter;
+      wanted.mOneMore = load->mOneMore;
+      auto ensuring = mContext.mEnsureAdapter(std::move(wanted));
+      co_await std::move(ensuring);
+      continue;
+    }
+    const SendTo send = std::get<SendTo>(decision);
+    mLastTarget = send.mTarget.Text();
+    mLastLoad = send.mLoad;
+    ++mSends;
+    auto sending = Send(send);
+    const Attempt attempt = co_await std::move(sending);
+    const bool again =
+      mContext.mDispatcher.OnEnd(SteadyNow(), send.mSend, attempt.mEnd, mState);
+    mContext.mRoom.Notify();
+    if (attempt.mAnswered) {
+      LogEnd(kSendEnds.Name(attempt.mEnd), "answered");
+      co_return;
+    }
+    if (!again && !mIsGone) {
+      auto failing = Fail(attempt.mEnd);
+      co_await std::move(failing);
+      co_return;
+    }
+  }
+  LogEnd("caller-gone", "");
+  mExchange.Abort();
+}
+
+awaitable<void> EdgeRequest::Wait(Instant aUntil)
+{
+  auto waiting =
+    mContext.mRoom.Wait(std::max(aUntil - SteadyNow(), Duration(1)));
+  co_await std::move(waiting);
+}
+
+SendEnd EdgeRequest::EndOf(const Error& aError) const
+{
+  if (mIsGone) {
+    return SendEnd::CallerGone;
+  }
+  if (aError.mCode == ErrorCode::ConnectRefused) {
+    return SendEnd::ConnectFailed;
+  }
+  return aError.mCode == ErrorCode::Timeout ? SendEnd::TimedOut
+                                            : SendEnd::Broken;
+}
+
+EdgeRequest::AwaitAttempt EdgeRequest::Send(SendTo aSend)
+{
+  auto acquiring =
+    mContext.mPool.Acquire(aSend.mAddress, std::min(kConnectTimeout, Left()));
+  auto connection = co_await std::move(acquiring);
+  if (!connection) {
+    LogError(connection.GetError());
+    co_return Attempt{ mIsGone ? SendEnd::CallerGone : SendEnd::ConnectFailed,
+                       false };
+  }
+  if (mIsGone) {
+    mContext.mPool.Release(aSend.mAddress, std::move(*connection));
+    co_return Attempt{ SendEnd::CallerGone, false };
+  }
+  mConnection = connection->get();
+  auto exchanging = Exchange(aSend, **connection);
+  const Attempt attempt = co_await std::move(exchanging);
+  mConnection = nullptr;
+  mContext.mPool.Release(aSend.mAddress, std::move(*connection));
+  co_return attempt;
+}
+
+EdgeRequest::AwaitAttempt EdgeRequest::Exchange(SendTo aSend,
+                                                HttpConnection& aConnection)
+{
+  TargetCall call;
+  call.mTarget = aSend.mTarget;
+  call.mPatience = Left();
+  if (!mCaller.mModel.IsEmpty()) {
+    call.mUrgency = aSend.mUrgency;
+  }
+  call.mAfterEvent = mFrames.LastId();
+  const HttpRequest request =
+    mContext.mDialect.MakeTargetRequest(mExchange.Request(), call);
+  auto sending = aConnection.Send(request, Left());
+  auto first = co_await std::move(sending);
+  if (!first) {
+    LogError(first.GetError());
+    co_return Attempt{ EndOf(first.GetError()), false };
+  }
+  auto reading = ReadOwnHead(aConnection, std::move(*first));
+  auto head = co_await std::move(reading);
+  if (!head) {
+    LogError(head.GetError());
+    co_return Attempt{ EndOf(head.GetError()), false };
+  }
+  auto taking = TakeAnswer(aSend, aConnection, std::move(*head));
+  const Attempt attempt = co_await std::move(taking);
+  co_return attempt;
+}
+
+awaitable<Result<HttpResponseHead>> EdgeRequest::ReadOwnHead(
+  HttpConnection& aConnection, HttpResponseHead aFirst)
+{
+  HttpResponseHead head = std::move(aFirst);
+  for (int strays = 0; strays <= kMostStrayAnswers; ++strays) {
+    if (mContext.mDialect.ReadTargetHead(head, mCaller).mIsForRequest) {
+      co_return head;
+    }
+    auto draining = aConnection.ReadAll(kMaxAnswerBytes, Left());
+    const auto drained = co_await std::move(draining);
+    if (!drained) {
+      co_return drained.GetError();
+    }
+    auto reading = aConnection.ReadHead(Left());
+    auto next = co_await std::move(reading);
+    if (!next) {
+      co_return next.GetError();
+    }
+    head = std::move(*next);
+  }
+  co_return MakeError(ErrorCode::Malformed, "edge.read-answer", mLastTarget,
+                      "answers to other requests only");
+}
+
+EdgeRequest::AwaitAttempt EdgeRequest::TakeAnswer(SendTo aSend,
+                                                  HttpConnection& aConnection,
+                                                  HttpResponseHead aHead)
+{
+  const TargetHead said = mContext.mDialect.ReadTargetHead(aHead, mCaller);
+  const bool isSuccess = IsSuccess(aHead.mStatus);
+  if (said.mNotRun) {
+    auto draining = aConnection.ReadAll(kMaxAnswerBytes, Left());
+    const auto drained = co_await std::move(draining);
+    if (!drained) {
+      LogError(drained.GetError());
+    }
+    co_return Attempt{ aHead.mStatus == kUnavailable ? SendEnd::Full
+                                                     : SendEnd::NotRun,
+                       false };
+  }
+  if (isSuccess && !said.mIsSigned) {
+    aConnection.Cancel();
+    co_return Attempt{ SendEnd::Broken, false };
+  }
+  if (IsPromise(aHead.mStatus)) {
+    // The target does not declare that it did not run it, so that its status,
+    // passed on, would be a promise that nobody gave.
+    aConnection.Cancel();
+    co_return Attempt{ SendEnd::TargetFailed, false };
+  }
+  if (isSuccess && IsStream(mRoute.mKind)) {
+    auto relaying = RelayStream(aSend, aConnection, std::move(aHead));
+    const Attempt attempt = co_await std::move(relaying);
+    co_return attempt;
+  }
+  auto relaying = RelayWhole(aSend, aConnection, std::move(aHead));
+  const Attempt attempt = co_await std::move(relaying);
+  co_return attempt;
+}
+
+EdgeRequest::AwaitAttempt EdgeRequest::RelayWhole(SendTo aSend,
+                                                  HttpConnection& aConnection,
+                                                  HttpResponseHead aHead)
+{
+  mContext.mDispatcher.OnFirstByte(SteadyNow(), aSend.mSend);
+  auto reading = aConnection.ReadAll(kMaxAnswerBytes, Left());
+  auto body = co_await std::move(reading);
+  if (!body) {
+    LogError(body.GetError());
+    co_return Attempt{ EndOf(body.GetError()), false };
+  }
+  const bool isFailure = aHead.mStatus >= kServerErrors;
+  const bool mayRepeat =
+    IsRepeatable(mRoute.mKind) && mState.mRuns + 1 < mState.mFacts.mMaxAttempts;
+  if (mHasBegun || (isFailure && mayRepeat)) {
+    co_return Attempt{ SendEnd::TargetFailed, false };
+  }
+  HttpResponse response;
+  response.mHead.mStatus = aHead.mStatus;
+  response.mHead.mHeaders = EndToEndHeaders(aHead.mHeaders);
+  response.mBody = std::move(*body);
+  mHasBegun = true;
+  auto sending = mExchange.Respond(std::move(response));
+  const auto sent = co_await std::move(sending);
+  if (!sent) {
+    LogError(sent.GetError());
+  }
+  co_return Attempt{ isFailure ? SendEnd::TargetFailed : SendEnd::Whole, true };
+}
+
+EdgeRequest::AwaitAttempt EdgeRequest::RelayStream(SendTo aSend,
+                                                   HttpConnection& aConnection,
+                                                   HttpResponseHead aHead)
+{
+  std::string bytes;
+  mFrames.DropRest();
+  for (bool more = true; more;) {
+    auto reading = aConnection.ReadSome(bytes, Left());
+    const auto read = co_await std::move(reading);
+    if (!read) {
+      LogError(read.GetError());
+      co_return Attempt{ EndOf(read.GetError()), false };
+    }
+    more = *read;
+    mContext.mDispatcher.OnFirstByte(SteadyNow(), aSend.mSend);
+    std::string events = mFrames.Take(bytes);
+    if (!more) {
+      events += mFrames.TakeRest();
+    }
+    if (!mHasBegun && (!events.empty() || !more)) {
+      mHasBegun = true;
+      HttpResponseHead head;
+      head.mStatus = aHead.mStatus;
+      head.mHeaders = EndToEndHeaders(aHead.mHeaders);
+      auto beginning = mExchange.BeginStream(std::move(head));
+      const auto begun = co_await std::move(beginning);
+      if (!begun) {
+        mIsGone = true;
+      }
+    }
+    auto writing = mExchange.WriteChunk(events);
+    const auto written = co_await std::move(writing);
+    if (mIsGone || !written) {
+      mIsGone = true;
+      aConnection.Cancel();
+      co_return Attempt{ SendEnd::CallerGone, false };
+    }
+  }
+  auto finishing = mExchange.FinishStream();
+  const auto finished = co_await std::move(finishing);
+  if (!finished) {
+    LogError(finished.GetError());
+  }
+  co_return Attempt{ SendEnd::Whole, true };
+}
+
+awaitable<void> EdgeRequest::Refuse(TurnAway aAway)
+{
+  // Every send so far was declared not run, or never left.
+  const bool isCertain = mState.mRuns == 0;
+  auto answering =
+    Answer(isCertain ? kUnavailable : kBadGateway,
+           isCertain ? aAway.mRetryAfter : Duration::zero(), aAway.mReason);
+  co_await std::move(answering);
+}
+
+awaitable<void> EdgeRequest::Fail(SendEnd aEnd)
+{
+  std::uint16_t status = kBadGateway;
+  Duration pause = Duration::zero();
+  if (mState.mRuns == 0) {
+    constexpr Duration kPause = std::chrono::milliseconds(300);
+    status = kUnavailable;
+    pause = kPause;
+  } else if (aEnd == SendEnd::TimedOut) {
+    status = kGatewayTimeout;
+  }
+  std::string reason(kSendEnds.Name(aEnd));
+  auto answering = Answer(status, pause, std::move(reason));
+  co_await std::move(answering);
+}
+
+awaitable<void> EdgeRequest::Answer(std::uint16_t aStatus, Duration aRetryAfter,
+                                    std::string aReason)
+{
+  const std::string status = std::to_string(aStatus);
+  LogEnd(mHasBegun ? "broken-off" : status, aReason);
+  if (mHasBegun) {
+    mExchange.Abort();
+    co_return;
+  }
+  mHasBegun = true;
+  HttpResponse response =
+    mContext.mDialect.MakeAnswer(aStatus, mCaller, aRetryAfter, aReason);
+  auto sending = mExchange.Respond(std::move(response));
+  const auto sent = co_await std::move(sending);
+  if (!sent) {
+    LogError(sent.GetError());
+  }
+}
+
+void EdgeRequest::LogEnd(std::string_view aOutcome, std::string_view aReason)
+{
+  const bool isFine = aOutcome == kSendEnds.Name(SendEnd::Whole) && mSends == 1;
+  if (isFine && ComputeChecksum(mCaller.mId) % kLogEvery != 0) {
+    return;
+  }
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+    SteadyNow() - mState.mFacts.mArrived);
+  std::string message = mCaller.mId;
+  message += " ";
+  message += mRoute.mName;
+  message += " ";
+  message += mCaller.mModel.Text();
+  if (!mCaller.mAdapter.IsEmpty()) {
+    message += "/" + mCaller.mAdapter.Text();
+  }
+  message += " ";
+  message += aOutcome;
+  message += " (";
+  message += aReason;
+  message += ") after " + std::to_string(age.count()) + " ms, sends " +
+             std::to_string(mSends) + ", load " + std::to_string(mLastLoad);
+  LogFields fields;
+  fields.mStep = "request.end";
+  fields.mPeer = mLastTarget;
+  fields.mMessage = message;
+  Log(LogLevel::Info, fields);
+}
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/daemon/src/edge_request.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+/**
+ * @file
+ * One caller's request at an edge, from its route to its answer.
+ */
+
+#include "edge_context.hpp"
+#include "event_frames.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace carobtide {
+
+/**
+ * Asks the dispatcher, sends, relays. Bytes of an answer go to the caller only
+ * while it is certain that they belong to it; an answer that breaks off ends
+ * its connection, so that it does not look whole.
+ *
+ * Thread safety: everything on the edge's one thread.
+ */
+class EdgeRequest : public std::enable_shared_from_this<EdgeRequest>
+{
+public:
+  /** The exchange and the context outlive Run. */
+  EdgeRequest(EdgeContext& aContext, HttpExchange& aExchange,
+              CallerRequest aCaller, const Route& aRoute, ServiceName aService,
+              Instant aArrived);
+
+  /** Returns once the caller has its answer or is gone. */
+  boost::asio::awaitable<void> Run();
+
+private:
+  /** How a send ended, and whether the caller has the final answer. */
+  struct Attempt
+  {
+    SendEnd mEnd = SendEnd::Whole;
+    bool mAnswered = false;
+  };
+
+  using AwaitAttempt = boost::asio::awaitable<Attempt>;
+
+  AwaitAttempt Send(SendTo aSend);
+  AwaitAttempt Exchange(SendTo aSend, HttpConnection& aConnection);
+  AwaitAttempt TakeAnswer(SendTo aSend, HttpConnection& aConnection,
+                          HttpResponseHead aHead);
+  AwaitAttempt RelayWhole(SendTo aSend, HttpConnection& aConnection,
+                          HttpResponseHead aHead);
+  AwaitAttempt RelayStream(SendTo aSend, HttpConnection& aConnection,
+                           HttpResponseHead aHead);
+  /** Reads heads until one answers this request. */
+  boost::asio::awaitable<Result<HttpResponseHead>> ReadOwnHead(
+    HttpConnection& aConnection, HttpResponseHead aFirst);
+  boost::asio::awaitable<void> Wait(Instant aUntil);
+  boost::asio::awaitable<void> Refuse(TurnAway aAway);
+  boost::asio::awaitable<void> Fail(SendEnd aEnd);
+  boost::asio::awaitable<void> Answer(std::uint16_t aStatus,
+                                      Duration aRetryAfter,
+                                      std::string aReason);
+  SendEnd EndOf(const Error& aError) const;
+  Duration Left() const;
+  void OnCallerGone();
+  void LogEnd(std::string_view aOutcome, std::string_view aReason);
+
+  EdgeContext& mContext;
+  HttpExchange& mExchange;
+  CallerRequest mCaller;
+  const Route mRoute;
+  DispatchState mState;
+  Instant mDeadline;
+  EventFrames mFrames;
+  /** Not null while a target works on the request. */
+  HttpConnection* mConnection = nullptr;
+  bool mIsGone = false;
+  bool mHasBegun = false;
+  std::uint32_t mSends = 0;
+  std::string mLastTarget;
+  double mLastLoad = 0;
+};
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/daemon/src/event_frames.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+/**
+ * @file
+ * Cuts a stream of server-sent events into whole events.
+ */
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace carobtide {
+
+/**
+ * Takes bytes as they come and gives out whole events only, so that what was
+ * passed on always ends between two events.
+ *
+ * Thread safety: none.
+ */
+class EventFrames
+{
+public:
+  /** Whole events among what came so far; empty if there is none. */
+  std::string Take(std::string_view aBytes);
+
+  /** Bytes of an event that is not whole. */
+  bool HasRest() const { return !mRest.empty(); }
+
+  /** What is left when the stream ended; nothing follows. */
+  std::string TakeRest();
+
+  /** Forgets a part of an event: the stream goes on with a whole one. */
+  void DropRest() { mRest.clear(); }
+
+  /** The id of the last whole event given out; empty if none had one. */
+  const std::string& LastId() const { return mLastId; }
+
+private:
+  void NoteIds(std::string_view aEvents);
+
+  std::string mRest;
+  std::string mLastId;
+};
+
+} // namespace carobtide
--- a/packages/daemon/src/json_fields.cpp
+++ b/packages/daemon/src/json_fields.cpp
@@ -1,4 +1,4 @@
-#include "json_fields.hpp"
+#include "carobtide/daemon/json_fields.hpp"
 
 #include <boost/json/parse.hpp>
 
@@ -172,6 +172,24 @@
   return numbers;
 }
 
+std::vector<std::string> JsonFields::Texts(std::string_view aName,
+                                           std::size_t aLimit) const
+{
+  std::vector<std::string> texts;
+  const json::array* array = FindArray(aName, aLimit);
+  if (array == nullptr) {
+    return texts;
+  }
+  for (const json::value& element : *array) {
+    if (element.is_string()) {
+      texts.emplace_back(element.as_string());
+    } else {
+      AddFault(std::string(aName) + ": expected a list of texts");
+    }
+  }
+  return texts;
+}
+
 JsonDocument::JsonDocument(std::string_view aText)
 {
   json::parse_options options;
--- a/packages/daemon/src/operator_api.cpp
+++ b/packages/daemon/src/operator_api.cpp
@@ -1,7 +1,7 @@
 #include "operator_api.hpp"
 
 #include "answers.hpp"
-#include "json_fields.hpp"
+#include "carobtide/daemon/json_fields.hpp"
 #include "operator_views.hpp"
 
 #include <boost/json/object.hpp>
--- a/packages/daemon/src/operator_views.hpp
+++ b/packages/daemon/src/operator_views.hpp
@@ -5,8 +5,8 @@
  * What operators are shown, as JSON objects and gauges.
  */
 
+#include "carobtide/daemon/json_fields.hpp"
 #include "context.hpp"
-#include "json_fields.hpp"
 
 #include <boost/json/object.hpp>
 
--- /dev/null
+++ b/packages/daemon/src/watch_board.cpp
@@ -0,0 +1,27 @@
+#include "watch_board.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace carobtide {
+
+namespace asio = boost::asio;
+
+asio::awaitable<void> WatchBoard::Wait(std::chrono::microseconds aTimeout)
+{
+  asio::steady_timer timer(co_await asio::this_coro::executor, aTimeout);
+  mWaiting.insert(&timer);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  mWaiting.erase(&timer);
+}
+
+void WatchBoard::Notify()
+{
+  std::ranges::for_each(mWaiting,
+                        [](asio::steady_timer* aTimer) { aTimer->cancel(); });
+}
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/daemon/src/watch_board.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+/**
+ * @file
+ * Calls that wait for news.
+ */
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <set>
+
+namespace carobtide {
+
+/**
+ * Wakes every waiting call when there is news.
+ *
+ * Thread safety: everything on one thread.
+ */
+class WatchBoard
+{
+public:
+  /** Waits for Notify, at most this long. */
+  boost::asio::awaitable<void> Wait(std::chrono::microseconds aTimeout);
+
+  void Notify();
+
+private:
+  std::set<boost::asio::steady_timer*> mWaiting;
+};
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/fleet/include/carobtide/fleet.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+/**
+ * @file
+ * Umbrella header of package fleet: targets and daemons that are found by
+ * what they say of themselves.
+ */
+
+#include "carobtide/fleet/fleet_view.hpp"
+#include "carobtide/fleet/messages.hpp"
+#include "carobtide/fleet/peer_directory.hpp"
+#include "carobtide/fleet/target.hpp"
+#include "carobtide/fleet/target_directory.hpp"
--- /dev/null
+++ b/packages/fleet/include/carobtide/fleet/messages.hpp
@@ -0,0 +1,228 @@
+#pragma once
+
+/**
+ * @file
+ * Messages between routing daemons and daemons with control duties. Encoded
+ * with cereal by the shells.
+ */
+
+#include "carobtide/catalog/catalog_register.hpp"
+#include "carobtide/fleet/peer_directory.hpp"
+#include "carobtide/fleet/target.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace carobtide {
+
+/** Types of frames and datagrams, apart from those of `PeerMessageType`. */
+enum class FleetMessageType : std::uint16_t
+{
+  Greeting = 101,
+  HeartbeatNotice = 102,
+  LeaveNotice = 103,
+  Demand = 104,
+  Load = 105,
+  Consensus = 106,
+  /** Calls. */
+  Watch = 121,
+  GetCatalog = 122,
+  EnsureAdapter = 123,
+  Propose = 124,
+};
+
+/** Sent between daemons with control duties, several times a second. */
+struct Greeting
+{
+  PeerInfo mFrom;
+  std::vector<Endpoint> mKnown;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mFrom, mKnown);
+  }
+};
+
+/** A target said that it leaves. */
+struct LeaveNotice
+{
+  TargetName mTarget;
+  Incarnation mIncarnation;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mTarget, mIncarnation);
+  }
+};
+
+/** What one engine holds as the leader's orders left it. */
+struct Residency
+{
+  TargetName mTarget;
+  Incarnation mIncarnation;
+  std::vector<HeldModel> mModels;
+
+  bool operator==(const Residency&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mTarget, mIncarnation, mModels);
+  }
+};
+
+/** The leader's view of all engines; only the highest (term, version) counts.
+ */
+struct ResidencyMap
+{
+  std::uint64_t mTerm = 0;
+  std::uint64_t mVersion = 0;
+  std::vector<Residency> mEngines;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mTerm, mVersion, mEngines);
+  }
+};
+
+/** Asks for what changed; the reply waits until there is something. */
+struct WatchRequest
+{
+  /** Peer address of the routing daemon. */
+  Endpoint mFrom;
+  FailureDomain mFailureDomain;
+  /** Start of the process that numbered the changes; zero at first. */
+  std::uint64_t mEpoch = 0;
+  std::uint64_t mChange = 0;
+  std::uint64_t mCatalogVersion = 0;
+  std::uint64_t mResidencyTerm = 0;
+  std::uint64_t mResidencyVersion = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mFrom, mFailureDomain, mEpoch, mChange, mCatalogVersion,
+             mResidencyTerm, mResidencyVersion);
+  }
+};
+
+/** What changed at one daemon. */
+struct WatchReply
+{
+  std::uint64_t mEpoch = 0;
+  std::uint64_t mChange = 0;
+  /** Forget what this daemon said before. */
+  bool mReset = false;
+  std::vector<FleetRecord> mTargets;
+  /** The version in force there; fetched with GetCatalog. */
+  std::uint64_t mCatalogVersion = 0;
+  /** The leader's peer address; empty host if unknown. */
+  Endpoint mLeader;
+  /** Empty unless newer than what the watcher has. */
+  std::vector<ResidencyMap> mResidency;
+  /** Peer addresses of daemons with control duties and of routing daemons. */
+  std::vector<Endpoint> mCores;
+  std::vector<Endpoint> mEdges;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mEpoch, mChange, mReset, mTargets, mCatalogVersion, mLeader,
+             mResidency, mCores, mEdges);
+  }
+};
+
+/** Asks the leader for an adapter that no usable target holds. */
+struct EnsureAdapter
+{
+  ServiceName mService;
+  ModelName mModel;
+  AdapterName mAdapter;
+  /** Those that hold it have no room: load it on one more. */
+  bool mOneMore = false;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mService, mModel, mAdapter, mOneMore);
+  }
+};
+
+/** The targets that hold it now; empty if none could take it. */
+struct EnsureAdapterReply
+{
+  std::vector<TargetName> mTargets;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mTargets);
+  }
+};
+
+/**
+ * Demand for a model, or for an adapter of it, at one routing daemon since its
+ * last report. Requests for an adapter count under the adapter only.
+ */
+struct DemandItem
+{
+  ServiceName mService;
+  ModelName mModel;
+  AdapterName mAdapter;
+  /** Requests that arrived; refused ones count too. */
+  std::uint32_t mArrivals = 0;
+  /** Requests of it that run or wait at this moment. */
+  std::uint32_t mInFlight = 0;
+  /** Refused or kept waiting because no target had room or held it. */
+  std::uint32_t mUnplaced = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mService, mModel, mAdapter, mArrivals, mInFlight, mUnplaced);
+  }
+};
+
+struct DemandReport
+{
+  Endpoint mFrom;
+  std::vector<DemandItem> mModels;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mFrom, mModels);
+  }
+};
+
+/** Requests that a routing daemon has in flight at one target. */
+struct TargetLoad
+{
+  TargetName mTarget;
+  std::uint32_t mInFlight = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mTarget, mInFlight);
+  }
+};
+
+/** One routing daemon's load on the targets; replaces its report before. */
+struct EdgeLoad
+{
+  Endpoint mFrom;
+  std::uint64_t mSequence = 0;
+  std::vector<TargetLoad> mTargets;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mFrom, mSequence, mTargets);
+  }
+};
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/fleet/include/carobtide/fleet/target.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+/**
+ * @file
+ * What a target says of itself.
+ */
+
+#include "carobtide/base.hpp"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace carobtide {
+
+/** A model in a target's memory, with its adapters. */
+struct HeldModel
+{
+  ModelName mName;
+  std::uint32_t mVersion = 0;
+  std::vector<AdapterName> mAdapters;
+
+  bool operator==(const HeldModel&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mName, mVersion, mAdapters);
+  }
+};
+
+/** Whether a target takes new work. */
+enum class TargetPhase : std::uint8_t
+{
+  Ready,
+  /** Leaves soon: finishes what it has, takes nothing new. */
+  Draining,
+  /** Left, or replaced by another process at its address. */
+  Gone,
+};
+
+inline constexpr EnumTable<TargetPhase, 3> kTargetPhases{ { {
+  { TargetPhase::Ready, "ready" },
+  { TargetPhase::Draining, "draining" },
+  { TargetPhase::Gone, "gone" },
+} } };
+
+/** One heartbeat of a target. */
+struct Heartbeat
+{
+  TargetName mTarget;
+  /** Start of the process in Unix milliseconds; grows with each start. */
+  Incarnation mIncarnation;
+  /** Grows with each heartbeat of one incarnation. */
+  std::uint64_t mSequence = 0;
+  ServiceName mService;
+  Endpoint mAddress;
+  FailureDomain mFailureDomain;
+  std::uint32_t mSlots = 1;
+  TargetPhase mPhase = TargetPhase::Ready;
+  /** True if the target is a model engine. */
+  bool mEngine = false;
+  std::vector<HeldModel> mModels;
+  /** Models whose weights it can load from its host memory and disk. */
+  std::vector<ModelName> mInHostMemory;
+  std::vector<ModelName> mOnDisk;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mTarget, mIncarnation, mSequence, mService, mAddress,
+             mFailureDomain, mSlots, mPhase, mEngine, mModels, mInHostMemory,
+             mOnDisk);
+  }
+};
+
+/** A target as a directory holds it. */
+struct FleetRecord
+{
+  Heartbeat mLast;
+  /** Not heard of for longer than the silence timeout. */
+  bool mSilent = false;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mLast, mSilent);
+  }
+};
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/fleet/include/carobtide/fleet/target_directory.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+/**
+ * @file
+ * The targets that one daemon believes in.
+ */
+
+#include "carobtide/fleet/target.hpp"
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace carobtide {
+
+/** What a heartbeat changed. */
+enum class HeartbeatEffect : std::uint8_t
+{
+  /** Older than what is known, or from a process that was replaced. */
+  Stale,
+  /** Shows that the target lives, nothing else. */
+  Refreshed,
+  /** New, or another phase, address or set of models than before. */
+  Changed,
+};
+
+/** Timeouts and bounds of a directory. */
+struct TargetDirectoryOptions
+{
+  /** A target not heard of for this long is silent: three heartbeats. */
+  Duration mSilenceTimeout = std::chrono::milliseconds(3600);
+  /**
+   * Silent targets, and the records that say that one is gone, are kept this
+   * long, so that a heartbeat delayed by a partition is known as stale.
+   */
+  Duration mRetention = std::chrono::seconds(60);
+  /** Most records; further targets are not taken. */
+  std::size_t mMaxTargets = 20'000;
+};
+
+/**
+ * Holds the newest heartbeat of each target and numbers the changes.
+ *
+ * Answers: heartbeats that arrive late, twice or out of order; an address that
+ * another process took over; targets that leave without saying so. A target
+ * that drains stays draining for the rest of its incarnation, and one that is
+ * gone stays gone, whatever arrives later from the same incarnation.
+ *
+ * Thread safety: none; the owner guards it.
+ */
+class TargetDirectory
+{
+public:
+  explicit TargetDirectory(TargetDirectoryOptions aOptions = {});
+
+  /** Takes a heartbeat that came directly or through another daemon. */
+  HeartbeatEffect OnHeartbeat(Instant aNow, const Heartbeat& aHeartbeat);
+
+  /**
+   * A target said that it leaves for good. A zero incarnation stands for the
+   * one known. True if this was news.
+   */
+  bool OnLeave(Instant aNow, const TargetName& aTarget,
+               Incarnation aIncarnation);
+
+  /** Marks silent targets and forgets old records; the names marked now. */
+  std::vector<TargetName> Expire(Instant aNow);
+
+  /** Forgets the targets that were gone before a time. */
+  void ForgetGone(Instant aBefore);
+
+  /** The number of the last change. */
+  std::uint64_t Change() const { return mChange; }
+
+  /** True if a watcher at this change may have missed a forgotten record. */
+  bool HasForgottenSince(std::uint64_t aChange) const
+  {
+    return aChange < mForgottenChange;
+  }
+
+  /** Records that changed after a change number. */
+  std::vector<FleetRecord> ChangedSince(std::uint64_t aChange) const;
+
+  /** Null if unknown. Valid until the next call that changes something. */
+  const FleetRecord* Find(const TargetName& aTarget) const;
+
+  std::vector<const FleetRecord*> All() const;
+
+private:
+  struct Entry
+  {
+    FleetRecord mRecord;
+    Instant mHeardAt;
+    std::uint64_t mChange = 0;
+  };
+
+  bool IsStale(const Heartbeat& aHeartbeat) const;
+  /** Marks older processes at an address as gone; false if one is newer. */
+  bool TakeAddress(const Heartbeat& aHeartbeat);
+  void MarkChanged(Entry& aEntry) { aEntry.mChange = ++mChange; }
+
+  TargetDirectoryOptions mOptions;
+  std::unordered_map<TargetName, Entry> mEntries;
+  std::uint64_t mChange = 0;
+  std::uint64_t mForgottenChange = 0;
+};
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/fleet/src/target_directory.cpp
@@ -0,0 +1,169 @@
+#include "carobtide/fleet/target_directory.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobtide {
+
+namespace {
+
+bool SaysTheSame(const Heartbeat& aOne, const Heartbeat& aOther)
+{
+  return aOne.mPhase == aOther.mPhase && aOne.mAddress == aOther.mAddress &&
+         aOne.mService == aOther.mService && aOne.mSlots == aOther.mSlots &&
+         aOne.mModels == aOther.mModels &&
+         aOne.mInHostMemory == aOther.mInHostMemory &&
+         aOne.mOnDisk == aOther.mOnDisk;
+}
+
+} // namespace
+
+TargetDirectory::TargetDirectory(TargetDirectoryOptions aOptions)
+  : mOptions(aOptions)
+{
+}
+
+bool TargetDirectory::IsStale(const Heartbeat& aHeartbeat) const
+{
+  const auto it = mEntries.find(aHeartbeat.mTarget);
+  if (it == mEntries.end()) {
+    return false;
+  }
+  const Heartbeat& last = it->second.mRecord.mLast;
+  if (aHeartbeat.mIncarnation != last.mIncarnation) {
+    return aHeartbeat.mIncarnation < last.mIncarnation;
+  }
+  return last.mPhase == TargetPhase::Gone ||
+         aHeartbeat.mSequence <= last.mSequence;
+}
+
+bool TargetDirectory::TakeAddress(const Heartbeat& aHeartbeat)
+{
+  for (auto& [name, entry] : mEntries) {
+    Heartbeat& other = entry.mRecord.mLast;
+    if (name == aHeartbeat.mTarget || other.mAddress != aHeartbeat.mAddress) {
+      continue;
+    }
+    if (other.mIncarnation > aHeartbeat.mIncarnation) {
+      return false;
+    }
+    if (other.mPhase != TargetPhase::Gone) {
+      other.mPhase = TargetPhase::Gone;
+      MarkChanged(entry);
+    }
+  }
+  return true;
+}
+
+HeartbeatEffect TargetDirectory::OnHeartbeat(Instant aNow,
+                                             const Heartbeat& aHeartbeat)
+{
+  if (IsStale(aHeartbeat)) {
+    return HeartbeatEffect::Stale;
+  }
+  const auto known = mEntries.find(aHeartbeat.mTarget);
+  const bool isNew =
+    known == mEntries.end() ||
+    known->second.mRecord.mLast.mIncarnation != aHeartbeat.mIncarnation;
+  if ((known == mEntries.end() && mEntries.size() >= mOptions.mMaxTargets) ||
+      (isNew && !TakeAddress(aHeartbeat))) {
+    return HeartbeatEffect::Stale;
+  }
+  Entry& entry = mEntries[aHeartbeat.mTarget];
+  const Heartbeat before = std::exchange(entry.mRecord.mLast, aHeartbeat);
+  Heartbeat& last = entry.mRecord.mLast;
+  if (!isNew) {
+    last.mPhase = std::max(before.mPhase, last.mPhase);
+  }
+  entry.mHeardAt = aNow;
+  const bool returned = std::exchange(entry.mRecord.mSilent, false);
+  if (!isNew && !returned && SaysTheSame(before, last)) {
+    return HeartbeatEffect::Refreshed;
+  }
+  MarkChanged(entry);
+  return HeartbeatEffect::Changed;
+}
+
+bool TargetDirectory::OnLeave(Instant aNow, const TargetName& aTarget,
+                              Incarnation aIncarnation)
+{
+  if (!mEntries.contains(aTarget) && mEntries.size() >= mOptions.mMaxTargets) {
+    return false;
+  }
+  Entry& entry = mEntries[aTarget];
+  Heartbeat& last = entry.mRecord.mLast;
+  const Incarnation incarnation =
+    aIncarnation == Incarnation() ? last.mIncarnation : aIncarnation;
+  const bool isOld = incarnation < last.mIncarnation;
+  if (isOld ||
+      (incarnation == last.mIncarnation && last.mPhase == TargetPhase::Gone)) {
+    return false;
+  }
+  last.mTarget = aTarget;
+  last.mIncarnation = incarnation;
+  last.mPhase = TargetPhase::Gone;
+  entry.mHeardAt = aNow;
+  MarkChanged(entry);
+  return true;
+}
+
+std::vector<TargetName> TargetDirectory::Expire(Instant aNow)
+{
+  std::vector<TargetName> silent;
+  for (auto it = mEntries.begin(); it != mEntries.end();) {
+    Entry& entry = it->second;
+    const Duration age = aNow - entry.mHeardAt;
+    if (age >= mOptions.mRetention) {
+      mForgottenChange = std::max(mForgottenChange, ++mChange);
+      it = mEntries.erase(it);
+      continue;
+    }
+    const bool isSilent = age >= mOptions.mSilenceTimeout &&
+                          entry.mRecord.mLast.mPhase != TargetPhase::Gone;
+    if (isSilent && !entry.mRecord.mSilent) {
+      entry.mRecord.mSilent = true;
+      MarkChanged(entry);
+      silent.push_back(it->first);
+    }
+    ++it;
+  }
+  return silent;
+}
+
+void TargetDirectory::ForgetGone(Instant aBefore)
+{
+  std::erase_if(mEntries, [&](const auto& aItem) {
+    return aItem.second.mRecord.mLast.mPhase == TargetPhase::Gone &&
+           aItem.second.mHeardAt < aBefore;
+  });
+}
+
+std::vector<FleetRecord> TargetDirectory::ChangedSince(
+  std::uint64_t aChange) const
+{
+  std::vector<FleetRecord> records;
+  for (const auto& [name, entry] : mEntries) {
+    if (entry.mChange > aChange) {
+      records.push_back(entry.mRecord);
+    }
+  }
+  return records;
+}
+
+const FleetRecord* TargetDirectory::Find(const TargetName& aTarget) const
+{
+  const auto it = mEntries.find(aTarget);
+  return it == mEntries.end() ? nullptr : &it->second.mRecord;
+}
+
+std::vector<const FleetRecord*> TargetDirectory::All() const
+{
+  std::vector<const FleetRecord*> records;
+  records.reserve(mEntries.size());
+  for (const auto& [name, entry] : mEntries) {
+    records.push_back(&entry.mRecord);
+  }
+  return records;
+}
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/fleet/tests/target_directory_test.cpp
@@ -0,0 +1,174 @@
+#include "carobtide/fleet.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace carobtide {
+
+namespace {
+
+const Instant kStart{ 1000s };
+
+Heartbeat MakeHeartbeat(const char* aName, std::uint64_t aBorn,
+                        std::uint64_t aSequence)
+{
+  Heartbeat heartbeat;
+  heartbeat.mTarget = TargetName(aName);
+  heartbeat.mIncarnation = Incarnation(aBorn);
+  heartbeat.mSequence = aSequence;
+  heartbeat.mService = ServiceName("lm");
+  heartbeat.mAddress = Endpoint{ "10.0.0." + std::string(1, aName[0]), 80 };
+  return heartbeat;
+}
+
+TargetPhase PhaseOf(const TargetDirectory& aDirectory, const char* aName)
+{
+  return aDirectory.Find(TargetName(aName))->mLast.mPhase;
+}
+
+} // namespace
+
+TEST_CASE("a late heartbeat changes nothing")
+{
+  TargetDirectory directory;
+  CHECK(directory.OnHeartbeat(kStart, MakeHeartbeat("1", 5, 2)) ==
+        HeartbeatEffect::Changed);
+  CHECK(directory.OnHeartbeat(kStart, MakeHeartbeat("1", 5, 2)) ==
+        HeartbeatEffect::Stale);
+  CHECK(directory.OnHeartbeat(kStart, MakeHeartbeat("1", 5, 1)) ==
+        HeartbeatEffect::Stale);
+  CHECK(directory.OnHeartbeat(kStart, MakeHeartbeat("1", 4, 9)) ==
+        HeartbeatEffect::Stale);
+  CHECK(directory.OnHeartbeat(kStart, MakeHeartbeat("1", 5, 3)) ==
+        HeartbeatEffect::Refreshed);
+  CHECK(directory.OnHeartbeat(kStart, MakeHeartbeat("1", 6, 1)) ==
+        HeartbeatEffect::Changed);
+}
+
+TEST_CASE("a draining target stays draining for its incarnation")
+{
+  TargetDirectory directory;
+  auto draining = MakeHeartbeat("1", 5, 2);
+  draining.mPhase = TargetPhase::Draining;
+  directory.OnHeartbeat(kStart, draining);
+  directory.OnHeartbeat(kStart, MakeHeartbeat("1", 5, 3));
+  CHECK(PhaseOf(directory, "1") == TargetPhase::Draining);
+  directory.OnHeartbeat(kStart, MakeHeartbeat("1", 6, 1));
+  CHECK(PhaseOf(directory, "1") == TargetPhase::Ready);
+}
+
+TEST_CASE("a target that left stays gone whatever arrives late")
+{
+  TargetDirectory directory;
+  directory.OnHeartbeat(kStart, MakeHeartbeat("1", 5, 2));
+  CHECK(directory.OnLeave(kStart, TargetName("1"), Incarnation(5)));
+  CHECK_FALSE(directory.OnLeave(kStart, TargetName("1"), Incarnation(5)));
+  CHECK(directory.OnHeartbeat(kStart, MakeHeartbeat("1", 5, 9)) ==
+        HeartbeatEffect::Stale);
+  CHECK(PhaseOf(directory, "1") == TargetPhase::Gone);
+}
+
+TEST_CASE("the younger process owns an address, in either order")
+{
+  auto first = MakeHeartbeat("1", 5, 2);
+  auto second = MakeHeartbeat("2", 7, 1);
+  second.mAddress = first.mAddress;
+  TargetDirectory directory;
+  SECTION("the old one is marked gone")
+  {
+    directory.OnHeartbeat(kStart, first);
+    directory.OnHeartbeat(kStart, second);
+    CHECK(PhaseOf(directory, "1") == TargetPhase::Gone);
+  }
+  SECTION("a delayed heartbeat of the old one is stale")
+  {
+    directory.OnHeartbeat(kStart, second);
+    CHECK(directory.OnHeartbeat(kStart, first) == HeartbeatEffect::Stale);
+  }
+  CHECK(PhaseOf(directory, "2") == TargetPhase::Ready);
+}
+
+TEST_CASE("a watcher is told just what changed")
+{
+  TargetDirectory directory;
+  directory.OnHeartbeat(kStart, MakeHeartbeat("1", 5, 1));
+  directory.OnHeartbeat(kStart, MakeHeartbeat("2", 5, 1));
+  const auto seen = directory.Change();
+  directory.OnHeartbeat(kStart, MakeHeartbeat("1", 5, 2));
+  CHECK(directory.ChangedSince(seen).empty());
+  auto loaded = MakeHeartbeat("2", 5, 2);
+  loaded.mModels.push_back({ ModelName("m"), 1, {} });
+  directory.OnHeartbeat(kStart, loaded);
+  REQUIRE(directory.ChangedSince(seen).size() == 1);
+  CHECK(directory.ChangedSince(seen)[0].mLast.mTarget == TargetName("2"));
+}
+
+TEST_CASE("silence is marked, and ends with the next heartbeat")
+{
+  TargetDirectory directory;
+  directory.OnHeartbeat(kStart, MakeHeartbeat("1", 5, 1));
+  CHECK(directory.Expire(kStart + 3s).empty());
+  CHECK(directory.Expire(kStart + 4s).size() == 1);
+  CHECK(directory.Find(TargetName("1"))->mSilent);
+  directory.OnHeartbeat(kStart + 5s, MakeHeartbeat("1", 5, 2));
+  CHECK_FALSE(directory.Find(TargetName("1"))->mSilent);
+  const auto seen = directory.Change();
+  directory.Expire(kStart + 70s);
+  CHECK(directory.Find(TargetName("1")) == nullptr);
+  CHECK(directory.HasForgottenSince(seen));
+}
+
+TEST_CASE("a view believes in silence only if all who know the target say so")
+{
+  const Endpoint one{ "10.0.1.1", 1 };
+  const Endpoint two{ "10.0.1.2", 1 };
+  WatchReply reply;
+  reply.mEpoch = 1;
+  reply.mChange = 1;
+  reply.mTargets.push_back({ MakeHeartbeat("1", 5, 1), false });
+  FleetView view;
+  view.OnReply(kStart, one, reply);
+  reply.mTargets[0].mSilent = true;
+  view.OnReply(kStart, two, reply);
+  CHECK_FALSE(view.Find(TargetName("1"))->mSilent);
+  view.OnReply(kStart, one, reply);
+  CHECK(view.Find(TargetName("1"))->mSilent);
+}
+
+TEST_CASE("a view believes from anyone that a target leaves")
+{
+  const Endpoint one{ "10.0.1.1", 1 };
+  const Endpoint two{ "10.0.1.2", 1 };
+  WatchReply reply;
+  reply.mEpoch = 1;
+  reply.mTargets.push_back({ MakeHeartbeat("1", 5, 4), false });
+  WatchReply leaving = reply;
+  leaving.mTargets[0].mLast.mPhase = TargetPhase::Gone;
+  leaving.mTargets[0].mLast.mSequence = 2;
+  FleetView view;
+  view.OnReply(kStart, one, reply);
+  const auto changed = view.OnReply(kStart, two, leaving);
+  CHECK(changed.size() == 1);
+  view.OnReply(kStart, one, reply);
+  CHECK_FALSE(view.Find(TargetName("1"))->TakesWork());
+}
+
+TEST_CASE("the newest leader's view of what engines hold goes first")
+{
+  const Endpoint one{ "10.0.1.1", 1 };
+  WatchReply reply;
+  reply.mEpoch = 1;
+  reply.mTargets.push_back({ MakeHeartbeat("1", 5, 1), false });
+  Residency engine{ TargetName("1"), Incarnation(5), {} };
+  engine.mModels.push_back({ ModelName("m"), 1, {} });
+  reply.mResidency.push_back({ 3, 1, { engine } });
+  FleetView view;
+  view.OnReply(kStart, one, reply);
+  CHECK(view.Find(TargetName("1"))->mModels.size() == 1);
+  reply.mResidency = { { 2, 9, {} } };
+  view.OnReply(kStart, one, reply);
+  CHECK(view.Find(TargetName("1"))->mModels.size() == 1);
+  view.NoteAdapter(TargetName("1"), ModelName("m"), AdapterName("a1"));
+  CHECK(view.Find(TargetName("1"))->mModels[0].mAdapters.size() == 1);
+}
+
+} // namespace carobtide
--- a/packages/placement/include/carobtide/placement.hpp
+++ b/packages/placement/include/carobtide/placement.hpp
@@ -7,8 +7,12 @@
  */
 
 #include "carobtide/placement/announcement.hpp"
+#include "carobtide/placement/demand_estimate.hpp"
+#include "carobtide/placement/engine_book.hpp"
 #include "carobtide/placement/order.hpp"
 #include "carobtide/placement/placement.hpp"
 #include "carobtide/placement/planner.hpp"
+#include "carobtide/placement/residency_planner.hpp"
+#include "carobtide/placement/store_budget.hpp"
 #include "carobtide/placement/target_account.hpp"
 #include "carobtide/placement/target_registry.hpp"
--- /dev/null
+++ b/packages/placement/include/carobtide/placement/demand_estimate.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+/**
+ * @file
+ * How many slots each model and adapter needs, from routing daemons' reports.
+ */
+
+#include "carobtide/fleet/messages.hpp"
+
+#include <compare>
+#include <map>
+
+namespace carobtide {
+
+/** A model, or an adapter of it, of one service. */
+struct ModelKey
+{
+  ServiceName mService;
+  ModelName mModel;
+  /** Empty for the model itself. */
+  AdapterName mAdapter;
+
+  auto operator<=>(const ModelKey&) const = default;
+};
+
+/**
+ * Smooths the demand that routing daemons report: quickly up, slowly down, so
+ * that a crest is followed within a second and a pause empties nothing.
+ *
+ * Thread safety: none; the owner guards it.
+ */
+class DemandEstimate
+{
+public:
+  /** Takes a report; it replaces the daemon's report before. */
+  void OnReport(Instant aNow, const DemandReport& aReport);
+
+  /** Moves the estimates towards the newest reports. Call every 100 ms. */
+  void Step(Instant aNow);
+
+  /** Slots needed for a model with all its adapters. */
+  double NeedOf(const ServiceName& aService, const ModelName& aModel) const;
+
+  /** Slots needed for one adapter. */
+  double NeedOf(const ModelKey& aKey) const;
+
+  /** When a request for it arrived last; the epoch's start if never. */
+  Instant LastArrival(const ModelKey& aKey) const;
+
+private:
+  struct Source
+  {
+    Instant mHeardAt;
+    std::map<ModelKey, double> mSlots;
+  };
+
+  std::map<Endpoint, Source> mSources;
+  std::map<ModelKey, double> mNeed;
+  std::map<std::pair<ServiceName, ModelName>, double> mModelNeed;
+  std::map<ModelKey, Instant> mArrivedAt;
+};
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/placement/include/carobtide/placement/residency_planner.hpp
@@ -0,0 +1,148 @@
+#pragma once
+
+/**
+ * @file
+ * Decides which engines hold which models and adapters, on deployments whose
+ * engines take orders bound to their own count of orders.
+ */
+
+#include "carobtide/catalog.hpp"
+#include "carobtide/fleet.hpp"
+#include "carobtide/placement/demand_estimate.hpp"
+#include "carobtide/placement/engine_book.hpp"
+#include "carobtide/placement/store_budget.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace carobtide {
+
+/** Ask an engine for its account. */
+struct AskReport
+{
+  TargetName mTarget;
+  Incarnation mIncarnation;
+  Endpoint mAddress;
+};
+
+/** Send an order, with the load on the store noted already. */
+struct IssueOrder
+{
+  ResidencyOrder mOrder;
+  /** For the log: why. */
+  std::string mReason;
+};
+
+using ResidencyEffect = std::variant<AskReport, IssueOrder>;
+
+/**
+ * The leader's decisions on residency. Sans-I/O.
+ *
+ * Load patterns it answers: demand that moves to other models within seconds;
+ * a model asked for that no engine holds; adapters asked for one by one;
+ * engines that come empty or leave at short notice. Every model keeps a place
+ * as far as there is room, and a model leaves an engine only when another
+ * engine holds it or when a model that is asked for has no place at all.
+ *
+ * Thread safety: none; the owner guards it.
+ */
+class ResidencyPlanner
+{
+public:
+  /** Becomes active at `aActiveAt`: before, a former leader may still act. */
+  explicit ResidencyPlanner(Instant aActiveAt);
+
+  void SetCatalog(std::shared_ptr<const Catalog> aCatalog);
+
+  /** Takes the newest record of a target. */
+  void OnTarget(Instant aNow, const FleetRecord& aRecord);
+
+  void OnDemand(Instant aNow, const DemandReport& aReport);
+
+  void OnReport(Instant aNow, const TargetName& aTarget,
+                Incarnation aIncarnation, Instant aAskedAt,
+                const std::optional<EngineReport>& aReport);
+
+  void OnAnswer(Instant aNow, const TargetName& aTarget, OrderId aOrder,
+                ResidencyAnswer aAnswer);
+
+  /** An adapter is wanted on a target, or on one more than hold it. */
+  void WantAdapter(Instant aNow, const EnsureAdapter& aWanted);
+
+  /** Usable targets that hold an adapter. */
+  std::vector<TargetName> HoldersOf(const ModelKey& aKey) const;
+
+  /** Lets time pass; call every 100 ms and after each answer. */
+  std::vector<ResidencyEffect> Step(Instant aNow);
+
+  /** What all engines hold for requests. */
+  std::vector<Residency> Map() const;
+
+private:
+  using Service = CatalogService;
+
+  /** The engines of one service and figures worked out once a step. */
+  struct Board
+  {
+    const Service* mService = nullptr;
+    std::vector<EngineBook*> mEngines;
+    /** Copies of a model that serve or come. */
+    std::map<ModelName, std::uint32_t> mCopies;
+    /** Slots needed on an engine, each model's need split over its copies. */
+    std::map<const EngineBook*, double> mLoad;
+  };
+
+  /** A way to make room for a model on an engine. */
+  struct Seat
+  {
+    EngineBook* mEngine = nullptr;
+    /** Empty if there is room already. */
+    ModelName mVictim;
+    double mCost = 0;
+  };
+
+  Board MakeBoard(const Service& aService);
+  void PlanReports(Instant aNow, std::vector<ResidencyEffect>& aEffects);
+  void PlanResends(Instant aNow, std::vector<ResidencyEffect>& aEffects);
+  void PlanAdapters(Instant aNow, Board& aBoard,
+                    std::vector<ResidencyEffect>& aEffects);
+  void PlanModels(Instant aNow, Board& aBoard,
+                  std::vector<ResidencyEffect>& aEffects);
+  bool PlanCopy(Instant aNow, Board& aBoard, const CatalogModel& aModel,
+                bool aUrgent, const char* aReason,
+                std::vector<ResidencyEffect>& aEffects);
+  std::optional<Seat> FindSeat(Instant aNow, const Board& aBoard,
+                               const CatalogModel& aModel, bool aUrgent);
+  std::optional<Seat> SeatOn(Instant aNow, const Board& aBoard,
+                             EngineBook& aEngine, const CatalogModel& aModel,
+                             bool aUrgent) const;
+  double FreeMegabytes(const Service& aService,
+                       const EngineBook& aEngine) const;
+  double PressureOf(const Board& aBoard, const ModelName& aModel) const;
+  Duration LoadTime(const EngineBook& aEngine,
+                    const CatalogModel& aModel) const;
+  bool IsStoreLoad(const EngineBook& aEngine, const CatalogModel& aModel) const;
+  void Issue(Instant aNow, EngineBook& aEngine, ResidencyAction aAction,
+             const ModelName& aModel, const AdapterName& aAdapter,
+             Duration aExpectedTime, const char* aReason,
+             std::vector<ResidencyEffect>& aEffects);
+  std::size_t BusyModels(const Board& aBoard) const;
+
+  Instant mActiveAt;
+  std::shared_ptr<const Catalog> mCatalog;
+  std::map<TargetName, EngineBook> mEngines;
+  DemandEstimate mDemand;
+  std::map<ServiceName, TokenBucket> mStores;
+  /** Adapters wanted on one more engine, and until when. */
+  std::map<ModelKey, Instant> mWanted;
+  /** Models that take a seat once their victim is gone. */
+  std::map<TargetName, ModelName> mNext;
+  Instant mNextStep;
+  std::uint64_t mNextOrder = 1;
+};
+
+} // namespace carobtide
--- a/packages/placement/src/store_budget.hpp
+++ b/packages/placement/include/carobtide/placement/store_budget.hpp
@@ -21,6 +21,8 @@
   /** Adds what came in since the last call, at a rate per second. */
   void Refill(Instant aNow, double aRate);
 
+  bool HasToken() const { return mTokens >= 1.0; }
+
   /** Takes one token; false if there is none. */
   bool Take();
 
--- a/packages/placement/src/placement_controller.cpp
+++ b/packages/placement/src/placement_controller.cpp
@@ -1,7 +1,7 @@
+#include "carobtide/placement/store_budget.hpp"
 #include "cluster_view.hpp"
 #include "order_tracker.hpp"
 #include "reconciler.hpp"
-#include "store_budget.hpp"
 
 #include <algorithm>
 #include <cassert>
--- /dev/null
+++ b/packages/placement/src/residency_planner.cpp
@@ -0,0 +1,514 @@
+#include "carobtide/placement/residency_planner.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <utility>
+
+namespace carobtide {
+
+namespace {
+
+/** Between two looks at the models; adapters are looked at with every call. */
+constexpr Duration kStepInterval = std::chrono::milliseconds(100);
+/** A model is not moved off an engine sooner than this after it came. */
+constexpr Duration kShortestStay = std::chrono::seconds(4);
+/** A wanted adapter is forgotten after this: its caller has gone on. */
+constexpr Duration kWantedFor = std::chrono::milliseconds(400);
+/** Share of an engine's slots from which on a further copy is due. */
+constexpr double kCrowded = 0.6;
+/** A further copy must bring an engine's load down to this part. */
+constexpr double kWorthwhile = 0.75;
+/** Slots needed below which a model is no reason for a further copy. */
+constexpr double kLeastNeed = 3.0;
+/** Slots needed from which on a model without any copy displaces another. */
+constexpr double kAskedFor = 0.2;
+/** Engines of a service that change models at the same time, as a share. */
+constexpr double kMovingShare = 0.25;
+/** Costs in slots: of a load by where it comes from, and of a lost last copy.
+ */
+constexpr double kStoreCost = 3.0;
+constexpr double kDiskCost = 0.7;
+constexpr double kLastCopyCost = 12.0;
+/**
+ * Part of the store's rate that is used: the bucket gives out up to a second's
+ * worth at once on top of it.
+ */
+constexpr double kStoreShare = 0.9;
+/** Time an unload takes when nothing runs. */
+constexpr Duration kUnloadTime = std::chrono::milliseconds(50);
+/** Time an adapter takes at most when few are on their way. */
+constexpr Duration kAdapterTime = std::chrono::milliseconds(20);
+
+} // namespace
+
+ResidencyPlanner::ResidencyPlanner(Instant aActiveAt)
+  : mActiveAt(aActiveAt)
+  , mNextStep(aActiveAt)
+{
+}
+
+void ResidencyPlanner::SetCatalog(std::shared_ptr<const Catalog> aCatalog)
+{
+  mCatalog = std::move(aCatalog);
+}
+
+void ResidencyPlanner::OnTarget(Instant aNow, const FleetRecord& aRecord)
+{
+  const Heartbeat& last = aRecord.mLast;
+  const auto it = mEngines.find(last.mTarget);
+  const bool isSame =
+    it != mEngines.end() && it->second.Last().mIncarnation == last.mIncarnation;
+  if (last.mPhase == TargetPhase::Gone || !last.mEngine) {
+    if (it != mEngines.end()) {
+      mEngines.erase(it);
+      mNext.erase(last.mTarget);
+    }
+    return;
+  }
+  if (isSame) {
+    it->second.OnHeartbeat(aNow, last, aRecord.mSilent);
+    return;
+  }
+  mNext.erase(last.mTarget);
+  mEngines.insert_or_assign(last.mTarget, EngineBook(last, aRecord.mSilent));
+}
+
+void ResidencyPlanner::OnDemand(Instant aNow, const DemandReport& aReport)
+{
+  mDemand.OnReport(aNow, aReport);
+}
+
+void ResidencyPlanner::OnReport(Instant aNow, const TargetName& aTarget,
+                                Incarnation aIncarnation, Instant aAskedAt,
+                                const std::optional<EngineReport>& aReport)
+{
+  const auto it = mEngines.find(aTarget);
+  if (it != mEngines.end() && it->second.Last().mIncarnation == aIncarnation) {
+    it->second.OnReport(aNow, aAskedAt, aReport);
+  }
+}
+
+void ResidencyPlanner::OnAnswer(Instant aNow, const TargetName& aTarget,
+                                OrderId aOrder, ResidencyAnswer aAnswer)
+{
+  const auto it = mEngines.find(aTarget);
+  if (it != mEngines.end()) {
+    it->second.OnAnswer(aNow, aOrder, aAnswer);
+  }
+}
+
+void ResidencyPlanner::WantAdapter(Instant aNow, const EnsureAdapter& aWanted)
+{
+  mWanted[ModelKey{ aWanted.mService, aWanted.mModel, aWanted.mAdapter }] =
+    aNow + kWantedFor;
+}
+
+std::vector<TargetName> ResidencyPlanner::HoldersOf(const ModelKey& aKey) const
+{
+  std::vector<TargetName> holders;
+  for (const auto& [name, engine] : mEngines) {
+    const HeldModel* model = engine.Find(aKey.mModel);
+    if (engine.IsUsable() && engine.Last().mService == aKey.mService &&
+        model != nullptr &&
+        std::ranges::find(model->mAdapters, aKey.mAdapter) !=
+          model->mAdapters.end()) {
+      holders.push_back(name);
+    }
+  }
+  return holders;
+}
+
+std::vector<Residency> ResidencyPlanner::Map() const
+{
+  std::vector<Residency> map;
+  for (const auto& [name, engine] : mEngines) {
+    map.push_back({ name, engine.Last().mIncarnation, engine.Serving() });
+  }
+  return map;
+}
+
+ResidencyPlanner::Board ResidencyPlanner::MakeBoard(const Service& aService)
+{
+  Board board;
+  board.mService = &aService;
+  for (auto& [name, engine] : mEngines) {
+    if (engine.IsUsable() && engine.Last().mService == aService.mName) {
+      board.mEngines.push_back(&engine);
+    }
+  }
+  for (const EngineBook* engine : board.mEngines) {
+    for (const HeldModel& model : engine->Serving()) {
+      ++board.mCopies[model.mName];
+    }
+    for (const CatalogModel& model : aService.mEngine->mModels) {
+      if (engine->IsLoading(model.mName) && !engine->Holds(model.mName)) {
+        ++board.mCopies[model.mName];
+      }
+    }
+    const auto next = mNext.find(engine->Last().mTarget);
+    if (next != mNext.end() && !engine->IsLoading(next->second)) {
+      ++board.mCopies[next->second];
+    }
+  }
+  for (const EngineBook* engine : board.mEngines) {
+    double load = 0;
+    for (const ModelName& model : engine->Occupying()) {
+      const auto copies = std::max(board.mCopies[model], 1U);
+      load += mDemand.NeedOf(aService.mName, model) / copies;
+    }
+    board.mLoad[engine] = load;
+  }
+  return board;
+}
+
+void ResidencyPlanner::PlanReports(Instant aNow,
+                                   std::vector<ResidencyEffect>& aEffects)
+{
+  for (auto& [name, engine] : mEngines) {
+    if (engine.WantsReport(aNow)) {
+      aEffects.emplace_back(
+        AskReport{ name, engine.Last().mIncarnation, engine.Last().mAddress });
+    }
+  }
+}
+
+void ResidencyPlanner::PlanResends(Instant aNow,
+                                   std::vector<ResidencyEffect>& aEffects)
+{
+  for (auto& [name, engine] : mEngines) {
+    if (auto order = engine.TakeResend(aNow)) {
+      aEffects.emplace_back(IssueOrder{ std::move(*order), "no answer" });
+    }
+  }
+}
+
+void ResidencyPlanner::Issue(Instant aNow, EngineBook& aEngine,
+                             ResidencyAction aAction, const ModelName& aModel,
+                             const AdapterName& aAdapter,
+                             Duration aExpectedTime, const char* aReason,
+                             std::vector<ResidencyEffect>& aEffects)
+{
+  ResidencyOrder order;
+  order.mId = OrderId(mNextOrder++);
+  order.mTarget = aEngine.Last().mTarget;
+  order.mAddress = aEngine.Last().mAddress;
+  order.mAction = aAction;
+  order.mModel = aModel;
+  order.mAdapter = aAdapter;
+  order.mAccepted = aEngine.Accepted();
+  aEngine.OnSent(aNow, order, aExpectedTime);
+  aEffects.emplace_back(IssueOrder{ std::move(order), aReason });
+}
+
+void ResidencyPlanner::PlanAdapters(Instant aNow, Board& aBoard,
+                                    std::vector<ResidencyEffect>& aEffects)
+{
+  for (auto it = mWanted.begin(); it != mWanted.end();) {
+    const ModelKey& key = it->first;
+    if (aNow >= it->second) {
+      it = mWanted.erase(it);
+      continue;
+    }
+    if (key.mService != aBoard.mService->mName) {
+      ++it;
+      continue;
+    }
+    EngineBook* best = nullptr;
+    for (EngineBook* engine : aBoard.mEngines) {
+      const HeldModel* model = engine->Find(key.mModel);
+      const bool isFit = model != nullptr && engine->IsFree(aNow) &&
+                         std::ranges::find(model->mAdapters, key.mAdapter) ==
+                           model->mAdapters.end();
+      if (isFit &&
+          (best == nullptr || aBoard.mLoad[engine] < aBoard.mLoad[best])) {
+        best = engine;
+      }
+    }
+    if (best == nullptr) {
+      ++it;
+      continue;
+    }
+    // Evict the adapter that was asked for longest ago if all places are taken.
+    std::size_t held = 0;
+    ModelKey oldest;
+    Instant oldestAt = Instant::max();
+    for (const ModelName& name : best->Occupying()) {
+      const HeldModel* model = best->Find(name);
+      if (model == nullptr) {
+        continue;
+      }
+      held += model->mAdapters.size();
+      for (const AdapterName& adapter : model->mAdapters) {
+        const ModelKey other{ key.mService, name, adapter };
+        const Instant at = mDemand.LastArrival(other);
+        if (at < oldestAt) {
+          oldestAt = at;
+          oldest = other;
+        }
+      }
+    }
+    if (held >= aBoard.mService->mEngine->mAdapterSlots) {
+      if (held > 0) {
+        Issue(aNow, *best, ResidencyAction::Unload, oldest.mModel,
+              oldest.mAdapter, kUnloadTime, "place for another adapter",
+              aEffects);
+      }
+      ++it;
+      continue;
+    }
+    Issue(aNow, *best, ResidencyAction::Load, key.mModel, key.mAdapter,
+          kAdapterTime, "adapter asked for", aEffects);
+    it = mWanted.erase(it);
+  }
+}
+
+double ResidencyPlanner::FreeMegabytes(const Service& aService,
+                                       const EngineBook& aEngine) const
+{
+  double used = 0;
+  for (const ModelName& name : aEngine.Occupying()) {
+    const CatalogModel* spec = aService.mEngine->FindModel(name);
+    // A model that the catalog no longer names is taken for the largest.
+    used += spec == nullptr ? aService.mEngine->mMegabytes : spec->mMegabytes;
+    const HeldModel* held = aEngine.Find(name);
+    if (spec != nullptr && held != nullptr) {
+      used +=
+        spec->mAdapterMegabytes * static_cast<double>(held->mAdapters.size());
+    }
+  }
+  // Room for all adapters that may come is kept free.
+  double largest = 0;
+  for (const CatalogModel& model : aService.mEngine->mModels) {
+    largest = std::max(largest, model.mAdapterMegabytes);
+  }
+  used += largest * aService.mEngine->mAdapterSlots;
+  return aService.mEngine->mMegabytes - used;
+}
+
+bool ResidencyPlanner::IsStoreLoad(const EngineBook& aEngine,
+                                   const CatalogModel& aModel) const
+{
+  return !aEngine.HasCopyInMemory(aModel.mName) &&
+         !aEngine.HasCopyOnDisk(aModel.mName);
+}
+
+Duration ResidencyPlanner::LoadTime(const EngineBook& aEngine,
+                                    const CatalogModel& aModel) const
+{
+  if (aEngine.HasCopyInMemory(aModel.mName)) {
+    return aModel.mMemoryLoad;
+  }
+  return aEngine.HasCopyOnDisk(aModel.mName) ? aModel.mDiskLoad
+                                             : aModel.mStoreLoad;
+}
+
+double ResidencyPlanner::PressureOf(const Board& aBoard,
+                                    const ModelName& aModel) const
+{
+  double least = std::numeric_limits<double>::max();
+  for (const EngineBook* engine : aBoard.mEngines) {
+    if (engine->Holds(aModel) || engine->IsLoading(aModel)) {
+      const auto slots = std::max<std::uint32_t>(engine->Last().mSlots, 1);
+      least = std::min(least, aBoard.mLoad.at(engine) / slots);
+    }
+  }
+  return least;
+}
+
+std::optional<ResidencyPlanner::Seat> ResidencyPlanner::SeatOn(
+  Instant aNow, const Board& aBoard, EngineBook& aEngine,
+  const CatalogModel& aModel, bool aUrgent) const
+{
+  const Service& service = *aBoard.mService;
+  Seat seat;
+  seat.mEngine = &aEngine;
+  seat.mCost = aBoard.mLoad.at(&aEngine);
+  if (IsStoreLoad(aEngine, aModel)) {
+    seat.mCost += kStoreCost;
+  } else if (!aEngine.HasCopyInMemory(aModel.mName)) {
+    seat.mCost += kDiskCost;
+  }
+  const double lacking = aModel.mMegabytes - FreeMegabytes(service, aEngine);
+  if (lacking <= 0) {
+    return seat;
+  }
+  double leastLoss = std::numeric_limits<double>::max();
+  for (const HeldModel& held : aEngine.Serving()) {
+    const CatalogModel* spec = service.mEngine->FindModel(held.mName);
+    const bool isSettled = aNow - aEngine.HeldSince(held.mName) > kShortestStay;
+    if (spec == nullptr || spec->mMegabytes < lacking || !isSettled) {
+      continue;
+    }
+    const auto it = aBoard.mCopies.find(held.mName);
+    const std::uint32_t copies = it == aBoard.mCopies.end() ? 0 : it->second;
+    const double need = mDemand.NeedOf(service.mName, held.mName);
+    if (copies <= 1 && (!aUrgent || need >= kAskedFor)) {
+      continue;
+    }
+    const double loss =
+      copies <= 1 ? kLastCopyCost : need / (copies - 1.0) - need / copies;
+    if (loss < leastLoss) {
+      leastLoss = loss;
+      seat.mVictim = held.mName;
+    }
+  }
+  if (seat.mVictim.IsEmpty()) {
+    return std::nullopt;
+  }
+  seat.mCost += leastLoss;
+  return seat;
+}
+
+std::optional<ResidencyPlanner::Seat> ResidencyPlanner::FindSeat(
+  Instant aNow, const Board& aBoard, const CatalogModel& aModel, bool aUrgent)
+{
+  const bool mayUseStore = mStores[aBoard.mService->mName].HasToken();
+  std::optional<Seat> best;
+  for (EngineBook* engine : aBoard.mEngines) {
+    const bool isFit = engine->IsFree(aNow) && !engine->Holds(aModel.mName) &&
+                       !mNext.contains(engine->Last().mTarget) &&
+                       (mayUseStore || !IsStoreLoad(*engine, aModel));
+    if (!isFit) {
+      continue;
+    }
+    auto seat = SeatOn(aNow, aBoard, *engine, aModel, aUrgent);
+    if (seat && (!best || seat->mCost < best->mCost)) {
+      best = seat;
+    }
+  }
+  return best;
+}
+
+bool ResidencyPlanner::PlanCopy(Instant aNow, Board& aBoard,
+                                const CatalogModel& aModel, bool aUrgent,
+                                const char* aReason,
+                                std::vector<ResidencyEffect>& aEffects)
+{
+  const auto seat = FindSeat(aNow, aBoard, aModel, aUrgent);
+  if (!seat) {
+    return false;
+  }
+  EngineBook& engine = *seat->mEngine;
+  ++aBoard.mCopies[aModel.mName];
+  if (!seat->mVictim.IsEmpty()) {
+    mNext[engine.Last().mTarget] = aModel.mName;
+    --aBoard.mCopies[seat->mVictim];
+    Issue(aNow, engine, ResidencyAction::Unload, seat->mVictim, {}, kUnloadTime,
+          aReason, aEffects);
+    return true;
+  }
+  if (IsStoreLoad(engine, aModel)) {
+    mStores[aBoard.mService->mName].Take();
+  }
+  Issue(aNow, engine, ResidencyAction::Load, aModel.mName, {},
+        LoadTime(engine, aModel), aReason, aEffects);
+  return true;
+}
+
+std::size_t ResidencyPlanner::BusyModels(const Board& aBoard) const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aBoard.mEngines, [&](const EngineBook* aEngine) {
+      return mNext.contains(aEngine->Last().mTarget) ||
+             aEngine->Occupying().size() > aEngine->Serving().size();
+    }));
+}
+
+void ResidencyPlanner::PlanModels(Instant aNow, Board& aBoard,
+                                  std::vector<ResidencyEffect>& aEffects)
+{
+  const Service& service = *aBoard.mService;
+  const EngineSpec& engines = *service.mEngine;
+  // Seats whose victim has gone.
+  for (EngineBook* engine : aBoard.mEngines) {
+    const auto next = mNext.find(engine->Last().mTarget);
+    if (next == mNext.end() || !engine->IsFree(aNow)) {
+      continue;
+    }
+    const CatalogModel* model = engines.FindModel(next->second);
+    const bool hasRoom = model != nullptr && !engine->Holds(model->mName) &&
+                         model->mMegabytes <= FreeMegabytes(service, *engine);
+    TokenBucket& store = mStores[service.mName];
+    const bool isStoreLoad = hasRoom && IsStoreLoad(*engine, *model);
+    if (isStoreLoad && !store.HasToken()) {
+      continue;
+    }
+    if (hasRoom) {
+      if (isStoreLoad) {
+        store.Take();
+      }
+      Issue(aNow, *engine, ResidencyAction::Load, model->mName, {},
+            LoadTime(*engine, *model), "seat is free", aEffects);
+    }
+    mNext.erase(next);
+  }
+  const auto mostBusy = std::max<std::size_t>(
+    2, static_cast<std::size_t>(kMovingShare *
+                                static_cast<double>(aBoard.mEngines.size())));
+  std::vector<const CatalogModel*> models;
+  std::ranges::transform(engines.mModels, std::back_inserter(models),
+                         [](const CatalogModel& aModel) { return &aModel; });
+  std::ranges::sort(models, std::ranges::greater{},
+                    [&](const CatalogModel* aModel) {
+                      return mDemand.NeedOf(service.mName, aModel->mName);
+                    });
+  for (const CatalogModel* model : models) {
+    if (BusyModels(aBoard) >= mostBusy) {
+      return;
+    }
+    const double need = mDemand.NeedOf(service.mName, model->mName);
+    const auto copies = aBoard.mCopies[model->mName];
+    if (copies == 0) {
+      PlanCopy(aNow, aBoard, *model, need >= kAskedFor,
+               need >= kAskedFor ? "asked for, held nowhere" : "held nowhere",
+               aEffects);
+      continue;
+    }
+    const double pressure = PressureOf(aBoard, model->mName);
+    if (need < kLeastNeed || pressure < kCrowded ||
+        pressure == std::numeric_limits<double>::max()) {
+      continue;
+    }
+    const auto seat = FindSeat(aNow, aBoard, *model, false);
+    if (!seat) {
+      continue;
+    }
+    const auto slots = std::max<std::uint32_t>(seat->mEngine->Last().mSlots, 1);
+    if ((seat->mCost + need / (copies + 1.0)) / slots <
+        pressure * kWorthwhile) {
+      PlanCopy(aNow, aBoard, *model, false, "its engines are crowded",
+               aEffects);
+    }
+  }
+}
+
+std::vector<ResidencyEffect> ResidencyPlanner::Step(Instant aNow)
+{
+  std::vector<ResidencyEffect> effects;
+  if (!mCatalog || aNow < mActiveAt) {
+    return effects;
+  }
+  const bool isDue = aNow >= mNextStep;
+  if (isDue) {
+    mNextStep = aNow + kStepInterval;
+    mDemand.Step(aNow);
+    PlanReports(aNow, effects);
+    PlanResends(aNow, effects);
+  }
+  for (const Service& service : mCatalog->mServices) {
+    if (!service.mEngine) {
+      continue;
+    }
+    mStores[service.mName].Refill(aNow, kStoreShare *
+                                          service.mEngine->mLoadsPerSecond);
+    Board board = MakeBoard(service);
+    PlanAdapters(aNow, board, effects);
+    if (isDue) {
+      PlanModels(aNow, board, effects);
+    }
+  }
+  return effects;
+}
+
+} // namespace carobtide
--- a/packages/placement/src/store_budget.cpp
+++ b/packages/placement/src/store_budget.cpp
@@ -1,4 +1,4 @@
-#include "store_budget.hpp"
+#include "carobtide/placement/store_budget.hpp"
 
 #include <algorithm>
 
--- a/packages/routing/include/carobtide/routing.hpp
+++ b/packages/routing/include/carobtide/routing.hpp
@@ -6,6 +6,7 @@
  * hedges and quarantine on one daemon.
  */
 
+#include "carobtide/routing/dispatcher.hpp"
 #include "carobtide/routing/policy.hpp"
 #include "carobtide/routing/router.hpp"
 #include "carobtide/routing/types.hpp"
--- /dev/null
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -0,0 +1,248 @@
+#pragma once
+
+/**
+ * @file
+ * Decides for each request of a catalog's routes which target it goes to,
+ * whether it waits, is turned away, or is tried once more.
+ */
+
+#include "carobtide/catalog.hpp"
+#include "carobtide/fleet.hpp"
+#include "carobtide/routing/retry_allowance.hpp"
+#include "carobtide/routing/target_health.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace carobtide {
+
+/** What a dispatcher must know of a request. */
+struct DispatchFacts
+{
+  ServiceName mService;
+  RequestKind mKind = RequestKind::AtMostOnce;
+  std::uint32_t mPriority = 0;
+  std::uint32_t mMaxAttempts = 1;
+  Duration mObjective{ 0 };
+  /** Empty for services that are no model engines. */
+  ModelName mModel;
+  AdapterName mAdapter;
+  /** Identifies the part of the prompt that it shares with others; 0: none. */
+  std::uint64_t mSharedPart = 0;
+  Instant mArrived;
+  /** The answer is worthless after this. */
+  Instant mDeadline = Instant::max();
+};
+
+/** A request on its way through a dispatcher; the shell keeps it. */
+struct DispatchState
+{
+  DispatchFacts mFacts;
+  /** Sends that may have run. */
+  std::uint32_t mRuns = 0;
+  /** Sends that arrived at a target. */
+  std::uint32_t mArrivals = 0;
+  std::uint32_t mConnectFailures = 0;
+  /** Targets not to be chosen again. */
+  std::vector<TargetName> mTried;
+  bool mAskedForAdapter = false;
+};
+
+/** Send the request to this target. */
+struct SendTo
+{
+  SendId mSend;
+  TargetName mTarget;
+  Endpoint mAddress;
+  /** Goes with the request to an engine; 0 is most urgent. */
+  std::uint32_t mUrgency = 0;
+  /** The target's load when it was chosen, for the log. */
+  double mLoad = 0;
+};
+
+/** Wait until woken or until this time, then ask again. */
+struct WaitForRoom
+{
+  Instant mUntil;
+};
+
+/** Have the leader load the adapter, then ask again. */
+struct LoadAdapter
+{
+  /** Some hold it, and have no room. */
+  bool mOneMore = false;
+};
+
+/** Answer that it did not run and never will. */
+struct TurnAway
+{
+  ErrorCode mCode = ErrorCode::NoCapacity;
+  Duration mRetryAfter{ 0 };
+  /** For the log. */
+  std::string mReason;
+};
+
+using DispatchDecision =
+  std::variant<SendTo, WaitForRoom, LoadAdapter, TurnAway>;
+
+/** Choices and limits of a dispatcher. */
+struct DispatcherOptions
+{
+  FailureDomain mFailureDomain;
+  RetryBudget mRetryBudget;
+  std::uint64_t mSeed = 1;
+};
+
+/** Counters for metrics and tests. */
+struct DispatcherStats
+{
+  std::uint64_t mSent = 0;
+  std::uint64_t mRepeated = 0;
+  std::uint64_t mTurnedAway = 0;
+  std::uint64_t mRepeatsDenied = 0;
+};
+
+/**
+ * Chooses targets. Sans-I/O: takes time and events, returns decisions.
+ *
+ * The load that it goes by is what it sent itself, exactly, plus what other
+ * daemons said a moment ago; targets' own reports come too late.
+ *
+ * Thread safety: none; the owner guards it.
+ */
+class Dispatcher
+{
+public:
+  explicit Dispatcher(DispatcherOptions aOptions);
+
+  void SetCatalog(std::shared_ptr<const Catalog> aCatalog);
+
+  /** Takes the newest state of a target. */
+  void OnTarget(Instant aNow, const RoutedTarget& aState);
+
+  /** Another routing daemon's load on the targets. */
+  void OnPeerLoad(Instant aNow, const EdgeLoad& aReport);
+
+  /** Daemons that share the retry budget. */
+  void SetDaemons(std::uint32_t aDaemons);
+
+  /** A request arrived; call once before Choose. */
+  void OnArrival(Instant aNow, const DispatchFacts& aFacts);
+
+  /** What to do with a request now. SendTo counts as sent at once. */
+  DispatchDecision Choose(Instant aNow, DispatchState& aState);
+
+  void OnFirstByte(Instant aNow, SendId aSend);
+
+  /**
+   * A send ended. True if the request may be tried again: ask Choose; false
+   * if this end is final.
+   */
+  bool OnEnd(Instant aNow, SendId aSend, SendEnd aEnd, DispatchState& aState);
+
+  /** This daemon's load on the targets, for its peers. */
+  std::vector<TargetLoad> Loads() const;
+
+  /** Demand since the last call, for the leader. */
+  std::vector<DemandItem> TakeDemand();
+
+  const DispatcherStats& Stats() const { return mStats; }
+
+private:
+  struct Target
+  {
+    RoutedTarget mState;
+    TargetHealth mHealth;
+    std::uint32_t mInFlight = 0;
+    /** Shared prompt parts sent here lately, and when. */
+    std::unordered_map<std::uint64_t, Instant> mParts;
+  };
+
+  struct PeerLoad
+  {
+    std::uint64_t mSequence = 0;
+    Instant mHeardAt;
+    std::unordered_map<TargetName, std::uint32_t> mInFlight;
+  };
+
+  struct OpenSend
+  {
+    TargetName mTarget;
+    Instant mSentAt;
+    ServiceName mService;
+    ModelName mModel;
+    AdapterName mAdapter;
+    bool mFirstByte = false;
+  };
+
+  struct Pool
+  {
+    explicit Pool(RetryBudget aBudget)
+      : mAllowance(aBudget)
+    {
+    }
+
+    RetryAllowance mAllowance;
+    /** Smoothed time from send to end, of whole answers. */
+    Duration mRunTime{ 0 };
+    /** Smoothed time to the first byte over all targets. */
+    Duration mFirstByte{ 0 };
+    std::vector<TargetName> mTargets;
+  };
+
+  struct DemandKey
+  {
+    ServiceName mService;
+    ModelName mModel;
+    AdapterName mAdapter;
+    auto operator<=>(const DemandKey&) const = default;
+  };
+
+  /** The best target with room, or why there is none. */
+  struct Search
+  {
+    Target* mBest = nullptr;
+    double mScore = 0;
+    double mLoad = 0;
+    bool mModelHeld = false;
+    bool mAdapterHeld = false;
+    /** Least load among those that hold all, room or not. */
+    double mLeastLoad = 0;
+    /** Least load among those that hold the model, with the adapter or not. */
+    double mLeastModelLoad = 0;
+  };
+
+  Pool& PoolOf(const ServiceName& aService);
+  double LoadOf(Instant aNow, const Target& aTarget) const;
+  double ScoreOf(Instant aNow, const Target& aTarget, const Pool& aPool,
+                 const DispatchFacts& aFacts, double aLoad);
+  double LoadLimit(const Pool& aPool, const DispatchFacts& aFacts) const;
+  Search FindTarget(Instant aNow, const Pool& aPool,
+                    const DispatchState& aState);
+  bool MayRepeat(Instant aNow, SendEnd aEnd, DispatchState& aState);
+  DispatchDecision Refuse(Instant aNow, const DispatchState& aState,
+                          const Search& aSearch, const Pool& aPool);
+  SendTo Commit(Instant aNow, Target& aTarget, double aLoad,
+                DispatchState& aState);
+  DemandItem& DemandOf(const ServiceName& aService, const ModelName& aModel,
+                       const AdapterName& aAdapter);
+
+  DispatcherOptions mOptions;
+  RandomEngine mRandom;
+  std::shared_ptr<const Catalog> mCatalog;
+  std::unordered_map<TargetName, Target> mTargets;
+  std::unordered_map<ServiceName, Pool> mPools;
+  std::map<Endpoint, PeerLoad> mPeers;
+  std::unordered_map<SendId, OpenSend> mOpen;
+  std::map<DemandKey, DemandItem> mDemand;
+  std::uint64_t mNextSend = 1;
+  std::uint32_t mDaemons = 1;
+  DispatcherStats mStats;
+};
+
+} // namespace carobtide
--- a/packages/settings/include/carobtide/settings.hpp
+++ b/packages/settings/include/carobtide/settings.hpp
@@ -7,4 +7,5 @@
  */
 
 #include "carobtide/settings/daemon_settings.hpp"
+#include "carobtide/settings/node_settings.hpp"
 #include "carobtide/settings/yaml_reader.hpp"
--- a/packages/settings/include/carobtide/settings/daemon_settings.hpp
+++ b/packages/settings/include/carobtide/settings/daemon_settings.hpp
@@ -51,6 +51,9 @@
   { LogLevel::Error, "error" },
 } } };
 
+/** Reads a level by its name; another name is a fault of the node. */
+LogLevel ReadLogLevel(const YamlNode& aNode, LogLevel aDefault);
+
 /** Everything a daemon reads from its settings file. */
 struct DaemonSettings
 {
--- /dev/null
+++ b/packages/settings/include/carobtide/settings/node_settings.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+/**
+ * @file
+ * Settings of a daemon on a deployment where nobody keeps lists: daemons find
+ * each other from seeds, targets make themselves known.
+ */
+
+#include "carobtide/base.hpp"
+#include "carobtide/settings/daemon_settings.hpp"
+#include "carobtide/settings/yaml_reader.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace carobtide {
+
+/** What a daemon does. */
+enum class NodeRole
+{
+  /** Takes callers' requests. */
+  Edge,
+  /** Takes heartbeats and catalogs, keeps the control log. */
+  Control,
+};
+
+inline constexpr EnumTable<NodeRole, 2> kNodeRoles{ { {
+  { NodeRole::Edge, "edge" },
+  { NodeRole::Control, "control" },
+} } };
+
+/** Everything such a daemon reads from its settings file. */
+struct NodeSettings
+{
+  DaemonName mName;
+  NodeRole mRole = NodeRole::Edge;
+  FailureDomain mFailureDomain;
+  /** Name of what callers, targets and operators speak. */
+  std::string mDialect;
+  /** Of an edge. */
+  Endpoint mCallerAddress;
+  Endpoint mReadinessAddress;
+  /** Of a control daemon. */
+  Endpoint mControlAddress;
+  /** TCP and UDP address towards other daemons. */
+  Endpoint mPeerAddress;
+  /** Where metrics are served; nowhere if unset. */
+  std::optional<Endpoint> mMetricsAddress;
+  /**
+   * Control daemons by any of their addresses: the host counts, the peer port
+   * is the same on all VMs of a deployment.
+   */
+  std::vector<Endpoint> mSeeds;
+  /** True only when the whole deployment starts with empty disks. */
+  bool mFirstStart = false;
+  /** Folder of the control log. */
+  std::string mDataDir;
+  LogLevel mLogLevel = LogLevel::Info;
+  /** Control daemons that may be lost at the same time. */
+  int mToleratedLosses = 1;
+  /** Between two heartbeats of a target. */
+  Duration mHeartbeatInterval = std::chrono::milliseconds(1200);
+  /** From the request to stop until the process is killed. */
+  Duration mGracePeriod = std::chrono::seconds(8);
+  /** Orders of two leaders are at least this far apart. */
+  Duration mLeasePeriod = std::chrono::milliseconds(3000);
+  /** Retries over all daemons: a share of the requests, and a slack. */
+  double mRetryShare = 0.2;
+  double mRetrySlack = 50;
+  Duration mRetryWindow = std::chrono::seconds(10);
+
+  bool operator==(const NodeSettings&) const = default;
+};
+
+/** Parses and checks a settings text; either settings or every fault. */
+std::variant<NodeSettings, std::vector<YamlFault>> ParseNodeSettings(
+  std::string_view aText);
+
+} // namespace carobtide
--- a/packages/settings/src/daemon_settings.cpp
+++ b/packages/settings/src/daemon_settings.cpp
@@ -108,17 +108,6 @@
   }
 }
 
-LogLevel ReadLogLevel(const YamlNode& aNode, LogLevel aDefault)
-{
-  const std::string name = aNode.TextOr(std::string(kLogLevels.Name(aDefault)));
-  const auto level = kLogLevels.Find(name);
-  if (!level) {
-    aNode.AddFault("expected debug, info, warning or error, found '" + name +
-                   "'");
-  }
-  return level.value_or(aDefault);
-}
-
 void ReadLimits(const YamlNode& aLimits, DaemonSettings& aSettings)
 {
   aSettings.mMaxHeaderBytes =
@@ -167,6 +156,17 @@
 
 } // namespace
 
+LogLevel ReadLogLevel(const YamlNode& aNode, LogLevel aDefault)
+{
+  const std::string name = aNode.TextOr(std::string(kLogLevels.Name(aDefault)));
+  const auto level = kLogLevels.Find(name);
+  if (!level) {
+    aNode.AddFault("expected debug, info, warning or error, found '" + name +
+                   "'");
+  }
+  return level.value_or(aDefault);
+}
+
 std::variant<DaemonSettings, std::vector<YamlFault>> ParseDaemonSettings(
   std::string_view aText)
 {
--- a/packages/transport/include/carobtide/transport/http_client.hpp
+++ b/packages/transport/include/carobtide/transport/http_client.hpp
@@ -32,6 +32,13 @@
   virtual boost::asio::awaitable<Result<HttpResponseHead>> Send(
     const HttpRequest& aRequest, Duration aTimeout) = 0;
 
+  /**
+   * Reads the head of one more response: the one before belonged to another
+   * request. Precondition: its body was read whole.
+   */
+  virtual boost::asio::awaitable<Result<HttpResponseHead>> ReadHead(
+    Duration aTimeout) = 0;
+
   /**
    * Reads the next bytes of the body into aOut (replaced). True while more
    * may follow, false at the end of a whole body. A body that ends early is
@@ -47,6 +54,9 @@
   /** True if the last body was read whole and the peer keeps it open. */
   virtual bool IsReusable() const = 0;
 
+  /** How long the peer said that it keeps an idle connection; 0: unsaid. */
+  virtual Duration StatedIdleTime() const = 0;
+
   /** Ends whatever is under way with ErrorCode::Cancelled. */
   virtual void Cancel() = 0;
 };
@@ -58,13 +68,22 @@
 boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> ConnectHttp(
   Endpoint aAddress, Duration aTimeout);
 
+/** Bounds of a pool of idle connections. */
+struct HttpPoolOptions
+{
+  std::size_t mMaxIdlePerAddress = 64;
+  /** An idle connection is not used again after this time. */
+  Duration mMaxIdleTime = std::chrono::hours(1);
+};
+
 /**
- * Idle connections by address. Thread safety: any thread.
+ * Idle connections by address; the one used last is used again first, so that
+ * surplus ones age. Thread safety: any thread.
  */
 class HttpPool
 {
 public:
-  explicit HttpPool(std::size_t aMaxIdlePerAddress = 64);
+  explicit HttpPool(HttpPoolOptions aOptions = {});
   ~HttpPool();
 
   /**
--- a/packages/transport/include/carobtide/transport/http_server.hpp
+++ b/packages/transport/include/carobtide/transport/http_server.hpp
@@ -95,6 +95,12 @@
   /** The bound address. Precondition: Listen succeeded. */
   Endpoint Address() const;
 
+  /**
+   * From now on every answer ends its connection. New connections are still
+   * accepted, since a balancer may go on sending them for a while.
+   */
+  void EndConnections();
+
   /** Stops accepting and closes idle connections; open exchanges go on. */
   void StopAccepting();
 
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -1,6 +1,7 @@
 #include "carobtide/transport/http_client.hpp"
 
 #include "http_errors.hpp"
+#include "silence.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -10,6 +11,7 @@
 #include <boost/beast/http.hpp>
 
 #include <array>
+#include <charconv>
 #include <optional>
 
 #include <sys/socket.h>
@@ -26,7 +28,7 @@
 namespace {
 
 constexpr unsigned kHttpVersion = 11;
-constexpr std::size_t kBodyChunkBytes = 32768;
+constexpr std::size_t kBodyChunkBytes = 8192;
 constexpr std::uint32_t kMaxResponseHeaderBytes = 65536;
 
 class BeastConnection final : public HttpConnection
@@ -40,11 +42,13 @@
 
   awaitable<Result<HttpResponseHead>> Send(const HttpRequest& aRequest,
                                            Duration aTimeout) override;
+  awaitable<Result<HttpResponseHead>> ReadHead(Duration aTimeout) override;
   awaitable<Result<bool>> ReadSome(std::string& aOut,
                                    Duration aTimeout) override;
   awaitable<Result<std::string>> ReadAll(Bytes aLimit,
                                          Duration aTimeout) override;
   bool IsReusable() const override;
+  Duration StatedIdleTime() const override;
   void Cancel() override;
 
 private:
@@ -64,6 +68,7 @@
   std::optional<Parser> mParser;
   std::array<char, kBodyChunkBytes> mChunk;
   bool mCancelled = false;
+  bool mSkipBody = false;
 };
 
 http::request<http::string_body> BeastConnection::MakeMessage(
@@ -73,7 +78,9 @@
   message.version(kHttpVersion);
   message.method_string(aRequest.mMethod);
   message.target(aRequest.mTarget);
-  message.set(http::field::host, mPeerName);
+  if (!aRequest.mHeaders.Has("Host")) {
+    message.set(http::field::host, mPeerName);
+  }
   for (const auto& [name, value] : aRequest.mHeaders.All()) {
     message.insert(name, value);
   }
@@ -104,13 +111,21 @@
   if (ec) {
     co_return LibraryError(ec, "http.send-request");
   }
+  mSkipBody = aRequest.mMethod == "HEAD";
+  auto reading = ReadHead(aTimeout);
+  auto head = co_await std::move(reading);
+  co_return head;
+}
+
+awaitable<Result<HttpResponseHead>> BeastConnection::ReadHead(Duration aTimeout)
+{
+  beast::error_code ec;
   mParser.emplace();
   mParser->header_limit(kMaxResponseHeaderBytes);
   mParser->body_limit(boost::none);
   mParser->eager(true);
-  if (aRequest.mMethod == "HEAD") {
-    mParser->skip(true);
-  }
+  mParser->skip(mSkipBody);
+  mStream.expires_after(aTimeout);
   co_await http::async_read_header(mStream, mBuffer, *mParser,
                                    redirect_error(use_awaitable, ec));
   if (ec) {
@@ -173,6 +188,22 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+Duration BeastConnection::StatedIdleTime() const
+{
+  constexpr std::string_view kTimeout = "timeout=";
+  if (!mParser) {
+    return Duration::zero();
+  }
+  const std::string_view value(mParser->get()[http::field::keep_alive]);
+  const auto at = value.find(kTimeout);
+  unsigned seconds = 0;
+  if (at != std::string_view::npos) {
+    const std::string_view number = value.substr(at + kTimeout.size());
+    std::from_chars(number.data(), number.data() + number.size(), seconds);
+  }
+  return std::chrono::seconds(seconds);
+}
+
 void BeastConnection::Cancel()
 {
   mCancelled = true;
@@ -205,6 +236,7 @@
     co_return ConnectError(ec, "http.connect", aAddress);
   }
   stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+  DetectSilence(stream.socket().native_handle());
   std::unique_ptr<HttpConnection> connection =
     std::make_unique<BeastConnection>(std::move(stream), aAddress);
   co_return connection;
--- a/packages/transport/src/http_connection.cpp
+++ b/packages/transport/src/http_connection.cpp
@@ -12,6 +12,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <array>
+
 #include <sys/socket.h>
 
 namespace carobtide {
@@ -27,6 +30,9 @@
 
 constexpr std::size_t kReadChunkBytes = 8192;
 constexpr unsigned kHttpVersion = 11;
+/** Bytes and time that a client gets to read an answer sent early. */
+constexpr std::size_t kMaxDiscardedBytes = 16 * 1024 * 1024;
+constexpr auto kDiscardTime = std::chrono::seconds(1);
 
 std::uint16_t RefusalStatus(ErrorCode aCode, const std::string& aDetail)
 {
@@ -89,6 +95,25 @@
     }
     co_await RunHandler();
   }
+  co_await CloseGracefully();
+}
+
+awaitable<void> HttpServerConnection::CloseGracefully()
+{
+  if (mAnswer == AnswerState::Done) {
+    beast::error_code ec;
+    mStream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    // Closing with unread bytes would reset the connection, and the reset
+    // could overtake the answer.
+    std::array<char, kReadChunkBytes> discarded;
+    std::size_t left = kMaxDiscardedBytes;
+    mStream.expires_after(kDiscardTime);
+    while (!ec && left > 0) {
+      const std::size_t n = co_await mStream.async_read_some(
+        asio::buffer(discarded), redirect_error(use_awaitable, ec));
+      left -= std::min(left, n);
+    }
+  }
   mStream.close();
 }
 
@@ -108,6 +133,7 @@
 awaitable<bool> HttpServerConnection::ReadRequest()
 {
   beast::error_code ec;
+  mAnswer = AnswerState::None;
   mParser.emplace();
   mParser->header_limit(static_cast<std::uint32_t>(mLimits.mMaxHeaderBytes));
   mParser->body_limit(static_cast<std::uint64_t>(mLimits.mMaxBodyBytes));
@@ -156,7 +182,7 @@
       MakeResponse(kInternalError, "text/plain", "no answer\n");
     co_await Respond(std::move(response));
   }
-  if (failed || mAnswer != AnswerState::Done) {
+  if (failed || mAnswer != AnswerState::Done || mCounters->mEnding) {
     mKeepAlive = false;
   }
   --mCounters->mExchanges;
@@ -188,7 +214,8 @@
   };
   CopyHeaders(aResponse.mHead.mHeaders, message);
   message.body() = std::move(aResponse.mBody);
-  message.keep_alive(mKeepAlive && !mCounters->mStopping);
+  message.keep_alive(mKeepAlive && !mCounters->mStopping &&
+                     !mCounters->mEnding);
   message.prepare_payload();
   beast::error_code ec;
   mStream.expires_after(mLimits.mWriteTimeout);
@@ -210,7 +237,8 @@
   };
   CopyHeaders(aHead.mHeaders, message);
   message.chunked(true);
-  message.keep_alive(mKeepAlive && !mCounters->mStopping);
+  message.keep_alive(mKeepAlive && !mCounters->mStopping &&
+                     !mCounters->mEnding);
   http::response_serializer<http::empty_body> serializer{ message };
   beast::error_code ec;
   mStream.expires_after(mLimits.mWriteTimeout);
--- a/packages/transport/src/http_connection.hpp
+++ b/packages/transport/src/http_connection.hpp
@@ -29,6 +29,8 @@
   std::atomic<std::size_t> mConnections{ 0 };
   std::atomic<std::size_t> mExchanges{ 0 };
   std::atomic<bool> mStopping{ false };
+  /** Every answer ends its connection. */
+  std::atomic<bool> mEnding{ false };
 };
 
 /**
@@ -81,6 +83,8 @@
   boost::asio::awaitable<bool> WaitForRequest();
   boost::asio::awaitable<bool> ReadRequest();
   boost::asio::awaitable<void> RunHandler();
+  /** Closes so that an answer sent early still reaches the client. */
+  boost::asio::awaitable<void> CloseGracefully();
   boost::asio::awaitable<void> RefuseRequest(const Error& aError);
   boost::asio::awaitable<void> WatchClient();
   void StopWatching();
--- a/packages/transport/src/http_pool.cpp
+++ b/packages/transport/src/http_pool.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
+#include <chrono>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <vector>
@@ -14,11 +16,19 @@
 
 namespace {
 
+/**
+ * Taken off the time that the peer keeps an idle connection: a request that is
+ * on its way when the peer closes would be lost.
+ */
+constexpr Duration kIdleMargin = std::chrono::milliseconds(1000);
+
 /** An idle connection and the executor that it is bound to. */
 struct IdleConnection
 {
   asio::any_io_executor mExecutor;
   std::unique_ptr<HttpConnection> mConnection;
+  /** Not used again from then on. */
+  std::chrono::steady_clock::time_point mExpiresAt;
 };
 
 /** A connection in use remembers its executor until it is released. */
@@ -37,6 +47,10 @@
   {
     return mInner->Send(aRequest, aTimeout);
   }
+  awaitable<Result<HttpResponseHead>> ReadHead(Duration aTimeout) override
+  {
+    return mInner->ReadHead(aTimeout);
+  }
   awaitable<Result<bool>> ReadSome(std::string& aOut,
                                    Duration aTimeout) override
   {
@@ -48,6 +62,7 @@
     return mInner->ReadAll(aLimit, aTimeout);
   }
   bool IsReusable() const override { return mInner->IsReusable(); }
+  Duration StatedIdleTime() const override { return mInner->StatedIdleTime(); }
   void Cancel() override { mInner->Cancel(); }
 
   const asio::any_io_executor& Executor() const { return mExecutor; }
@@ -62,8 +77,8 @@
 class HttpPool::Impl
 {
 public:
-  explicit Impl(std::size_t aMaxIdle)
-    : mMaxIdle(aMaxIdle)
+  explicit Impl(HttpPoolOptions aOptions)
+    : mOptions(aOptions)
   {
   }
 
@@ -72,7 +87,7 @@
   void Put(const Endpoint& aAddress, IdleConnection aIdle);
 
 private:
-  const std::size_t mMaxIdle;
+  const HttpPoolOptions mOptions;
   /** Guards mIdle. */
   std::mutex mMutex;
   std::map<Endpoint, std::vector<IdleConnection>> mIdle;
@@ -83,12 +98,18 @@
 {
   const std::lock_guard lock(mMutex);
   auto& idle = mIdle[aAddress];
+  const auto now = std::chrono::steady_clock::now();
+  std::erase_if(idle,
+                [&](const auto& aIdle) { return now >= aIdle.mExpiresAt; });
   while (true) {
-    const auto it = std::ranges::find_if(
-      idle, [&](const auto& aIdle) { return aIdle.mExecutor == aExecutor; });
-    if (it == idle.end()) {
+    const auto last =
+      std::find_if(idle.rbegin(), idle.rend(), [&](const auto& aIdle) {
+        return aIdle.mExecutor == aExecutor;
+      });
+    if (last == idle.rend()) {
       return nullptr;
     }
+    const auto it = std::prev(last.base());
     auto connection = std::move(it->mConnection);
     idle.erase(it);
     if (connection->IsReusable()) {
@@ -101,13 +122,19 @@
 {
   const std::lock_guard lock(mMutex);
   auto& idle = mIdle[aAddress];
-  if (idle.size() < mMaxIdle) {
+  const Duration stated = aIdle.mConnection->StatedIdleTime();
+  const Duration usable =
+    stated == Duration::zero()
+      ? mOptions.mMaxIdleTime
+      : std::min(mOptions.mMaxIdleTime, std::max(stated - kIdleMargin, 0us));
+  aIdle.mExpiresAt = std::chrono::steady_clock::now() + usable;
+  if (idle.size() < mOptions.mMaxIdlePerAddress) {
     idle.push_back(std::move(aIdle));
   }
 }
 
-HttpPool::HttpPool(std::size_t aMaxIdlePerAddress)
-  : mImpl(std::make_unique<Impl>(aMaxIdlePerAddress))
+HttpPool::HttpPool(HttpPoolOptions aOptions)
+  : mImpl(std::make_unique<Impl>(aOptions))
 {
 }
 
@@ -136,7 +163,8 @@
   const auto* pooled = dynamic_cast<PooledConnection*>(aConnection.get());
   if (pooled != nullptr && pooled->IsReusable()) {
     const auto executor = pooled->Executor();
-    mImpl->Put(aAddress, IdleConnection{ executor, std::move(aConnection) });
+    mImpl->Put(aAddress,
+               IdleConnection{ executor, std::move(aConnection), {} });
   }
 }
 
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -41,6 +41,7 @@
   }
 
   Result<Unit> Listen(const Endpoint& aAddress);
+  void EndConnections() { mCounters->mEnding = true; }
   void StopAccepting();
 
   tcp::acceptor& Acceptor() { return mAcceptor; }
@@ -182,6 +183,11 @@
   return Endpoint{ local.address().to_string(), local.port() };
 }
 
+void HttpServer::EndConnections()
+{
+  mImpl->EndConnections();
+}
+
 void HttpServer::StopAccepting()
 {
   mImpl->StopAccepting();
--- a/packages/transport/src/peer_link.cpp
+++ b/packages/transport/src/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "peer_link.hpp"
 
 #include "http_errors.hpp"
+#include "silence.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -35,6 +36,7 @@
 {
   boost::system::error_code ec;
   mSocket.set_option(asio::ip::tcp::no_delay(true), ec);
+  DetectSilence(mSocket.native_handle());
   const auto remote = mSocket.remote_endpoint(ec);
   if (!ec) {
     mPeerName =
