Place models by the load that routing gives engines; no urgency between kinds

The planner split a model's need evenly over its copies, so that idle engines looked taken, and waited for reports after each order. Change: needs are poured onto the least loaded holders as routing does; a copy is due above the mean load; a heartbeat that shows the result ends an order's wait; every kind is sent with the same urgency.

--- a/packages/placement/include/carobtide/placement/engine_book.hpp
+++ b/packages/placement/include/carobtide/placement/engine_book.hpp
@@ -125,6 +125,8 @@
   bool Holds(const ModelName& aModel) const;
   const HeldModel* Find(const ModelName& aModel) const;
   bool IsLoading(const ModelName& aModel) const;
+  /** The model that is being loaded and not held yet, if any. */
+  std::optional<ModelName> Loading() const;
 
   /** When a model came; the start of time if it was there from the start. */
   Instant HeldSince(const ModelName& aModel) const;
--- a/packages/placement/include/carobtide/placement/residency_planner.hpp
+++ b/packages/placement/include/carobtide/placement/residency_planner.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -90,10 +91,17 @@
   {
     const Service* mService = nullptr;
     std::vector<EngineBook*> mEngines;
-    /** Copies of a model that serve or come. */
-    std::map<ModelName, std::uint32_t> mCopies;
-    /** Slots needed on an engine, each model's need split over its copies. */
+    /** Engines on which a model serves or comes. */
+    std::map<ModelName, std::vector<const EngineBook*>> mHolders;
+    /** Slots that a model takes on an engine. */
+    std::map<std::pair<ModelName, const EngineBook*>, double> mParts;
+    /** Slots taken on an engine by all its models. */
     std::map<const EngineBook*, double> mLoad;
+    /** Slots taken on an engine if all took the same. */
+    double mMeanLoad = 0;
+
+    std::size_t CopiesOf(const ModelName& aModel) const;
+    double PartOf(const ModelName& aModel, const EngineBook* aEngine) const;
   };
 
   /** A way to make room for a model on an engine. */
@@ -106,6 +114,8 @@
   };
 
   Board MakeBoard(const Service& aService);
+  /** Shares needs out as routing does: to the least loaded holders. */
+  void ShareOut(Board& aBoard) const;
   void PlanReports(Instant aNow, std::vector<ResidencyEffect>& aEffects);
   void PlanResends(Instant aNow, std::vector<ResidencyEffect>& aEffects);
   void PlanAdapters(Instant aNow, Board& aBoard,
@@ -122,6 +132,7 @@
                              bool aUrgent) const;
   double FreeMegabytes(const Service& aService,
                        const EngineBook& aEngine) const;
+  /** Load of the least loaded engine that holds a model. */
   double PressureOf(const Board& aBoard, const ModelName& aModel) const;
   Duration LoadTime(const EngineBook& aEngine,
                     const CatalogModel& aModel) const;
--- a/packages/placement/src/engine_book.cpp
+++ b/packages/placement/src/engine_book.cpp
@@ -37,6 +37,17 @@
   const bool isNewer = aHeartbeat.mSequence > mLast.mSequence;
   mLast = aHeartbeat;
   mSilent = aSilent;
+  if (isNewer && mWork && !mOpen) {
+    const ResidencyOrder& order = mWork->mOrder;
+    const bool isHeld =
+      std::ranges::find(mLast.mModels, order.mModel, &HeldModel::mName) !=
+      mLast.mModels.end();
+    if (isHeld == (order.mAction == ResidencyAction::Load)) {
+      mWork.reset();
+      Adopt(aNow, mLast.mModels);
+      return;
+    }
+  }
   const bool isQuiet = !mOpen && !mWork && aNow - mChangedAt > kHeartbeatAge;
   if (isNewer && isQuiet) {
     Adopt(aNow, aHeartbeat.mModels);
@@ -229,6 +240,16 @@
   return (mOpen && loads(*mOpen)) || (mWork && loads(mWork->mOrder));
 }
 
+std::optional<ModelName> EngineBook::Loading() const
+{
+  const ResidencyOrder* order = mOpen   ? &*mOpen
+                                : mWork ? &mWork->mOrder
+                                        : nullptr;
+  const bool isLoad = order != nullptr && IsLoading(order->mModel);
+  return isLoad && !Holds(order->mModel) ? std::optional(order->mModel)
+                                         : std::nullopt;
+}
+
 Instant EngineBook::HeldSince(const ModelName& aModel) const
 {
   const auto it = mHeldSince.find(aModel);
--- a/packages/placement/src/residency_planner.cpp
+++ b/packages/placement/src/residency_planner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <limits>
+#include <numeric>
 #include <utility>
 
 namespace carobtide {
@@ -15,21 +16,23 @@
 constexpr Duration kShortestStay = std::chrono::seconds(4);
 /** A wanted adapter is forgotten after this: its caller has gone on. */
 constexpr Duration kWantedFor = std::chrono::milliseconds(400);
-/** Share of an engine's slots from which on a further copy is due. */
-constexpr double kCrowded = 0.6;
-/** A further copy must bring an engine's load down to this part. */
-constexpr double kWorthwhile = 0.75;
-/** Slots needed below which a model is no reason for a further copy. */
-constexpr double kLeastNeed = 3.0;
+/** Load over the mean from which on a further copy is due. */
+constexpr double kImbalance = 1.2;
+/** Slots below which a difference is no reason for a further copy. */
+constexpr double kLeastNeed = 2.0;
+/** Rounds after which the shares of models on engines hardly change. */
+constexpr int kShareRounds = 4;
 /** Slots needed from which on a model without any copy displaces another. */
 constexpr double kAskedFor = 0.2;
 /** Engines of a service that change models at the same time, as a share. */
-constexpr double kMovingShare = 0.25;
+constexpr double kMovingShare = 0.5;
 /** Costs in slots: of a load by where it comes from, and of a lost last copy.
  */
-constexpr double kStoreCost = 3.0;
-constexpr double kDiskCost = 0.7;
+constexpr double kStoreCost = 2.0;
+constexpr double kDiskCost = 0.5;
 constexpr double kLastCopyCost = 12.0;
+/** Cost of a request that must end, or go elsewhere, before there is room. */
+constexpr double kDisplacedCost = 0.7;
 /**
  * Part of the store's rate that is used: the bucket gives out up to a second's
  * worth at once on top of it.
@@ -128,6 +131,19 @@
   return map;
 }
 
+std::size_t ResidencyPlanner::Board::CopiesOf(const ModelName& aModel) const
+{
+  const auto it = mHolders.find(aModel);
+  return it == mHolders.end() ? 0 : it->second.size();
+}
+
+double ResidencyPlanner::Board::PartOf(const ModelName& aModel,
+                                       const EngineBook* aEngine) const
+{
+  const auto it = mParts.find({ aModel, aEngine });
+  return it == mParts.end() ? 0 : it->second;
+}
+
 ResidencyPlanner::Board ResidencyPlanner::MakeBoard(const Service& aService)
 {
   Board board;
@@ -135,31 +151,62 @@
   for (auto& [name, engine] : mEngines) {
     if (engine.IsUsable() && engine.Last().mService == aService.mName) {
       board.mEngines.push_back(&engine);
+      board.mLoad[&engine] = 0;
     }
   }
   for (const EngineBook* engine : board.mEngines) {
     for (const HeldModel& model : engine->Serving()) {
-      ++board.mCopies[model.mName];
+      board.mHolders[model.mName].push_back(engine);
     }
-    for (const CatalogModel& model : aService.mEngine->mModels) {
-      if (engine->IsLoading(model.mName) && !engine->Holds(model.mName)) {
-        ++board.mCopies[model.mName];
-      }
+    if (const auto loading = engine->Loading()) {
+      board.mHolders[*loading].push_back(engine);
     }
     const auto next = mNext.find(engine->Last().mTarget);
     if (next != mNext.end() && !engine->IsLoading(next->second)) {
-      ++board.mCopies[next->second];
+      board.mHolders[next->second].push_back(engine);
     }
   }
-  for (const EngineBook* engine : board.mEngines) {
-    double load = 0;
-    for (const ModelName& model : engine->Occupying()) {
-      const auto copies = std::max(board.mCopies[model], 1U);
-      load += mDemand.NeedOf(aService.mName, model) / copies;
+  ShareOut(board);
+  return board;
+}
+
+void ResidencyPlanner::ShareOut(Board& aBoard) const
+{
+  for (int round = 0; round < kShareRounds; ++round) {
+    for (const auto& [model, holders] : aBoard.mHolders) {
+      for (const EngineBook* engine : holders) {
+        double& part = aBoard.mParts[{ model, engine }];
+        aBoard.mLoad[engine] -= part;
+        part = 0;
+      }
+      // Fill the holders up to one level, the least loaded first.
+      std::vector<const EngineBook*> order = holders;
+      std::ranges::sort(order, {}, [&](const EngineBook* aEngine) {
+        return aBoard.mLoad[aEngine];
+      });
+      const double need = mDemand.NeedOf(aBoard.mService->mName, model);
+      double level = 0;
+      double below = 0;
+      for (std::size_t n = 1; n <= order.size(); ++n) {
+        below += aBoard.mLoad[order[n - 1]];
+        level = (need + below) / static_cast<double>(n);
+        if (n == order.size() || level <= aBoard.mLoad[order[n]]) {
+          break;
+        }
+      }
+      for (const EngineBook* engine : order) {
+        const double part = std::max(0.0, level - aBoard.mLoad[engine]);
+        aBoard.mParts[{ model, engine }] = part;
+        aBoard.mLoad[engine] += part;
+      }
     }
-    board.mLoad[engine] = load;
   }
-  return board;
+  const double total = std::accumulate(
+    aBoard.mLoad.begin(), aBoard.mLoad.end(), 0.0,
+    [](double aSum, const auto& aItem) { return aSum + aItem.second; });
+  aBoard.mMeanLoad = aBoard.mEngines.empty()
+                       ? 0
+                       : total / static_cast<double>(aBoard.mEngines.size());
 }
 
 void ResidencyPlanner::PlanReports(Instant aNow,
@@ -307,10 +354,10 @@
                                     const ModelName& aModel) const
 {
   double least = std::numeric_limits<double>::max();
-  for (const EngineBook* engine : aBoard.mEngines) {
-    if (engine->Holds(aModel) || engine->IsLoading(aModel)) {
-      const auto slots = std::max<std::uint32_t>(engine->Last().mSlots, 1);
-      least = std::min(least, aBoard.mLoad.at(engine) / slots);
+  if (const auto it = aBoard.mHolders.find(aModel);
+      it != aBoard.mHolders.end()) {
+    for (const EngineBook* engine : it->second) {
+      least = std::min(least, aBoard.mLoad.at(engine));
     }
   }
   return least;
@@ -340,14 +387,15 @@
     if (spec == nullptr || spec->mMegabytes < lacking || !isSettled) {
       continue;
     }
-    const auto it = aBoard.mCopies.find(held.mName);
-    const std::uint32_t copies = it == aBoard.mCopies.end() ? 0 : it->second;
+    const std::size_t copies = aBoard.CopiesOf(held.mName);
     const double need = mDemand.NeedOf(service.mName, held.mName);
     if (copies <= 1 && (!aUrgent || need >= kAskedFor)) {
       continue;
     }
+    // What runs there must end before the room is free.
     const double loss =
-      copies <= 1 ? kLastCopyCost : need / (copies - 1.0) - need / copies;
+      copies <= 1 ? kLastCopyCost
+                  : kDisplacedCost * aBoard.PartOf(held.mName, &aEngine);
     if (loss < leastLoss) {
       leastLoss = loss;
       seat.mVictim = held.mName;
@@ -390,10 +438,10 @@
     return false;
   }
   EngineBook& engine = *seat->mEngine;
-  ++aBoard.mCopies[aModel.mName];
+  aBoard.mHolders[aModel.mName].push_back(&engine);
   if (!seat->mVictim.IsEmpty()) {
     mNext[engine.Last().mTarget] = aModel.mName;
-    --aBoard.mCopies[seat->mVictim];
+    std::erase(aBoard.mHolders[seat->mVictim], &engine);
     Issue(aNow, engine, ResidencyAction::Unload, seat->mVictim, {}, kUnloadTime,
           aReason, aEffects);
     return true;
@@ -458,27 +506,22 @@
       return;
     }
     const double need = mDemand.NeedOf(service.mName, model->mName);
-    const auto copies = aBoard.mCopies[model->mName];
-    if (copies == 0) {
+    if (aBoard.CopiesOf(model->mName) == 0) {
       PlanCopy(aNow, aBoard, *model, need >= kAskedFor,
                need >= kAskedFor ? "asked for, held nowhere" : "held nowhere",
                aEffects);
       continue;
     }
     const double pressure = PressureOf(aBoard, model->mName);
-    if (need < kLeastNeed || pressure < kCrowded ||
-        pressure == std::numeric_limits<double>::max()) {
+    if (need < kLeastNeed ||
+        pressure < kImbalance * aBoard.mMeanLoad + kLeastNeed) {
       continue;
     }
     const auto seat = FindSeat(aNow, aBoard, *model, false);
-    if (!seat) {
-      continue;
-    }
-    const auto slots = std::max<std::uint32_t>(seat->mEngine->Last().mSlots, 1);
-    if ((seat->mCost + need / (copies + 1.0)) / slots <
-        pressure * kWorthwhile) {
+    if (seat && seat->mCost < pressure - kLeastNeed) {
       PlanCopy(aNow, aBoard, *model, false, "its engines are crowded",
                aEffects);
+      ShareOut(aBoard);
     }
   }
 }
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -68,8 +68,6 @@
 /** Shared parts remembered for one target. */
 constexpr std::size_t kMostParts = 512;
 
-constexpr std::uint32_t kMostUrgency = 9;
-
 void Smooth(Duration& aValue, Duration aSample)
 {
   aValue = aValue == Duration::zero()
@@ -88,12 +86,12 @@
   return aFacts.mObjective >= kPatientObjective;
 }
 
-/** More urgent kinds first; patient work behind them. */
-std::uint32_t UrgencyOf(const DispatchFacts& aFacts)
-{
-  const std::uint32_t base = aFacts.mPriority * 2;
-  return std::min(kMostUrgency, IsPatient(aFacts) ? base + 4 : base);
-}
+/**
+ * The same for all kinds: an engine preempts running work of lesser urgency,
+ * and a stream that pauses for it is late, which costs more than the wait of
+ * the request that displaced it.
+ */
+constexpr std::uint32_t kUrgency = 5;
 
 } // namespace
 
@@ -308,7 +306,7 @@
   send.mSend = SendId(mNextSend++);
   send.mTarget = last.mTarget;
   send.mAddress = last.mAddress;
-  send.mUrgency = UrgencyOf(facts);
+  send.mUrgency = kUrgency;
   send.mLoad = aLoad;
   ++aTarget.mInFlight;
   aTarget.mHealth.OnSent(aNow, send.mSend);
