Pace prompts: an engine's streams stand still while it reads them

Change: the load that daemons tell each other carries the prompt tokens that wait for a first byte; the time they take is learned; a prompt waits at the edge while those before it would take half of the pause objective, earliest objective first.

--- a/packages/daemon/include/carobtide/daemon/dialect.hpp
+++ b/packages/daemon/include/carobtide/daemon/dialect.hpp
@@ -31,6 +31,8 @@
   AdapterName mAdapter;
   /** Identifies the prompt's longest shared part; 0 if there is none. */
   std::uint64_t mSharedPart = 0;
+  /** Tokens of the prompt; 0 if the caller does not say. */
+  std::uint32_t mPromptTokens = 0;
   /** How long the caller waits; nothing if it does not say. */
   std::optional<Duration> mPatience;
 };
--- a/packages/daemon/src/control_node_impl.hpp
+++ b/packages/daemon/src/control_node_impl.hpp
@@ -5,8 +5,8 @@
  * Parts of ControlNode, spread over several sources by topic.
  */
 
-#include "carobtide/daemon/control_node.hpp"
 #include "carobtide/consensus/membership_manager.hpp"
+#include "carobtide/daemon/control_node.hpp"
 #include "carobtide/placement/residency_planner.hpp"
 #include "carobtide/transport.hpp"
 #include "control_messages.hpp"
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -39,7 +39,7 @@
 constexpr Duration kForgetCore = std::chrono::seconds(30);
 constexpr Duration kFetchTimeout = std::chrono::milliseconds(800);
 constexpr Duration kAdapterTimeout = std::chrono::milliseconds(350);
-constexpr Duration kLoadInterval = std::chrono::milliseconds(100);
+constexpr Duration kLoadInterval = std::chrono::milliseconds(50);
 constexpr Duration kDemandInterval = std::chrono::milliseconds(250);
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 /** Pause asked of callers while no catalog is known. */
--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -70,8 +70,11 @@
   facts.mModel = mCaller.mModel;
   facts.mAdapter = mCaller.mAdapter;
   facts.mSharedPart = mCaller.mSharedPart;
+  facts.mPromptTokens = mCaller.mPromptTokens;
+  facts.mPauseObjective = mRoute.mPauseObjective;
   facts.mArrived = aArrived;
   facts.mDeadline = mDeadline;
+  mDue = (aArrived + mRoute.mObjective).time_since_epoch().count();
 }
 
 Duration EdgeRequest::Left() const
@@ -146,7 +149,7 @@
 awaitable<void> EdgeRequest::Wait(Instant aUntil)
 {
   auto waiting =
-    mContext.mRoom.Wait(std::max(aUntil - SteadyNow(), Duration(1)));
+    mContext.mRoom.Wait(std::max(aUntil - SteadyNow(), Duration(1)), mDue);
   co_await std::move(waiting);
 }
 
@@ -278,6 +281,7 @@
                                                   HttpResponseHead aHead)
 {
   mContext.mDispatcher.OnFirstByte(SteadyNow(), aSend.mSend);
+  mContext.mRoom.Notify();
   auto reading = aConnection.ReadAll(kMaxAnswerBytes, Left());
   auto body = co_await std::move(reading);
   if (!body) {
@@ -308,6 +312,7 @@
                                                    HttpResponseHead aHead)
 {
   std::string bytes;
+  bool isFirst = true;
   mFrames.DropRest();
   for (bool more = true; more;) {
     auto reading = aConnection.ReadSome(bytes, Left());
@@ -317,7 +322,10 @@
       co_return Attempt{ EndOf(read.GetError()), false };
     }
     more = *read;
-    mContext.mDispatcher.OnFirstByte(SteadyNow(), aSend.mSend);
+    if (std::exchange(isFirst, false)) {
+      mContext.mDispatcher.OnFirstByte(SteadyNow(), aSend.mSend);
+      mContext.mRoom.Notify();
+    }
     std::string events = mFrames.Take(bytes);
     if (!more) {
       events += mFrames.TakeRest();
@@ -333,6 +341,9 @@
         mIsGone = true;
       }
     }
+    if (!events.empty()) {
+      NoteEvent();
+    }
     auto writing = mExchange.WriteChunk(events);
     const auto written = co_await std::move(writing);
     if (mIsGone || !written) {
@@ -394,6 +405,15 @@
   }
 }
 
+void EdgeRequest::NoteEvent()
+{
+  const Instant now = SteadyNow();
+  if (mEventAt != Instant()) {
+    mLongestPause = std::max(mLongestPause, now - mEventAt);
+  }
+  mEventAt = now;
+}
+
 void EdgeRequest::LogEnd(std::string_view aOutcome, std::string_view aReason)
 {
   const bool isFine = aOutcome == kSendEnds.Name(SendEnd::Whole) && mSends == 1;
@@ -416,6 +436,11 @@
   message += aReason;
   message += ") after " + std::to_string(age.count()) + " ms, sends " +
              std::to_string(mSends) + ", load " + std::to_string(mLastLoad);
+  if (mLongestPause > Duration::zero()) {
+    const auto pause =
+      std::chrono::duration_cast<std::chrono::milliseconds>(mLongestPause);
+    message += ", pause " + std::to_string(pause.count()) + " ms";
+  }
   LogFields fields;
   fields.mStep = "request.end";
   fields.mPeer = mLastTarget;
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -64,6 +64,7 @@
   SendEnd EndOf(const Error& aError) const;
   Duration Left() const;
   void OnCallerGone();
+  void NoteEvent();
   void LogEnd(std::string_view aOutcome, std::string_view aReason);
 
   EdgeContext& mContext;
@@ -72,12 +73,17 @@
   const Route mRoute;
   DispatchState mState;
   Instant mDeadline;
+  /** Rank among those that wait for room: the earliest objective first. */
+  std::int64_t mDue = 0;
   EventFrames mFrames;
   /** Not null while a target works on the request. */
   HttpConnection* mConnection = nullptr;
   bool mIsGone = false;
   bool mHasBegun = false;
   std::uint32_t mSends = 0;
+  /** When an event was last passed on, and the longest pause before one. */
+  Instant mEventAt;
+  Duration mLongestPause{ 0 };
   std::string mLastTarget;
   double mLastLoad = 0;
 };
--- a/packages/daemon/src/watch_board.cpp
+++ b/packages/daemon/src/watch_board.cpp
@@ -10,18 +10,19 @@
 
 namespace asio = boost::asio;
 
-asio::awaitable<void> WatchBoard::Wait(std::chrono::microseconds aTimeout)
+asio::awaitable<void> WatchBoard::Wait(std::chrono::microseconds aTimeout,
+                                       std::int64_t aRank)
 {
   asio::steady_timer timer(co_await asio::this_coro::executor, aTimeout);
-  mWaiting.insert(&timer);
+  const auto place = mWaiting.emplace(aRank, &timer);
   co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  mWaiting.erase(&timer);
+  mWaiting.erase(place);
 }
 
 void WatchBoard::Notify()
 {
   std::ranges::for_each(mWaiting,
-                        [](asio::steady_timer* aTimer) { aTimer->cancel(); });
+                        [](const auto& aItem) { aItem.second->cancel(); });
 }
 
 } // namespace carobtide
--- a/packages/daemon/src/watch_board.hpp
+++ b/packages/daemon/src/watch_board.hpp
@@ -10,7 +10,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
-#include <set>
+#include <cstdint>
+#include <map>
 
 namespace carobtide {
 
@@ -22,13 +23,14 @@
 class WatchBoard
 {
 public:
-  /** Waits for Notify, at most this long. */
-  boost::asio::awaitable<void> Wait(std::chrono::microseconds aTimeout);
+  /** Waits for Notify, at most this long. Lower ranks are woken first. */
+  boost::asio::awaitable<void> Wait(std::chrono::microseconds aTimeout,
+                                    std::int64_t aRank = 0);
 
   void Notify();
 
 private:
-  std::set<boost::asio::steady_timer*> mWaiting;
+  std::multimap<std::int64_t, boost::asio::steady_timer*> mWaiting;
 };
 
 } // namespace carobtide
--- a/packages/fleet/include/carobtide/fleet/messages.hpp
+++ b/packages/fleet/include/carobtide/fleet/messages.hpp
@@ -203,11 +203,13 @@
 {
   TargetName mTarget;
   std::uint32_t mInFlight = 0;
+  /** Prompt tokens of those that have not had their first byte. */
+  std::uint32_t mPromptBacklog = 0;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mTarget, mInFlight);
+    aArchive(mTarget, mInFlight, mPromptBacklog);
   }
 };
 
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -29,6 +29,9 @@
   std::uint32_t mPriority = 0;
   std::uint32_t mMaxAttempts = 1;
   Duration mObjective{ 0 };
+  /** Longest pause between events that is in time; zero if not stated. */
+  Duration mPauseObjective{ 0 };
+  std::uint32_t mPromptTokens = 0;
   /** Empty for services that are no model engines. */
   ModelName mModel;
   AdapterName mAdapter;
@@ -159,6 +162,8 @@
     RoutedTarget mState;
     TargetHealth mHealth;
     std::uint32_t mInFlight = 0;
+    /** Prompt tokens sent that no first byte has answered. */
+    std::uint32_t mPromptBacklog = 0;
     /** Shared prompt parts sent here lately, and when. */
     std::unordered_map<std::uint64_t, Instant> mParts;
   };
@@ -167,7 +172,7 @@
   {
     std::uint64_t mSequence = 0;
     Instant mHeardAt;
-    std::unordered_map<TargetName, std::uint32_t> mInFlight;
+    std::unordered_map<TargetName, TargetLoad> mLoads;
   };
 
   struct OpenSend
@@ -177,6 +182,9 @@
     ServiceName mService;
     ModelName mModel;
     AdapterName mAdapter;
+    std::uint32_t mPromptTokens = 0;
+    /** Prompt tokens at the target when it was sent, its own included. */
+    std::uint32_t mBacklog = 0;
     bool mFirstByte = false;
   };
 
@@ -192,6 +200,8 @@
     Duration mRunTime{ 0 };
     /** Smoothed time to the first byte over all targets. */
     Duration mFirstByte{ 0 };
+    /** Smoothed time that a prompt token takes, in microseconds. */
+    double mTokenMicros = 0;
     std::vector<TargetName> mTargets;
   };
 
@@ -218,9 +228,17 @@
   };
 
   Pool& PoolOf(const ServiceName& aService);
-  double LoadOf(Instant aNow, const Target& aTarget) const;
+  /** All daemons' load on a target as far as known. */
+  TargetLoad LoadAt(Instant aNow, const Target& aTarget) const;
+  /** Requests in flight over slots. */
+  static double LoadOf(const Target& aTarget, const TargetLoad& aLoad);
+  /** Time until the prompts sent to a target before are read. */
+  static Duration BacklogTime(const Pool& aPool, const TargetLoad& aLoad);
+  /** True if one more prompt would hold up the target's streams. */
+  bool IsReading(const Pool& aPool, const DispatchFacts& aFacts,
+                 const TargetLoad& aLoad) const;
   double ScoreOf(Instant aNow, const Target& aTarget, const Pool& aPool,
-                 const DispatchFacts& aFacts, double aLoad);
+                 const DispatchFacts& aFacts, const TargetLoad& aLoad);
   double LoadLimit(const Pool& aPool, const DispatchFacts& aFacts) const;
   Search FindTarget(Instant aNow, const Pool& aPool,
                     const DispatchState& aState);
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -42,12 +42,20 @@
 constexpr double kQueueShare = 0.6;
 /** Load beyond the slots is bounded, whatever the run time. */
 constexpr double kMostQueueLoad = 3.0;
+/**
+ * Parts of the pause objective that prompts on their way to an engine may
+ * take: its streams stand still while it reads them.
+ */
+constexpr double kUrgentPause = 0.5;
+constexpr double kPatientPause = 0.25;
+/** Score of prompts that take the whole objective to read. */
+constexpr double kBacklogScore = 1.0;
 /** Load up to which patient work is sent to engines. */
 constexpr double kPatientLoad = 0.95;
 /** Objectives from here on are patient work. */
 constexpr Duration kPatientObjective = std::chrono::milliseconds(1000);
 /** Parts of the objective that a request waits here for room. */
-constexpr int kUrgentWaitDivisor = 8;
+constexpr int kUrgentWaitDivisor = 3;
 constexpr int kPatientWaitDivisor = 2;
 
 /** Run times assumed until some were seen. */
@@ -161,30 +169,59 @@
   }
   peer.mSequence = aReport.mSequence;
   peer.mHeardAt = aNow;
-  peer.mInFlight.clear();
+  peer.mLoads.clear();
   for (const TargetLoad& load : aReport.mTargets) {
-    peer.mInFlight[load.mTarget] = load.mInFlight;
+    peer.mLoads[load.mTarget] = load;
   }
 }
 
-double Dispatcher::LoadOf(Instant aNow, const Target& aTarget) const
+TargetLoad Dispatcher::LoadAt(Instant aNow, const Target& aTarget) const
 {
-  std::uint32_t inFlight = aTarget.mInFlight;
+  TargetLoad load{ aTarget.mState.mLast.mTarget, aTarget.mInFlight,
+                   aTarget.mPromptBacklog };
   for (const auto& [address, peer] : mPeers) {
     if (aNow - peer.mHeardAt < kPeerLoadMemory) {
-      const auto it = peer.mInFlight.find(aTarget.mState.mLast.mTarget);
-      inFlight += it == peer.mInFlight.end() ? 0 : it->second;
+      const auto it = peer.mLoads.find(load.mTarget);
+      if (it != peer.mLoads.end()) {
+        load.mInFlight += it->second.mInFlight;
+        load.mPromptBacklog += it->second.mPromptBacklog;
+      }
     }
   }
+  return load;
+}
+
+double Dispatcher::LoadOf(const Target& aTarget, const TargetLoad& aLoad)
+{
   const auto slots = std::max<std::uint32_t>(aTarget.mState.mLast.mSlots, 1);
-  return static_cast<double>(inFlight) / slots;
+  return static_cast<double>(aLoad.mInFlight) / slots;
+}
+
+Duration Dispatcher::BacklogTime(const Pool& aPool, const TargetLoad& aLoad)
+{
+  return Duration(
+    static_cast<Duration::rep>(aPool.mTokenMicros * aLoad.mPromptBacklog));
+}
+
+bool Dispatcher::IsReading(const Pool& aPool, const DispatchFacts& aFacts,
+                           const TargetLoad& aLoad) const
+{
+  const double share = IsPatient(aFacts) ? kPatientPause : kUrgentPause;
+  const auto most = static_cast<double>(aFacts.mPauseObjective.count()) * share;
+  return aFacts.mPauseObjective > Duration::zero() &&
+         static_cast<double>(BacklogTime(aPool, aLoad).count()) > most;
 }
 
 double Dispatcher::ScoreOf(Instant aNow, const Target& aTarget,
                            const Pool& aPool, const DispatchFacts& aFacts,
-                           double aLoad)
+                           const TargetLoad& aLoad)
 {
-  double score = aLoad;
+  double score = LoadOf(aTarget, aLoad);
+  if (aFacts.mObjective > Duration::zero()) {
+    score += kBacklogScore *
+             static_cast<double>(BacklogTime(aPool, aLoad).count()) /
+             static_cast<double>(aFacts.mObjective.count());
+  }
   const Heartbeat& last = aTarget.mState.mLast;
   if (last.mFailureDomain != mOptions.mFailureDomain) {
     score += kRemoteScore;
@@ -247,8 +284,8 @@
       }
       search.mModelHeld = true;
       if (target.mHealth.IsReachable(aNow)) {
-        search.mLeastModelLoad =
-          std::min(search.mLeastModelLoad, LoadOf(aNow, target));
+        search.mLeastModelLoad = std::min(search.mLeastModelLoad,
+                                          LoadOf(target, LoadAt(aNow, target)));
       }
       const bool hasAdapter =
         facts.mAdapter.IsEmpty() ||
@@ -263,12 +300,13 @@
         std::ranges::find(aState.mTried, name) != aState.mTried.end()) {
       continue;
     }
-    const double load = LoadOf(aNow, target);
+    const TargetLoad all = LoadAt(aNow, target);
+    const double load = LoadOf(target, all);
     search.mLeastLoad = std::min(search.mLeastLoad, load);
-    if (load >= limit) {
+    if (load >= limit || IsReading(aPool, facts, all)) {
       continue;
     }
-    const double score = ScoreOf(aNow, target, aPool, facts, load);
+    const double score = ScoreOf(aNow, target, aPool, facts, all);
     if (search.mBest == nullptr || score < search.mScore) {
       search.mBest = &target;
       search.mScore = score;
@@ -308,7 +346,14 @@
   send.mAddress = last.mAddress;
   send.mUrgency = kUrgency;
   send.mLoad = aLoad;
+  OpenSend open{
+    last.mTarget,        aNow, facts.mService, facts.mModel, facts.mAdapter,
+    facts.mPromptTokens, 0,    false
+  };
+  open.mBacklog = LoadAt(aNow, aTarget).mPromptBacklog + facts.mPromptTokens;
+  mOpen.emplace(send.mSend, std::move(open));
   ++aTarget.mInFlight;
+  aTarget.mPromptBacklog += facts.mPromptTokens;
   aTarget.mHealth.OnSent(aNow, send.mSend);
   if (facts.mSharedPart != 0) {
     if (aTarget.mParts.size() >= kMostParts) {
@@ -317,8 +362,6 @@
     }
     aTarget.mParts[facts.mSharedPart] = aNow;
   }
-  mOpen.emplace(send.mSend, OpenSend{ last.mTarget, aNow, facts.mService,
-                                      facts.mModel, facts.mAdapter, false });
   ++mStats.mSent;
   return send;
 }
@@ -390,10 +433,21 @@
   }
   it->second.mFirstByte = true;
   const Duration took = aNow - it->second.mSentAt;
-  Smooth(PoolOf(it->second.mService).mFirstByte, took);
+  Pool& pool = PoolOf(it->second.mService);
+  Smooth(pool.mFirstByte, took);
+  if (it->second.mBacklog > 0) {
+    const double micros =
+      static_cast<double>(took.count()) / it->second.mBacklog;
+    pool.mTokenMicros =
+      pool.mTokenMicros == 0
+        ? micros
+        : pool.mTokenMicros + (micros - pool.mTokenMicros) / kTimeDivisor;
+  }
   if (const auto target = mTargets.find(it->second.mTarget);
       target != mTargets.end()) {
     target->second.mHealth.OnFirstByte(aNow, aSend, took);
+    target->second.mPromptBacklog -=
+      std::min(target->second.mPromptBacklog, it->second.mPromptTokens);
   }
 }
 
@@ -450,6 +504,10 @@
   if (const auto target = mTargets.find(open.mTarget);
       target != mTargets.end()) {
     target->second.mInFlight -= std::min(target->second.mInFlight, 1U);
+    if (!open.mFirstByte) {
+      target->second.mPromptBacklog -=
+        std::min(target->second.mPromptBacklog, open.mPromptTokens);
+    }
     target->second.mHealth.OnEnd(aNow, aSend, aEnd);
   }
   aState.mTried.push_back(open.mTarget);
@@ -461,7 +519,7 @@
   std::vector<TargetLoad> loads;
   for (const auto& [name, target] : mTargets) {
     if (target.mInFlight > 0) {
-      loads.push_back({ name, target.mInFlight });
+      loads.push_back({ name, target.mInFlight, target.mPromptBacklog });
     }
   }
   return loads;
