--- a/packages/catalog/src/route_map.cpp
+++ b/packages/catalog/src/route_map.cpp
@@ -28,7 +28,7 @@
 }
 
 const Route* RouteMap::Find(std::string_view aHost,
-                              std::string_view aPath) const
+                            std::string_view aPath) const
 {
   std::string key = CanonicalHost(aHost);
   const std::size_t hostLength = key.size();
--- a/packages/consensus/src/membership_manager.cpp
+++ b/packages/consensus/src/membership_manager.cpp
@@ -297,8 +297,8 @@
   std::optional<MembershipProposal> AddLearner() const
   {
     const ReplicaCandidate* spare = BestSpare();
-    const bool enough = !mPolicy.mEveryoneLearns &&
-                        mLiveVoters + mLearners.size() >= mWanted;
+    const bool enough =
+      !mPolicy.mEveryoneLearns && mLiveVoters + mLearners.size() >= mWanted;
     if (spare == nullptr ||
         (enough &&
          !(mLearners.empty() && ImprovesSpread(spare->mFailureDomain)))) {
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -4,6 +4,7 @@
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
 #include "edge_request.hpp"
+#include "stop_schedule.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -44,13 +45,8 @@
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 /** Pause asked of callers while no catalog is known. */
 constexpr Duration kNoCatalogPause = std::chrono::milliseconds(500);
-/** The balancer asks every second and goes by two answers. */
-constexpr Duration kBalancerDelay = std::chrono::milliseconds(2600);
-/** Left of the grace period for the end of the process. */
-constexpr Duration kExitMargin = std::chrono::milliseconds(300);
 /** Loads that fit one datagram. */
 constexpr std::size_t kMostLoads = 24;
-/** Most bytes of one catalog. */
 constexpr std::size_t kMostIdlePerTarget = 64;
 /** Targets close idle connections; ours end sooner. */
 constexpr Duration kMaxIdleTime = std::chrono::seconds(4);
@@ -82,14 +78,14 @@
   awaitable<void> LoadLoop();
   awaitable<void> DemandLoop();
   awaitable<void> StopWhenDone();
-  bool IsReady() const { return mRoutes != nullptr && !mStopping; }
-  bool RefusesLongWork() const;
+  bool IsReady() const { return mRoutes != nullptr && !mStop.IsStopping(); }
 
   NodeSettings mSettings;
   std::unique_ptr<Dialect> mDialect;
   RandomEngine mRandom;
   WorkerPool mWorkers;
   asio::any_io_executor mExecutor;
+  StopSchedule mStop;
   FleetView mFleet;
   Dispatcher mDispatcher;
   std::shared_ptr<const RouteMap> mRoutes;
@@ -101,8 +97,6 @@
   std::vector<Endpoint> mEdges;
   std::uint64_t mLoadSequence = 0;
   bool mHadLoad = false;
-  bool mStopping = false;
-  Instant mStopAt;
   PeerNetwork mNetwork;
   HttpPool mPool;
   WatchBoard mRoom;
@@ -118,6 +112,7 @@
             ComputeChecksum(mSettings.mName.Text()))
   , mWorkers(1)
   , mExecutor(mWorkers.At(0))
+  , mStop(mSettings.mGracePeriod)
   , mDispatcher(DispatcherOptions{ mSettings.mFailureDomain,
                                    RetryBudget{ mSettings.mRetryShare,
                                                 mSettings.mRetrySlack,
@@ -435,11 +430,6 @@
   return aRoute.mServices.back().mService;
 }
 
-bool EdgeNode::Impl::RefusesLongWork() const
-{
-  return mStopping && SteadyNow() - mStopAt > kBalancerDelay;
-}
-
 awaitable<void> EdgeNode::Impl::Handle(HttpExchange& aExchange)
 {
   const Instant now = SteadyNow();
@@ -449,7 +439,7 @@
   const auto routes = mRoutes;
   const Route* route =
     routes ? routes->Find(caller.mHost, request.Path()) : nullptr;
-  if (route == nullptr || (RefusesLongWork() && IsStream(route->mKind))) {
+  if (route == nullptr || mStop.IsTooLateFor(now, *route)) {
     const bool isUnknown = routes && route == nullptr;
     HttpResponse response =
       mDialect->MakeAnswer(isUnknown ? kNotFound : kUnavailable, caller,
@@ -480,16 +470,17 @@
 
 awaitable<void> EdgeNode::Impl::StopWhenDone()
 {
-  if (std::exchange(mStopping, true)) {
+  if (!mStop.Begin(SteadyNow())) {
     co_return;
   }
-  mStopAt = SteadyNow();
   Log(LogLevel::Info, { "edge.stop", {}, {}, {}, "no longer ready" });
   mCallers.EndConnections();
-  asio::steady_timer timer(mExecutor, kBalancerDelay);
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  const Instant latest = mStopAt + mSettings.mGracePeriod - kExitMargin;
-  while (mCallers.OpenExchanges() > 0 && SteadyNow() < latest) {
+  asio::steady_timer timer(mExecutor);
+  const auto mayEnd = [this](Instant aNow) {
+    const bool isIdle = mCallers.OpenExchanges() == 0;
+    return aNow >= mStop.Latest() || (isIdle && aNow >= mStop.IdleUntil());
+  };
+  while (!mayEnd(SteadyNow())) {
     timer.expires_after(kStopPoll);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -142,7 +142,7 @@
       co_return;
     }
   }
-  LogEnd("caller-gone", "");
+  LogEnd("caller-gone", mGoneReason);
   mExchange.Abort();
 }
 
@@ -339,6 +339,7 @@
       const auto begun = co_await std::move(beginning);
       if (!begun) {
         mIsGone = true;
+        mGoneReason = begun.GetError().ToString();
       }
     }
     if (!events.empty()) {
@@ -347,7 +348,9 @@
     auto writing = mExchange.WriteChunk(events);
     const auto written = co_await std::move(writing);
     if (mIsGone || !written) {
-      mIsGone = true;
+      if (!std::exchange(mIsGone, true)) {
+        mGoneReason = written.GetError().ToString();
+      }
       aConnection.Cancel();
       co_return Attempt{ SendEnd::CallerGone, false };
     }
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -79,6 +79,8 @@
   /** Not null while a target works on the request. */
   HttpConnection* mConnection = nullptr;
   bool mIsGone = false;
+  /** How it showed that the caller is gone, for the log. */
+  std::string mGoneReason = "connection closed";
   bool mHasBegun = false;
   std::uint32_t mSends = 0;
   /** When an event was last passed on, and the longest pause before one. */
--- /dev/null
+++ b/packages/daemon/src/stop_schedule.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+/**
+ * @file
+ * What a daemon that is asked to stop still takes on.
+ */
+
+#include "carobtide/catalog.hpp"
+
+#include <optional>
+
+namespace carobtide {
+
+/**
+ * Times of a planned stop. Sans-I/O. At first everything is still taken, since
+ * the balancer has not noticed yet; then only what ends before the process.
+ *
+ * Answers: requests that go on arriving through the whole grace period.
+ *
+ * Thread safety: none; the owner guards it.
+ */
+class StopSchedule
+{
+public:
+  explicit StopSchedule(Duration aGracePeriod)
+    : mGracePeriod(aGracePeriod)
+  {
+  }
+
+  /** The first request to stop counts; true for it. */
+  bool Begin(Instant aNow);
+
+  bool IsStopping() const { return mStartedAt.has_value(); }
+
+  /** True if a request of this route might outlive the process. */
+  bool IsTooLateFor(Instant aNow, const Route& aRoute) const;
+
+  /** Before this, an idle daemon waits for the balancer. */
+  Instant IdleUntil() const;
+
+  /** The process ends then, whatever is open. */
+  Instant Latest() const;
+
+private:
+  Duration mGracePeriod;
+  std::optional<Instant> mStartedAt;
+};
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/daemon/tests/event_frames_test.cpp
@@ -0,0 +1,41 @@
+#include "../src/event_frames.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace carobtide {
+
+TEST_CASE("only whole events are passed on, however the bytes come")
+{
+  const std::string text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
+  for (std::size_t step = 1; step <= text.size(); ++step) {
+    EventFrames frames;
+    std::string passed;
+    for (std::size_t at = 0; at < text.size(); at += step) {
+      passed += frames.Take(std::string_view(text).substr(at, step));
+    }
+    CHECK(passed == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    CHECK(frames.LastId() == "2");
+    CHECK(frames.HasRest());
+  }
+}
+
+TEST_CASE("a resumed stream goes on after the last whole event")
+{
+  EventFrames frames;
+  frames.Take("id: 7\r\ndata: x id: 9\r\n\r\nid: 8\r\ndat");
+  CHECK(frames.LastId() == "7");
+  frames.DropRest();
+  CHECK(frames.Take("id: 8\r\ndata: y\r\n\r\n") == "id: 8\r\ndata: y\r\n\r\n");
+  CHECK(frames.LastId() == "8");
+  CHECK_FALSE(frames.HasRest());
+}
+
+TEST_CASE("what follows the last event is kept until the stream ends")
+{
+  EventFrames frames;
+  CHECK(frames.Take("data: x\n\ntail") == "data: x\n\n");
+  CHECK(frames.LastId().empty());
+  CHECK(frames.TakeRest() == "tail");
+}
+
+} // namespace carobtide
--- a/packages/transport/src/http_connection.cpp
+++ b/packages/transport/src/http_connection.cpp
@@ -333,8 +333,11 @@
 bool HttpServerConnection::IsClosedByClient()
 {
   char byte = 0;
-  const auto n = ::recv(mStream.socket().native_handle(), &byte, sizeof byte,
-                        MSG_PEEK | MSG_DONTWAIT);
+  ssize_t n = 0;
+  do {
+    n = ::recv(mStream.socket().native_handle(), &byte, sizeof byte,
+               MSG_PEEK | MSG_DONTWAIT);
+  } while (n < 0 && errno == EINTR);
   return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
