An event that comes in parts reaches its caller; adapters are waited for; idle models yield first

What runs on a victim now costs more than an idle model's last copy. Cause 3: 414 requests were refused while their adapter was on its way; they wait like those without room.

--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -56,7 +56,7 @@
 {
   MembershipPolicy policy;
   policy.mTargetVoters =
-    static_cast<std::size_t>(2 * aSettings.mToleratedLosses + 1);
+    2 * static_cast<std::size_t>(aSettings.mToleratedLosses) + 1;
   // A lost voter is replaced before a second loss may follow.
   policy.mDeadVoterTimeout = std::chrono::milliseconds(2000);
   policy.mAliveTimeout = std::chrono::milliseconds(800);
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -72,7 +72,7 @@
   void WatchNewCores(const std::vector<Endpoint>& aCores);
   std::vector<Endpoint> SeedPeers() const;
   awaitable<void> FetchCatalog(Endpoint aCore);
-  void TakeCatalog(CatalogText aText);
+  void TakeCatalog(const CatalogText& aText);
   void TakeTargets(const std::vector<TargetName>& aChanged);
   awaitable<void> EnsureAdapterAt(EnsureAdapter aWanted);
   awaitable<void> LoadLoop();
@@ -298,13 +298,13 @@
   }
   auto text = Decode<CatalogText>(*answer, aCore.ToString());
   if (text) {
-    TakeCatalog(std::move(*text));
+    TakeCatalog(*text);
   } else {
     LogError(text.GetError());
   }
 }
 
-void EdgeNode::Impl::TakeCatalog(CatalogText aText)
+void EdgeNode::Impl::TakeCatalog(const CatalogText& aText)
 {
   if (aText.mVersion <= mCatalogVersion) {
     return;
--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -330,7 +330,11 @@
     if (!more) {
       events += mFrames.TakeRest();
     }
-    if (!mHasBegun && (!events.empty() || !more)) {
+    if (events.empty() && more) {
+      // A part of an event: what was sent so far stays between two events.
+      continue;
+    }
+    if (!mHasBegun) {
       mHasBegun = true;
       HttpResponseHead head;
       head.mStatus = aHead.mStatus;
--- a/packages/placement/src/residency_planner.cpp
+++ b/packages/placement/src/residency_planner.cpp
@@ -30,9 +30,12 @@
  */
 constexpr double kStoreCost = 2.0;
 constexpr double kDiskCost = 0.5;
-constexpr double kLastCopyCost = 12.0;
-/** Cost of a request that must end, or go elsewhere, before there is room. */
-constexpr double kDisplacedCost = 0.7;
+constexpr double kLastCopyCost = 4.0;
+/**
+ * Cost of a request that must end before there is room: streams last seconds,
+ * longer than most loads.
+ */
+constexpr double kDisplacedCost = 1.5;
 /**
  * Part of the store's rate that is used: the bucket gives out up to a second's
  * worth at once on top of it.
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -378,7 +378,8 @@
   const Instant until =
     facts.mArrived + facts.mObjective / (IsPatient(facts) ? kPatientWaitDivisor
                                                           : kUrgentWaitDivisor);
-  const bool mayWait = isHeld || (isEngine && IsPatient(facts));
+  const bool mayWait =
+    isHeld || aSearch.mModelHeld || (isEngine && IsPatient(facts));
   if (mayWait && aNow < until) {
     return WaitForRoom{ until };
   }
