One interface for the nodes; the edge's sources split by topic

ControlNode and EdgeNode repeated each other's outer class; they are now one interface, Node, made by role. No change of behaviour.

--- a/main/carobtided.cpp
+++ b/main/carobtided.cpp
@@ -1,6 +1,5 @@
 #include "carobtide/daemon.hpp"
-#include "carobtide/daemon/control_node.hpp"
-#include "carobtide/daemon/edge_node.hpp"
+#include "carobtide/daemon/node.hpp"
 #include "carobtide/platform.hpp"
 
 #include <CLI/CLI.hpp>
@@ -106,8 +105,7 @@
 }
 
 /** Takes the settings again; faulty ones are logged and left. */
-template<class Node>
-void Reload(Node& aNode, const std::string& aPath)
+void Reload(carobtide::Node& aNode, const std::string& aPath)
 {
   auto settings =
     LoadSettings<carobtide::NodeSettings>(aPath, carobtide::ParseNodeSettings);
@@ -116,25 +114,6 @@
   }
 }
 
-template<class Node>
-int RunNode(carobtide::NodeSettings aSettings,
-            std::unique_ptr<carobtide::Dialect> aDialect,
-            const std::string& aPath, sigset_t aSignals)
-{
-  Node node(std::move(aSettings), std::move(aDialect));
-  const auto started = node.Start();
-  if (!started) {
-    carobtide::LogError(started.GetError());
-    return kExitFailure;
-  }
-  std::thread(
-    HandleSignals, aSignals, [&node] { node.RequestStop(); },
-    [&node, aPath] { Reload(node, aPath); })
-    .detach();
-  node.Run();
-  std::_Exit(0);
-}
-
 /** A daemon of deployments with catalogs. */
 int RunNode(const std::string& aPath)
 {
@@ -151,12 +130,20 @@
   }
   const sigset_t signals = BlockSignals();
   carobtide::InitLogging(settings->mName.Text(), settings->mLogLevel);
-  if (settings->mRole == carobtide::NodeRole::Edge) {
-    return RunNode<carobtide::EdgeNode>(std::move(*settings),
-                                        std::move(dialect), aPath, signals);
+  const auto node =
+    carobtide::MakeNode(std::move(*settings), std::move(dialect));
+  const auto started = node->Start();
+  if (!started) {
+    carobtide::LogError(started.GetError());
+    return kExitFailure;
   }
-  return RunNode<carobtide::ControlNode>(std::move(*settings),
-                                         std::move(dialect), aPath, signals);
+  std::thread(
+    HandleSignals, signals, [&node] { node->RequestStop(); },
+    [&node, aPath] { Reload(*node, aPath); })
+    .detach();
+  node->Run();
+  // The signal thread still refers to the node.
+  std::_Exit(0);
 }
 
 } // namespace
--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -1,4 +1,4 @@
-#include "control_node_impl.hpp"
+#include "control_node.hpp"
 
 #include "carobtide/base/codec.hpp"
 #include "carobtide/daemon/logging.hpp"
@@ -84,8 +84,8 @@
 
 } // namespace
 
-ControlNode::Impl::Impl(NodeSettings aSettings,
-                        std::unique_ptr<Dialect> aDialect)
+ControlNode::ControlNode(NodeSettings aSettings,
+                         std::unique_ptr<Dialect> aDialect)
   : mSettings(std::move(aSettings))
   , mDialect(std::move(aDialect))
   , mEpoch(static_cast<std::uint64_t>(WallMicros()))
@@ -142,7 +142,7 @@
   mPeers.SetSeeds(SeedPeers());
 }
 
-std::vector<Endpoint> ControlNode::Impl::SeedPeers() const
+std::vector<Endpoint> ControlNode::SeedPeers() const
 {
   std::vector<Endpoint> peers;
   std::ranges::transform(
@@ -152,7 +152,7 @@
   return peers;
 }
 
-Membership ControlNode::Impl::InitialMembership() const
+Membership ControlNode::InitialMembership() const
 {
   Membership membership;
   for (const Endpoint& peer : SeedPeers()) {
@@ -165,7 +165,7 @@
   return membership;
 }
 
-Result<Unit> ControlNode::Impl::OpenReplica()
+Result<Unit> ControlNode::OpenReplica()
 {
   std::error_code ec;
   std::filesystem::create_directories(mSettings.mDataDir, ec);
@@ -193,7 +193,7 @@
   return Success();
 }
 
-Result<Unit> ControlNode::Impl::Start()
+Result<Unit> ControlNode::Start()
 {
   auto started = mNetwork.Listen(mSettings.mPeerAddress);
   if (started) {
@@ -219,19 +219,19 @@
   return Success();
 }
 
-void ControlNode::Impl::Run()
+void ControlNode::Run()
 {
   mWorkers.Start();
   mWorkers.Join();
 }
 
-void ControlNode::Impl::RequestStop()
+void ControlNode::RequestStop()
 {
   asio::co_spawn(
     mExecutor, [this] { return StopWhenAsked(); }, asio::detached);
 }
 
-awaitable<void> ControlNode::Impl::StopWhenAsked()
+awaitable<void> ControlNode::StopWhenAsked()
 {
   if (std::exchange(mStopping, true)) {
     co_return;
@@ -243,7 +243,7 @@
   mWorkers.Stop();
 }
 
-void ControlNode::Impl::Reload(NodeSettings aSettings)
+void ControlNode::Reload(NodeSettings aSettings)
 {
   asio::post(mExecutor, [this, settings = std::move(aSettings)] {
     mSettings.mSeeds = settings.mSeeds;
@@ -252,7 +252,7 @@
   });
 }
 
-awaitable<void> ControlNode::Impl::TickLoop()
+awaitable<void> ControlNode::TickLoop()
 {
   asio::steady_timer timer(mExecutor);
   while (true) {
@@ -280,7 +280,7 @@
   }
 }
 
-void ControlNode::Impl::RunMembership(Instant aNow)
+void ControlNode::RunMembership(Instant aNow)
 {
   std::vector<ReplicaCandidate> candidates;
   candidates.push_back(
@@ -306,7 +306,7 @@
   mReplica.ProposeMembership(proposal->mNext);
 }
 
-awaitable<void> ControlNode::Impl::GreetingLoop()
+awaitable<void> ControlNode::GreetingLoop()
 {
   asio::steady_timer timer(mExecutor);
   while (true) {
@@ -324,32 +324,4 @@
   }
 }
 
-ControlNode::ControlNode(NodeSettings aSettings,
-                         std::unique_ptr<Dialect> aDialect)
-  : mImpl(std::make_unique<Impl>(std::move(aSettings), std::move(aDialect)))
-{
-}
-
-ControlNode::~ControlNode() = default;
-
-Result<Unit> ControlNode::Start()
-{
-  return mImpl->Start();
-}
-
-void ControlNode::Run()
-{
-  mImpl->Run();
-}
-
-void ControlNode::RequestStop()
-{
-  mImpl->RequestStop();
-}
-
-void ControlNode::Reload(NodeSettings aSettings)
-{
-  mImpl->Reload(std::move(aSettings));
-}
-
 } // namespace carobtide
--- a/packages/daemon/src/control_node_impl.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -2,11 +2,11 @@
 
 /**
  * @file
- * Parts of ControlNode, spread over several sources by topic.
+ * A daemon with control duties. Its sources are split by topic.
  */
 
 #include "carobtide/consensus/membership_manager.hpp"
-#include "carobtide/daemon/control_node.hpp"
+#include "carobtide/daemon/node.hpp"
 #include "carobtide/placement/residency_planner.hpp"
 #include "carobtide/transport.hpp"
 #include "control_messages.hpp"
@@ -20,15 +20,19 @@
 
 namespace carobtide {
 
-class ControlNode::Impl
+/**
+ * Takes heartbeats and catalogs, keeps a replica of the control log, tells
+ * routing daemons what changes, and as leader decides on residency.
+ */
+class ControlNode final : public Node
 {
 public:
-  Impl(NodeSettings aSettings, std::unique_ptr<Dialect> aDialect);
+  ControlNode(NodeSettings aSettings, std::unique_ptr<Dialect> aDialect);
 
-  Result<Unit> Start();
-  void Run();
-  void RequestStop();
-  void Reload(NodeSettings aSettings);
+  Result<Unit> Start() override;
+  void Run() override;
+  void RequestStop() override;
+  void Reload(NodeSettings aSettings) override;
 
 private:
   using Executor = boost::asio::any_io_executor;
--- a/packages/daemon/src/control_node_calls.cpp
+++ b/packages/daemon/src/control_node_calls.cpp
@@ -2,7 +2,7 @@
 #include "carobtide/base/codec.hpp"
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
-#include "control_node_impl.hpp"
+#include "control_node.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -34,8 +34,7 @@
 } // namespace
 
 template<class Message>
-void ControlNode::Impl::SendToPeers(FleetMessageType aType,
-                                    const Message& aMessage)
+void ControlNode::SendToPeers(FleetMessageType aType, const Message& aMessage)
 {
   const std::string payload = Encode(aMessage);
   for (const Endpoint& peer : mPeers.Addresses()) {
@@ -43,9 +42,9 @@
   }
 }
 
-template void ControlNode::Impl::SendToPeers(FleetMessageType, const Greeting&);
+template void ControlNode::SendToPeers(FleetMessageType, const Greeting&);
 
-awaitable<void> ControlNode::Impl::HandleCall(HttpExchange& aExchange)
+awaitable<void> ControlNode::HandleCall(HttpExchange& aExchange)
 {
   auto answering = Answer(aExchange.Request());
   auto response = co_await std::move(answering);
@@ -56,7 +55,7 @@
   }
 }
 
-awaitable<HttpResponse> ControlNode::Impl::Answer(const HttpRequest& aRequest)
+awaitable<HttpResponse> ControlNode::Answer(const HttpRequest& aRequest)
 {
   const ControlCall call = mDialect->ReadControlCall(aRequest);
   switch (call.mKind) {
@@ -80,8 +79,8 @@
   co_return MakeAnswer(kNotFound);
 }
 
-HttpResponse ControlNode::Impl::OnHeartbeatCall(const TargetName& aTarget,
-                                                const HttpRequest& aRequest)
+HttpResponse ControlNode::OnHeartbeatCall(const TargetName& aTarget,
+                                          const HttpRequest& aRequest)
 {
   const auto heartbeat = mDialect->ReadHeartbeat(aTarget, aRequest.mBody);
   if (!heartbeat) {
@@ -96,8 +95,8 @@
   return MakeAnswer(kOk);
 }
 
-HttpResponse ControlNode::Impl::OnLeaveCall(const TargetName& aTarget,
-                                            const HttpRequest& aRequest)
+HttpResponse ControlNode::OnLeaveCall(const TargetName& aTarget,
+                                      const HttpRequest& aRequest)
 {
   const auto incarnation = mDialect->ReadLeave(aRequest.mBody);
   if (!incarnation) {
@@ -115,7 +114,7 @@
   return MakeAnswer(kOk);
 }
 
-awaitable<HttpResponse> ControlNode::Impl::OnPutCatalog(std::string aText)
+awaitable<HttpResponse> ControlNode::OnPutCatalog(std::string aText)
 {
   const auto catalog = mDialect->ReadCatalog(aText);
   const auto checked =
@@ -140,7 +139,7 @@
   co_return MakeAnswer(isCommitted ? kOk : kUnavailable);
 }
 
-awaitable<HttpResponse> ControlNode::Impl::OnGetCatalog()
+awaitable<HttpResponse> ControlNode::OnGetCatalog()
 {
   auto executing = Execute(ReadBarrier{});
   auto reply = co_await std::move(executing);
@@ -151,7 +150,7 @@
                     : MakeAnswer(kUnavailable);
 }
 
-awaitable<ProposeReply> ControlNode::Impl::ExecuteHere(std::string aCommand)
+awaitable<ProposeReply> ControlNode::ExecuteHere(std::string aCommand)
 {
   auto committing = mReplica.Commit(std::move(aCommand), kCommitTimeout);
   const CommitOutcome outcome = co_await std::move(committing);
@@ -163,7 +162,7 @@
   co_return reply;
 }
 
-awaitable<ProposeReply> ControlNode::Impl::Execute(CatalogCommand aCommand)
+awaitable<ProposeReply> ControlNode::Execute(CatalogCommand aCommand)
 {
   std::string command = Encode(aCommand);
   if (mReplica.IsLeading()) {
@@ -193,9 +192,9 @@
   co_return std::move(*reply);
 }
 
-awaitable<std::string> ControlNode::Impl::OnPeerCall(std::uint16_t aType,
-                                                     std::string aPayload,
-                                                     std::string aPeer)
+awaitable<std::string> ControlNode::OnPeerCall(std::uint16_t aType,
+                                               std::string aPayload,
+                                               std::string aPeer)
 {
   switch (static_cast<FleetMessageType>(aType)) {
     case FleetMessageType::Watch: {
@@ -235,9 +234,9 @@
   co_return nothing;
 }
 
-void ControlNode::Impl::OnPeerMessage(std::uint16_t aType,
-                                      const std::string& aPayload,
-                                      const std::string& aPeer)
+void ControlNode::OnPeerMessage(std::uint16_t aType,
+                                const std::string& aPayload,
+                                const std::string& aPeer)
 {
   const auto take = [&]<class Message>(Message, auto aHandler) {
     const auto message = Decode<Message>(aPayload, aPeer);
@@ -288,7 +287,7 @@
   }
 }
 
-bool ControlNode::Impl::HasNews(const WatchRequest& aRequest) const
+bool ControlNode::HasNews(const WatchRequest& aRequest) const
 {
   return aRequest.mEpoch != mEpoch || aRequest.mChange < mTargets.Change() ||
          aRequest.mCatalogVersion < mCatalogs.Current().mVersion ||
@@ -296,7 +295,7 @@
            std::tie(mResidency.mTerm, mResidency.mVersion);
 }
 
-WatchReply ControlNode::Impl::MakeWatchReply(const WatchRequest& aRequest) const
+WatchReply ControlNode::MakeWatchReply(const WatchRequest& aRequest) const
 {
   WatchReply reply;
   reply.mEpoch = mEpoch;
@@ -319,7 +318,7 @@
   return reply;
 }
 
-awaitable<std::string> ControlNode::Impl::OnWatch(WatchRequest aRequest)
+awaitable<std::string> ControlNode::OnWatch(WatchRequest aRequest)
 {
   mEdges[aRequest.mFrom] = SteadyNow();
   if (!HasNews(aRequest)) {
@@ -330,7 +329,7 @@
   co_return reply;
 }
 
-awaitable<std::string> ControlNode::Impl::OnEnsureAdapter(EnsureAdapter aWanted)
+awaitable<std::string> ControlNode::OnEnsureAdapter(EnsureAdapter aWanted)
 {
   const ModelKey key{ aWanted.mService, aWanted.mModel, aWanted.mAdapter };
   const Instant deadline = SteadyNow() + kAdapterTimeout;
--- a/packages/daemon/src/control_node_leader.cpp
+++ b/packages/daemon/src/control_node_leader.cpp
@@ -2,7 +2,7 @@
 #include "carobtide/base/codec.hpp"
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
-#include "control_node_impl.hpp"
+#include "control_node.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -31,7 +31,7 @@
 
 } // namespace
 
-void ControlNode::Impl::ApplyCommand(const LogEntry& aEntry)
+void ControlNode::ApplyCommand(const LogEntry& aEntry)
 {
   auto command = Decode<CatalogCommand>(aEntry.mPayload, "log");
   if (!command) {
@@ -45,7 +45,7 @@
   }
 }
 
-void ControlNode::Impl::OnCatalogChange()
+void ControlNode::OnCatalogChange()
 {
   const CatalogText& text = mCatalogs.Current();
   if (text.mVersion == 0) {
@@ -68,7 +68,7 @@
   mNews.Notify();
 }
 
-void ControlNode::Impl::OnReplicaChange()
+void ControlNode::OnReplicaChange()
 {
   const ReplicatedLog& log = mReplica.Log();
   const bool isLeader = log.Role() == ReplicaRole::Leader;
@@ -97,7 +97,7 @@
   Log(LogLevel::Info, fields);
 }
 
-Endpoint ControlNode::Impl::LeaderAddress() const
+Endpoint ControlNode::LeaderAddress() const
 {
   if (!mReplica.IsStarted()) {
     return {};
@@ -110,7 +110,7 @@
   return ParseEndpoint(leader->mDaemon.Text()).value_or(Endpoint{});
 }
 
-void ControlNode::Impl::OnDirectoryChange(const TargetName& aTarget)
+void ControlNode::OnDirectoryChange(const TargetName& aTarget)
 {
   const FleetRecord* record = mTargets.Find(aTarget);
   if (mPlanner && record != nullptr) {
@@ -119,7 +119,7 @@
   mNews.Notify();
 }
 
-void ControlNode::Impl::StepPlanner()
+void ControlNode::StepPlanner()
 {
   if (!mPlanner) {
     return;
@@ -130,7 +130,7 @@
   PublishResidency();
 }
 
-void ControlNode::Impl::PublishResidency()
+void ControlNode::PublishResidency()
 {
   auto engines = mPlanner->Map();
   if (mResidency.mTerm == mPlannerTerm && engines == mResidency.mEngines) {
@@ -143,14 +143,14 @@
   mNews.Notify();
 }
 
-void ControlNode::Impl::Perform(const AskReport& aEffect)
+void ControlNode::Perform(const AskReport& aEffect)
 {
   asio::co_spawn(
     mExecutor, [this, ask = aEffect] { return FetchReport(ask); },
     asio::detached);
 }
 
-void ControlNode::Impl::Perform(const IssueOrder& aEffect)
+void ControlNode::Perform(const IssueOrder& aEffect)
 {
   LogFields fields;
   fields.mStep = "order.send";
@@ -167,7 +167,7 @@
     asio::detached);
 }
 
-awaitable<void> ControlNode::Impl::FetchReport(AskReport aAsk)
+awaitable<void> ControlNode::FetchReport(AskReport aAsk)
 {
   const Instant askedAt = SteadyNow();
   std::optional<EngineReport> report;
@@ -198,7 +198,7 @@
   }
 }
 
-awaitable<void> ControlNode::Impl::SendOrder(ResidencyOrder aOrder)
+awaitable<void> ControlNode::SendOrder(ResidencyOrder aOrder)
 {
   const std::uint64_t term = mPlannerTerm;
   ResidencyAnswer answer = ResidencyAnswer::Unknown;
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -1,10 +1,8 @@
-#include "carobtide/daemon/edge_node.hpp"
-
+#include "edge_node.hpp"
 #include "carobtide/base/codec.hpp"
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
 #include "edge_request.hpp"
-#include "stop_schedule.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -14,10 +12,8 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <map>
 #include <numeric>
 #include <random>
-#include <set>
 #include <utility>
 
 namespace carobtide {
@@ -30,82 +26,16 @@
 constexpr std::uint16_t kOk = 200;
 constexpr std::uint16_t kNotFound = 404;
 constexpr std::uint16_t kUnavailable = 503;
-
-/** A watch is answered within a second; this much later it is lost. */
-constexpr Duration kWatchTimeout = std::chrono::milliseconds(1600);
-constexpr Duration kWatchPause = std::chrono::milliseconds(200);
-/** A control daemon that has been lost this long says nothing any more. */
-constexpr Duration kSourceTimeout = std::chrono::milliseconds(4000);
-/** An address that nobody mentions and that does not answer is dropped. */
-constexpr Duration kForgetCore = std::chrono::seconds(30);
-constexpr Duration kFetchTimeout = std::chrono::milliseconds(800);
-constexpr Duration kAdapterTimeout = std::chrono::milliseconds(350);
-constexpr Duration kLoadInterval = std::chrono::milliseconds(50);
-constexpr Duration kDemandInterval = std::chrono::milliseconds(250);
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 /** Pause asked of callers while no catalog is known. */
 constexpr Duration kNoCatalogPause = std::chrono::milliseconds(500);
-/** Loads that fit one datagram. */
-constexpr std::size_t kMostLoads = 24;
 constexpr std::size_t kMostIdlePerTarget = 64;
 /** Targets close idle connections; ours end sooner. */
 constexpr Duration kMaxIdleTime = std::chrono::seconds(4);
 
 } // namespace
 
-class EdgeNode::Impl
-{
-public:
-  Impl(NodeSettings aSettings, std::unique_ptr<Dialect> aDialect);
-
-  Result<Unit> Start();
-  void Run();
-  void RequestStop();
-  void Reload(NodeSettings aSettings);
-
-private:
-  awaitable<void> Handle(HttpExchange& aExchange);
-  awaitable<void> HandleReadiness(HttpExchange& aExchange);
-  ServiceName PickService(const Route& aRoute);
-  awaitable<void> WatchCore(Endpoint aCore);
-  void OnWatchReply(const Endpoint& aCore, const WatchReply& aReply);
-  void WatchNewCores(const std::vector<Endpoint>& aCores);
-  std::vector<Endpoint> SeedPeers() const;
-  awaitable<void> FetchCatalog(Endpoint aCore);
-  void TakeCatalog(const CatalogText& aText);
-  void TakeTargets(const std::vector<TargetName>& aChanged);
-  awaitable<void> EnsureAdapterAt(EnsureAdapter aWanted);
-  awaitable<void> LoadLoop();
-  awaitable<void> DemandLoop();
-  awaitable<void> StopWhenDone();
-  bool IsReady() const { return mRoutes != nullptr && !mStop.IsStopping(); }
-
-  NodeSettings mSettings;
-  std::unique_ptr<Dialect> mDialect;
-  RandomEngine mRandom;
-  WorkerPool mWorkers;
-  asio::any_io_executor mExecutor;
-  StopSchedule mStop;
-  FleetView mFleet;
-  Dispatcher mDispatcher;
-  std::shared_ptr<const RouteMap> mRoutes;
-  std::uint64_t mCatalogVersion = 0;
-  bool mFetching = false;
-  std::set<Endpoint> mCores;
-  /** Addresses that were mentioned, and when last. */
-  std::map<Endpoint, Instant> mMentioned;
-  std::vector<Endpoint> mEdges;
-  std::uint64_t mLoadSequence = 0;
-  bool mHadLoad = false;
-  PeerNetwork mNetwork;
-  HttpPool mPool;
-  WatchBoard mRoom;
-  EdgeContext mContext;
-  HttpServer mCallers;
-  HttpServer mReadiness;
-};
-
-EdgeNode::Impl::Impl(NodeSettings aSettings, std::unique_ptr<Dialect> aDialect)
+EdgeNode::EdgeNode(NodeSettings aSettings, std::unique_ptr<Dialect> aDialect)
   : mSettings(std::move(aSettings))
   , mDialect(std::move(aDialect))
   , mRandom(static_cast<std::uint64_t>(WallMicros()) ^
@@ -153,7 +83,7 @@
                          1);
 }
 
-Result<Unit> EdgeNode::Impl::Start()
+Result<Unit> EdgeNode::Start()
 {
   auto started = mNetwork.Listen(mSettings.mPeerAddress);
   if (started) {
@@ -174,13 +104,13 @@
   return Success();
 }
 
-void EdgeNode::Impl::Run()
+void EdgeNode::Run()
 {
   mWorkers.Start();
   mWorkers.Join();
 }
 
-std::vector<Endpoint> EdgeNode::Impl::SeedPeers() const
+std::vector<Endpoint> EdgeNode::SeedPeers() const
 {
   std::vector<Endpoint> peers;
   std::ranges::transform(
@@ -190,7 +120,7 @@
   return peers;
 }
 
-void EdgeNode::Impl::Reload(NodeSettings aSettings)
+void EdgeNode::Reload(NodeSettings aSettings)
 {
   asio::post(mExecutor, [this, settings = std::move(aSettings)] {
     mSettings.mSeeds = settings.mSeeds;
@@ -199,205 +129,7 @@
   });
 }
 
-// ---- What the control daemons say.
-
-void EdgeNode::Impl::WatchNewCores(const std::vector<Endpoint>& aCores)
-{
-  for (const Endpoint& core : aCores) {
-    mMentioned[core] = SteadyNow();
-    if (mCores.insert(core).second) {
-      asio::co_spawn(
-        mExecutor, [this, core] { return WatchCore(core); }, asio::detached);
-    }
-  }
-}
-
-awaitable<void> EdgeNode::Impl::WatchCore(Endpoint aCore)
-{
-  Instant heardAt = SteadyNow();
-  bool isLost = false;
-  while (true) {
-    WatchRequest request;
-    request.mFrom = mSettings.mPeerAddress;
-    request.mFailureDomain = mSettings.mFailureDomain;
-    mFleet.FillRequest(aCore, request);
-    request.mCatalogVersion = mCatalogVersion;
-    std::string encoded = Encode(request);
-    auto calling =
-      mNetwork.Call(aCore, static_cast<std::uint16_t>(FleetMessageType::Watch),
-                    std::move(encoded), kWatchTimeout);
-    const auto answer = co_await std::move(calling);
-    const auto reply = answer ? Decode<WatchReply>(*answer, aCore.ToString())
-                              : Result<WatchReply>(answer.GetError());
-    const Instant now = SteadyNow();
-    if (reply) {
-      heardAt = now;
-      if (std::exchange(isLost, false)) {
-        Log(LogLevel::Info, { "core.regained", aCore.ToString(), {}, {}, {} });
-      }
-      OnWatchReply(aCore, *reply);
-      continue;
-    }
-    if (!isLost && now - heardAt > kSourceTimeout) {
-      isLost = true;
-      mFleet.DropSource(aCore);
-      LogError(reply.GetError());
-    }
-    const auto seeds = SeedPeers();
-    const bool isSeed = std::ranges::find(seeds, aCore) != seeds.end();
-    if (!isSeed && now - mMentioned[aCore] > kForgetCore) {
-      mCores.erase(aCore);
-      mMentioned.erase(aCore);
-      co_return;
-    }
-    asio::steady_timer timer(mExecutor, kWatchPause);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  }
-}
-
-void EdgeNode::Impl::OnWatchReply(const Endpoint& aCore,
-                                  const WatchReply& aReply)
-{
-  TakeTargets(mFleet.OnReply(SteadyNow(), aCore, aReply));
-  WatchNewCores(aReply.mCores);
-  if (!aReply.mEdges.empty()) {
-    mEdges = aReply.mEdges;
-    std::erase(mEdges, mSettings.mPeerAddress);
-    mDispatcher.SetDaemons(static_cast<std::uint32_t>(mEdges.size()) + 1);
-  }
-  if (aReply.mCatalogVersion > mCatalogVersion && !mFetching) {
-    mFetching = true;
-    asio::co_spawn(
-      mExecutor, [this, aCore] { return FetchCatalog(aCore); }, asio::detached);
-  }
-}
-
-void EdgeNode::Impl::TakeTargets(const std::vector<TargetName>& aChanged)
-{
-  const Instant now = SteadyNow();
-  for (const TargetName& name : aChanged) {
-    if (const auto state = mFleet.Find(name)) {
-      mDispatcher.OnTarget(now, *state);
-    }
-  }
-  if (!aChanged.empty()) {
-    mRoom.Notify();
-  }
-}
-
-awaitable<void> EdgeNode::Impl::FetchCatalog(Endpoint aCore)
-{
-  auto calling = mNetwork.Call(
-    aCore, static_cast<std::uint16_t>(FleetMessageType::GetCatalog), "",
-    kFetchTimeout);
-  const auto answer = co_await std::move(calling);
-  mFetching = false;
-  if (!answer) {
-    LogError(answer.GetError());
-    co_return;
-  }
-  auto text = Decode<CatalogText>(*answer, aCore.ToString());
-  if (text) {
-    TakeCatalog(*text);
-  } else {
-    LogError(text.GetError());
-  }
-}
-
-void EdgeNode::Impl::TakeCatalog(const CatalogText& aText)
-{
-  if (aText.mVersion <= mCatalogVersion) {
-    return;
-  }
-  auto catalog = mDialect->ReadCatalog(aText.mText);
-  if (!catalog) {
-    LogError(catalog.GetError());
-    return;
-  }
-  mCatalogVersion = aText.mVersion;
-  const auto shared = std::make_shared<const Catalog>(std::move(*catalog));
-  mRoutes = std::make_shared<const RouteMap>(shared);
-  mDispatcher.SetCatalog(shared);
-  LogFields fields;
-  fields.mStep = "catalog.in-force";
-  const std::string message = "version " + std::to_string(mCatalogVersion);
-  fields.mMessage = message;
-  Log(LogLevel::Info, fields);
-}
-
-awaitable<void> EdgeNode::Impl::EnsureAdapterAt(EnsureAdapter aWanted)
-{
-  const Endpoint leader = mFleet.Leader();
-  if (leader.mHost.empty()) {
-    co_return;
-  }
-  std::string encoded = Encode(aWanted);
-  auto calling = mNetwork.Call(
-    leader, static_cast<std::uint16_t>(FleetMessageType::EnsureAdapter),
-    std::move(encoded), kAdapterTimeout);
-  const auto answer = co_await std::move(calling);
-  const auto reply = answer
-                       ? Decode<EnsureAdapterReply>(*answer, leader.ToString())
-                       : Result<EnsureAdapterReply>(answer.GetError());
-  if (!reply) {
-    LogError(reply.GetError());
-    co_return;
-  }
-  for (const TargetName& target : reply->mTargets) {
-    mFleet.NoteAdapter(target, aWanted.mModel, aWanted.mAdapter);
-  }
-  TakeTargets(reply->mTargets);
-}
-
-// ---- What other daemons are told.
-
-awaitable<void> EdgeNode::Impl::LoadLoop()
-{
-  asio::steady_timer timer(mExecutor);
-  while (true) {
-    EdgeLoad load;
-    load.mFrom = mSettings.mPeerAddress;
-    load.mSequence = ++mLoadSequence;
-    load.mTargets = mDispatcher.Loads();
-    std::ranges::sort(load.mTargets, std::ranges::greater{},
-                      &TargetLoad::mInFlight);
-    if (load.mTargets.size() > kMostLoads) {
-      load.mTargets.resize(kMostLoads);
-    }
-    // An empty report is sent once, to take back the one before.
-    if (std::exchange(mHadLoad, !load.mTargets.empty()) || mHadLoad) {
-      const std::string payload = Encode(load);
-      for (const Endpoint& edge : mEdges) {
-        mNetwork.SendDatagram(
-          edge, static_cast<std::uint16_t>(FleetMessageType::Load), payload);
-      }
-    }
-    timer.expires_after(kLoadInterval);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  }
-}
-
-awaitable<void> EdgeNode::Impl::DemandLoop()
-{
-  asio::steady_timer timer(mExecutor);
-  while (true) {
-    DemandReport report;
-    report.mFrom = mSettings.mPeerAddress;
-    report.mModels = mDispatcher.TakeDemand();
-    const Endpoint leader = mFleet.Leader();
-    if (!leader.mHost.empty()) {
-      mNetwork.Send(leader,
-                    static_cast<std::uint16_t>(FleetMessageType::Demand),
-                    Encode(report));
-    }
-    timer.expires_after(kDemandInterval);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  }
-}
-
-// ---- Callers.
-
-awaitable<void> EdgeNode::Impl::HandleReadiness(HttpExchange& aExchange)
+awaitable<void> EdgeNode::HandleReadiness(HttpExchange& aExchange)
 {
   const bool isCheck = mDialect->IsReadinessCheck(aExchange.Request());
   const std::uint16_t status = !isCheck    ? kNotFound
@@ -410,7 +142,7 @@
   }
 }
 
-ServiceName EdgeNode::Impl::PickService(const Route& aRoute)
+ServiceName EdgeNode::PickService(const Route& aRoute)
 {
   if (aRoute.mServices.size() == 1) {
     return aRoute.mServices.front().mService;
@@ -430,7 +162,7 @@
   return aRoute.mServices.back().mService;
 }
 
-awaitable<void> EdgeNode::Impl::Handle(HttpExchange& aExchange)
+awaitable<void> EdgeNode::Handle(HttpExchange& aExchange)
 {
   const Instant now = SteadyNow();
   const HttpRequest& request = aExchange.Request();
@@ -460,15 +192,13 @@
   co_await std::move(running);
 }
 
-// ---- The end.
-
-void EdgeNode::Impl::RequestStop()
+void EdgeNode::RequestStop()
 {
   asio::co_spawn(
     mExecutor, [this] { return StopWhenDone(); }, asio::detached);
 }
 
-awaitable<void> EdgeNode::Impl::StopWhenDone()
+awaitable<void> EdgeNode::StopWhenDone()
 {
   if (!mStop.Begin(SteadyNow())) {
     co_return;
@@ -491,31 +221,4 @@
   mWorkers.Stop();
 }
 
-EdgeNode::EdgeNode(NodeSettings aSettings, std::unique_ptr<Dialect> aDialect)
-  : mImpl(std::make_unique<Impl>(std::move(aSettings), std::move(aDialect)))
-{
-}
-
-EdgeNode::~EdgeNode() = default;
-
-Result<Unit> EdgeNode::Start()
-{
-  return mImpl->Start();
-}
-
-void EdgeNode::Run()
-{
-  mImpl->Run();
-}
-
-void EdgeNode::RequestStop()
-{
-  mImpl->RequestStop();
-}
-
-void EdgeNode::Reload(NodeSettings aSettings)
-{
-  mImpl->Reload(std::move(aSettings));
-}
-
 } // namespace carobtide
--- /dev/null
+++ b/packages/daemon/src/edge_node.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+/**
+ * @file
+ * A daemon that takes callers' requests. Its sources are split by topic.
+ */
+
+#include "carobtide/daemon/node.hpp"
+#include "carobtide/transport.hpp"
+#include "edge_context.hpp"
+#include "stop_schedule.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace carobtide {
+
+/**
+ * Forwards requests to targets as the dispatcher decides; learns of targets
+ * and catalogs from the control daemons.
+ */
+class EdgeNode final : public Node
+{
+public:
+  EdgeNode(NodeSettings aSettings, std::unique_ptr<Dialect> aDialect);
+
+  Result<Unit> Start() override;
+  void Run() override;
+  void RequestStop() override;
+  void Reload(NodeSettings aSettings) override;
+
+private:
+  template<class T>
+  using awaitable = boost::asio::awaitable<T>;
+
+  // edge_node.cpp: callers, start and stop.
+  awaitable<void> Handle(HttpExchange& aExchange);
+  awaitable<void> HandleReadiness(HttpExchange& aExchange);
+  ServiceName PickService(const Route& aRoute);
+  // edge_node_fleet.cpp: what control daemons say, what others are told.
+  awaitable<void> WatchCore(Endpoint aCore);
+  void OnWatchReply(const Endpoint& aCore, const WatchReply& aReply);
+  void WatchNewCores(const std::vector<Endpoint>& aCores);
+  std::vector<Endpoint> SeedPeers() const;
+  awaitable<void> FetchCatalog(Endpoint aCore);
+  void TakeCatalog(const CatalogText& aText);
+  void TakeTargets(const std::vector<TargetName>& aChanged);
+  awaitable<void> EnsureAdapterAt(EnsureAdapter aWanted);
+  awaitable<void> LoadLoop();
+  awaitable<void> DemandLoop();
+  awaitable<void> StopWhenDone();
+  bool IsReady() const { return mRoutes != nullptr && !mStop.IsStopping(); }
+
+  NodeSettings mSettings;
+  std::unique_ptr<Dialect> mDialect;
+  RandomEngine mRandom;
+  WorkerPool mWorkers;
+  boost::asio::any_io_executor mExecutor;
+  StopSchedule mStop;
+  FleetView mFleet;
+  Dispatcher mDispatcher;
+  std::shared_ptr<const RouteMap> mRoutes;
+  std::uint64_t mCatalogVersion = 0;
+  bool mFetching = false;
+  std::set<Endpoint> mCores;
+  /** Addresses that were mentioned, and when last. */
+  std::map<Endpoint, Instant> mMentioned;
+  std::vector<Endpoint> mEdges;
+  std::uint64_t mLoadSequence = 0;
+  bool mHadLoad = false;
+  PeerNetwork mNetwork;
+  HttpPool mPool;
+  WatchBoard mRoom;
+  EdgeContext mContext;
+  HttpServer mCallers;
+  HttpServer mReadiness;
+};
+
+} // namespace carobtide
