--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -32,25 +32,22 @@
   void Reload(NodeSettings aSettings) override;
 
 private:
-  template<class T>
-  using awaitable = boost::asio::awaitable<T>;
-
   // edge_node.cpp: callers, start and stop.
-  awaitable<void> Handle(HttpExchange& aExchange);
-  awaitable<void> HandleReadiness(HttpExchange& aExchange);
+  boost::asio::awaitable<void> Handle(HttpExchange& aExchange);
+  boost::asio::awaitable<void> HandleReadiness(HttpExchange& aExchange);
   ServiceName PickService(const Route& aRoute);
   // edge_node_fleet.cpp: what control daemons say, what others are told.
-  awaitable<void> WatchCore(Endpoint aCore);
+  boost::asio::awaitable<void> WatchCore(Endpoint aCore);
   void OnWatchReply(const Endpoint& aCore, const WatchReply& aReply);
   void WatchNewCores(const std::vector<Endpoint>& aCores);
   std::vector<Endpoint> SeedPeers() const;
-  awaitable<void> FetchCatalog(Endpoint aCore);
+  boost::asio::awaitable<void> FetchCatalog(Endpoint aCore);
   void TakeCatalog(const CatalogText& aText);
   void TakeTargets(const std::vector<TargetName>& aChanged);
-  awaitable<void> EnsureAdapterAt(EnsureAdapter aWanted);
-  awaitable<void> LoadLoop();
-  awaitable<void> DemandLoop();
-  awaitable<void> StopWhenDone();
+  boost::asio::awaitable<void> EnsureAdapterAt(EnsureAdapter aWanted);
+  boost::asio::awaitable<void> LoadLoop();
+  boost::asio::awaitable<void> DemandLoop();
+  boost::asio::awaitable<void> StopWhenDone();
   bool IsReady() const { return mRoutes != nullptr && !mStop.IsStopping(); }
 
   NodeSettings mSettings;
--- a/packages/placement/include/carobtide/placement/residency_planner.hpp
+++ b/packages/placement/include/carobtide/placement/residency_planner.hpp
@@ -113,6 +113,9 @@
     double mCost = 0;
   };
 
+  /** Time an unload takes when nothing runs. */
+  static constexpr Duration kUnloadTime = std::chrono::milliseconds(50);
+
   Board MakeBoard(const Service& aService);
   /** Shares needs out as routing does: to the least loaded holders. */
   void ShareOut(Board& aBoard) const;
@@ -120,6 +123,13 @@
   void PlanResends(Instant aNow, std::vector<ResidencyEffect>& aEffects);
   void PlanAdapters(Instant aNow, Board& aBoard,
                     std::vector<ResidencyEffect>& aEffects);
+  /** The least loaded free engine that holds the model only. */
+  EngineBook* FindAdapterPlace(Instant aNow, Board& aBoard,
+                               const ModelKey& aKey) const;
+  /** The adapter on an engine that was asked for longest ago. */
+  std::optional<ModelKey> LeastUsedAdapter(const ServiceName& aService,
+                                           const EngineBook& aEngine) const;
+  static std::size_t AdaptersOn(const EngineBook& aEngine);
   void PlanModels(Instant aNow, Board& aBoard,
                   std::vector<ResidencyEffect>& aEffects);
   bool PlanCopy(Instant aNow, Board& aBoard, const CatalogModel& aModel,
--- a/packages/placement/src/residency_planner.cpp
+++ b/packages/placement/src/residency_planner.cpp
@@ -14,8 +14,6 @@
 constexpr Duration kStepInterval = std::chrono::milliseconds(100);
 /** A model is not moved off an engine sooner than this after it came. */
 constexpr Duration kShortestStay = std::chrono::seconds(4);
-/** A wanted adapter is forgotten after this: its caller has gone on. */
-constexpr Duration kWantedFor = std::chrono::milliseconds(400);
 /** Load over the mean from which on a further copy is due. */
 constexpr double kImbalance = 1.2;
 /** Slots below which a difference is no reason for a further copy. */
@@ -41,10 +39,6 @@
  * worth at once on top of it.
  */
 constexpr double kStoreShare = 0.9;
-/** Time an unload takes when nothing runs. */
-constexpr Duration kUnloadTime = std::chrono::milliseconds(50);
-/** Time an adapter takes at most when few are on their way. */
-constexpr Duration kAdapterTime = std::chrono::milliseconds(20);
 
 } // namespace
 
@@ -104,27 +98,6 @@
   }
 }
 
-void ResidencyPlanner::WantAdapter(Instant aNow, const EnsureAdapter& aWanted)
-{
-  mWanted[ModelKey{ aWanted.mService, aWanted.mModel, aWanted.mAdapter }] =
-    aNow + kWantedFor;
-}
-
-std::vector<TargetName> ResidencyPlanner::HoldersOf(const ModelKey& aKey) const
-{
-  std::vector<TargetName> holders;
-  for (const auto& [name, engine] : mEngines) {
-    const HeldModel* model = engine.Find(aKey.mModel);
-    if (engine.IsUsable() && engine.Last().mService == aKey.mService &&
-        model != nullptr &&
-        std::ranges::find(model->mAdapters, aKey.mAdapter) !=
-          model->mAdapters.end()) {
-      holders.push_back(name);
-    }
-  }
-  return holders;
-}
-
 std::vector<Residency> ResidencyPlanner::Map() const
 {
   std::vector<Residency> map;
@@ -251,68 +224,6 @@
   aEffects.emplace_back(IssueOrder{ std::move(order), aReason });
 }
 
-void ResidencyPlanner::PlanAdapters(Instant aNow, Board& aBoard,
-                                    std::vector<ResidencyEffect>& aEffects)
-{
-  for (auto it = mWanted.begin(); it != mWanted.end();) {
-    const ModelKey& key = it->first;
-    if (aNow >= it->second) {
-      it = mWanted.erase(it);
-      continue;
-    }
-    if (key.mService != aBoard.mService->mName) {
-      ++it;
-      continue;
-    }
-    EngineBook* best = nullptr;
-    for (EngineBook* engine : aBoard.mEngines) {
-      const HeldModel* model = engine->Find(key.mModel);
-      const bool isFit = model != nullptr && engine->IsFree(aNow) &&
-                         std::ranges::find(model->mAdapters, key.mAdapter) ==
-                           model->mAdapters.end();
-      if (isFit &&
-          (best == nullptr || aBoard.mLoad[engine] < aBoard.mLoad[best])) {
-        best = engine;
-      }
-    }
-    if (best == nullptr) {
-      ++it;
-      continue;
-    }
-    // Evict the adapter that was asked for longest ago if all places are taken.
-    std::size_t held = 0;
-    ModelKey oldest;
-    Instant oldestAt = Instant::max();
-    for (const ModelName& name : best->Occupying()) {
-      const HeldModel* model = best->Find(name);
-      if (model == nullptr) {
-        continue;
-      }
-      held += model->mAdapters.size();
-      for (const AdapterName& adapter : model->mAdapters) {
-        const ModelKey other{ key.mService, name, adapter };
-        const Instant at = mDemand.LastArrival(other);
-        if (at < oldestAt) {
-          oldestAt = at;
-          oldest = other;
-        }
-      }
-    }
-    if (held >= aBoard.mService->mEngine->mAdapterSlots) {
-      if (held > 0) {
-        Issue(aNow, *best, ResidencyAction::Unload, oldest.mModel,
-              oldest.mAdapter, kUnloadTime, "place for another adapter",
-              aEffects);
-      }
-      ++it;
-      continue;
-    }
-    Issue(aNow, *best, ResidencyAction::Load, key.mModel, key.mAdapter,
-          kAdapterTime, "adapter asked for", aEffects);
-    it = mWanted.erase(it);
-  }
-}
-
 double ResidencyPlanner::FreeMegabytes(const Service& aService,
                                        const EngineBook& aEngine) const
 {
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -40,6 +40,10 @@
   Instant mArrived;
   /** The answer is worthless after this. */
   Instant mDeadline = Instant::max();
+
+  /** Objectives from here on are patient work. */
+  static constexpr Duration kPatientObjective = std::chrono::milliseconds(1000);
+  bool IsPatient() const { return mObjective >= kPatientObjective; }
 };
 
 /** A request on its way through a dispatcher; the shell keeps it. */
@@ -157,6 +161,9 @@
   const DispatcherStats& Stats() const { return mStats; }
 
 private:
+  /** A peer's report of its load counts this long: several reports. */
+  static constexpr Duration kPeerLoadMemory = std::chrono::milliseconds(1000);
+
   struct Target
   {
     RoutedTarget mState;
--- /dev/null
+++ b/packages/routing/src/dispatcher_choice.cpp
@@ -0,0 +1,197 @@
+// How a dispatcher weighs targets against each other.
+#include "carobtide/routing/dispatcher.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <random>
+
+namespace carobtide {
+
+namespace {
+
+/** Score of a target in another failure domain, in units of load. */
+constexpr double kRemoteScore = 0.08;
+/** Score of a target that fails every request. */
+constexpr double kFailureScore = 1.5;
+/** Score for each time that a target is slower than twice its pool. */
+constexpr double kSlownessScore = 0.25;
+constexpr double kMostSlownessScore = 1.0;
+/** Score of a target whose oldest request waits unusually long. */
+constexpr double kHangScore = 1.0;
+/** Score of a target that no daemon has heard of lately. */
+constexpr double kSilenceScore = 0.4;
+/** Gain of a target that read the shared part of the prompt lately. */
+constexpr double kSharedPartScore = 0.06;
+/** Breaks ties, so that daemons do not all choose the same target. */
+constexpr double kTieScore = 0.01;
+/** A wait for the first byte is unusual from this time on. */
+constexpr Duration kShortestHang = std::chrono::milliseconds(600);
+constexpr int kHangFactor = 4;
+/** Part of the objective that a request may spend in a target's queue. */
+constexpr double kQueueShare = 0.6;
+/** Load beyond the slots is bounded, whatever the run time. */
+constexpr double kMostQueueLoad = 3.0;
+/**
+ * Parts of the pause objective that prompts on their way to an engine may
+ * take: its streams stand still while it reads them.
+ */
+constexpr double kUrgentPause = 0.5;
+constexpr double kPatientPause = 0.25;
+/** Score of prompts that take the whole objective to read. */
+constexpr double kBacklogScore = 1.0;
+/** Load up to which patient work is sent to engines. */
+constexpr double kPatientLoad = 0.95;
+/** Run times assumed until some were seen. */
+constexpr Duration kEngineRunTime = std::chrono::milliseconds(1500);
+constexpr Duration kServiceRunTime = std::chrono::milliseconds(50);
+
+const HeldModel* FindHeld(const RoutedTarget& aState, const ModelName& aModel)
+{
+  const auto it = std::ranges::find(aState.mModels, aModel, &HeldModel::mName);
+  return it == aState.mModels.end() ? nullptr : &*it;
+}
+
+} // namespace
+
+TargetLoad Dispatcher::LoadAt(Instant aNow, const Target& aTarget) const
+{
+  TargetLoad load{ aTarget.mState.mLast.mTarget, aTarget.mInFlight,
+                   aTarget.mPromptBacklog };
+  for (const auto& [address, peer] : mPeers) {
+    if (aNow - peer.mHeardAt < kPeerLoadMemory) {
+      const auto it = peer.mLoads.find(load.mTarget);
+      if (it != peer.mLoads.end()) {
+        load.mInFlight += it->second.mInFlight;
+        load.mPromptBacklog += it->second.mPromptBacklog;
+      }
+    }
+  }
+  return load;
+}
+
+double Dispatcher::LoadOf(const Target& aTarget, const TargetLoad& aLoad)
+{
+  const auto slots = std::max<std::uint32_t>(aTarget.mState.mLast.mSlots, 1);
+  return static_cast<double>(aLoad.mInFlight) / slots;
+}
+
+Duration Dispatcher::BacklogTime(const Pool& aPool, const TargetLoad& aLoad)
+{
+  return Duration(
+    static_cast<Duration::rep>(aPool.mTokenMicros * aLoad.mPromptBacklog));
+}
+
+bool Dispatcher::IsReading(const Pool& aPool, const DispatchFacts& aFacts,
+                           const TargetLoad& aLoad) const
+{
+  const double share = aFacts.IsPatient() ? kPatientPause : kUrgentPause;
+  const auto most = static_cast<double>(aFacts.mPauseObjective.count()) * share;
+  return aFacts.mPauseObjective > Duration::zero() &&
+         static_cast<double>(BacklogTime(aPool, aLoad).count()) > most;
+}
+
+double Dispatcher::ScoreOf(Instant aNow, const Target& aTarget,
+                           const Pool& aPool, const DispatchFacts& aFacts,
+                           const TargetLoad& aLoad)
+{
+  double score = LoadOf(aTarget, aLoad);
+  if (aFacts.mObjective > Duration::zero()) {
+    score += kBacklogScore *
+             static_cast<double>(BacklogTime(aPool, aLoad).count()) /
+             static_cast<double>(aFacts.mObjective.count());
+  }
+  const Heartbeat& last = aTarget.mState.mLast;
+  if (last.mFailureDomain != mOptions.mFailureDomain) {
+    score += kRemoteScore;
+  }
+  if (aTarget.mState.mSilent) {
+    score += kSilenceScore;
+  }
+  score += kFailureScore * aTarget.mHealth.FailureShare(aNow);
+  const Duration usual = aPool.mFirstByte;
+  const Duration own = aTarget.mHealth.FirstByteTime(aNow);
+  if (usual > Duration::zero() && own > 2 * usual) {
+    const double ratio =
+      static_cast<double>(own.count()) / static_cast<double>(usual.count());
+    score += std::min(kMostSlownessScore, kSlownessScore * (ratio - 2));
+  }
+  if (aTarget.mHealth.OldestWait(aNow) >
+      std::max(kShortestHang, kHangFactor * usual)) {
+    score += kHangScore;
+  }
+  if (aFacts.mSharedPart != 0 && aTarget.mParts.contains(aFacts.mSharedPart)) {
+    score -= kSharedPartScore;
+  }
+  return score + std::uniform_real_distribution<>(0, kTieScore)(mRandom);
+}
+
+double Dispatcher::LoadLimit(const Pool& aPool,
+                             const DispatchFacts& aFacts) const
+{
+  const bool isEngine = !aFacts.mModel.IsEmpty();
+  if (isEngine && aFacts.IsPatient()) {
+    return kPatientLoad;
+  }
+  Duration run = aPool.mRunTime;
+  if (run == Duration::zero()) {
+    run = isEngine ? kEngineRunTime : kServiceRunTime;
+  }
+  const double queue = kQueueShare *
+                       static_cast<double>(aFacts.mObjective.count()) /
+                       static_cast<double>(run.count());
+  return 1.0 + std::min(queue, kMostQueueLoad);
+}
+
+Dispatcher::Search Dispatcher::FindTarget(Instant aNow, const Pool& aPool,
+                                          const DispatchState& aState)
+{
+  const DispatchFacts& facts = aState.mFacts;
+  const double limit = LoadLimit(aPool, facts);
+  Search search;
+  search.mLeastLoad = std::numeric_limits<double>::max();
+  search.mLeastModelLoad = std::numeric_limits<double>::max();
+  for (const TargetName& name : aPool.mTargets) {
+    Target& target = mTargets.at(name);
+    if (!target.mState.TakesWork()) {
+      continue;
+    }
+    if (!facts.mModel.IsEmpty()) {
+      const HeldModel* held = FindHeld(target.mState, facts.mModel);
+      if (held == nullptr) {
+        continue;
+      }
+      search.mModelHeld = true;
+      if (target.mHealth.IsReachable(aNow)) {
+        search.mLeastModelLoad = std::min(search.mLeastModelLoad,
+                                          LoadOf(target, LoadAt(aNow, target)));
+      }
+      const bool hasAdapter =
+        facts.mAdapter.IsEmpty() ||
+        std::ranges::find(held->mAdapters, facts.mAdapter) !=
+          held->mAdapters.end();
+      if (!hasAdapter) {
+        continue;
+      }
+    }
+    search.mAdapterHeld = true;
+    if (!target.mHealth.IsReachable(aNow) ||
+        std::ranges::find(aState.mTried, name) != aState.mTried.end()) {
+      continue;
+    }
+    const TargetLoad all = LoadAt(aNow, target);
+    const double load = LoadOf(target, all);
+    search.mLeastLoad = std::min(search.mLeastLoad, load);
+    if (load >= limit || IsReading(aPool, facts, all)) {
+      continue;
+    }
+    const double score = ScoreOf(aNow, target, aPool, facts, all);
+    if (search.mBest == nullptr || score < search.mScore) {
+      search.mBest = &target;
+      search.mScore = score;
+      search.mLoad = load;
+    }
+  }
+  return search;
+}
+
+} // namespace carobtide
