--- a/tests/e2e/test_orders_under_kill.py
+++ b/tests/e2e/test_orders_under_kill.py
@@ -12,6 +12,7 @@
 CALLERS = 6
 ORDERS_PER_CALLER = 25
 KILLS = 4
+SERVICES = 3
 
 
 class Caller(threading.Thread):
@@ -50,15 +51,17 @@
 
 
 def service_counts(cluster):
-    """Runs by key; None while the daemon asked, killed last, is not up yet."""
+    """Runs by key; None until the daemon asked, which may have been killed
+    last, is up and has heard of every service."""
     try:
         targets = cluster.targets()
     except (OSError, http.client.HTTPException):
         return None
+    services = [target for target in targets if target["kind"] == "service"]
+    if len(services) < SERVICES:
+        return None
     counts = {}
-    for target in targets:
-        if target["kind"] != "service":
-            continue
+    for target in services:
         port = int(target["address"].rsplit(":", 1)[1])
         body = json.loads(request(port, "GET", "/counts").body)
         for key, runs in body["by_key"].items():
@@ -70,7 +73,7 @@
     choice = random.Random(SEED)
     with Cluster(domains=("a", "b", "c"), daemons=5, disks=3) as cluster:
         wait_for(cluster.leader, "a leader")
-        cluster.standin("service", "--count", 3, "--failure-domains", "a", "b", "c",
+        cluster.standin("service", "--count", SERVICES, "--failure-domains", "a", "b", "c",
                         "--pool", "desk", "--delay", "20ms")
         cluster.standin("target", "--pool", "engines")
         wait_for(lambda: len(cluster.targets()) == 4, "four targets")
