A copy is unloaded only once no load of it can be under way

Cause: a target that neither checks fencing nor deduplicates orders carried a load out again that was settled long ago and delivered late, after the unload of the copy. Change: the order tracker keeps when each load was last sent. On targets that check no fencing a copy is not chosen for an unload, and an earlier leader's unload is not sent, until an order lifetime has passed since then or since the term began. A place counted at the store for each such load was ruled out: the leader does not learn when it ends.

--- a/packages/placement/src/cluster_view.hpp
+++ b/packages/placement/src/cluster_view.hpp
@@ -25,6 +25,8 @@
   CopyState mState = CopyState::Held;
   /** True if the latest announcement lists it. */
   bool mIsReported = false;
+  /** An order to load it may be on its way still: unloaded, it would return. */
+  bool mMayReturn = false;
 };
 
 /** A target in the picture. */
--- a/packages/placement/src/order_tracker.cpp
+++ b/packages/placement/src/order_tracker.cpp
@@ -21,6 +21,12 @@
 
 void OrderTracker::Follow(Instant aNow, const Placement& aPlacement)
 {
+  if (!mTermSeenAt) {
+    mTermSeenAt = aNow;
+  }
+  std::erase_if(mLoadsSentAt, [&](const auto& aEntry) {
+    return aEntry.second + mLifetime <= aNow;
+  });
   // An unload's token is above those of the loads before it and below those
   // of the loads after it, so that a late copy of either is refused.
   std::erase_if(mTracks, [&](const auto& aEntry) {
@@ -77,6 +83,9 @@
   Track& track = mTracks.at(aOrder.mId);
   track.mSentAt = aNow;
   ++track.mSends;
+  if (aOrder.mAction == OrderAction::Load) {
+    mLoadsSentAt[{ track.mTarget, KeyOf(aOrder) }] = aNow;
+  }
   Order order = aOrder;
   order.mFence =
     MakeFence(mTerm, mFenceCounts[{ order.mTarget, order.mIncarnation }]);
@@ -94,4 +103,14 @@
   return aHeardAt >= std::max(last, track.mSeenAt) + mLifetime;
 }
 
+bool OrderTracker::MayLoadArrive(Instant aNow, const TargetIncarnation& aTarget,
+                                 const CopyKey& aCopy) const
+{
+  if (!mTermSeenAt || aNow < *mTermSeenAt + mLifetime) {
+    return true;
+  }
+  const auto it = mLoadsSentAt.find({ aTarget, aCopy });
+  return it != mLoadsSentAt.end() && aNow < it->second + mLifetime;
+}
+
 } // namespace carobtide
--- a/packages/placement/src/order_tracker.hpp
+++ b/packages/placement/src/order_tracker.hpp
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace carobtide {
 
@@ -43,6 +44,14 @@
    */
   bool IsQuiet(const Order& aOrder, Instant aHeardAt) const;
 
+  /**
+   * True while an order to load the copy may still be on its way, settled or
+   * not: delivered after an unload, it would load again. Of loads sent by
+   * earlier leaders only the start of this term is known.
+   */
+  bool MayLoadArrive(Instant aNow, const TargetIncarnation& aTarget,
+                     const CopyKey& aCopy) const;
+
 private:
   struct Track
   {
@@ -53,11 +62,17 @@
     unsigned mSends = 0;
   };
 
+  using SentLoad = std::pair<TargetIncarnation, CopyKey>;
+
   FencingToken mTerm;
   Duration mResendInterval;
   Duration mLifetime;
   std::map<OrderId, Track> mTracks;
   std::map<TargetIncarnation, std::uint64_t> mFenceCounts;
+  /** When this leader last sent a load of each copy, for one lifetime. */
+  std::map<SentLoad, Instant> mLoadsSentAt;
+  /** When this leader first saw the record in its term. */
+  std::optional<Instant> mTermSeenAt;
 };
 
 } // namespace carobtide
--- a/packages/placement/src/placement_controller.cpp
+++ b/packages/placement/src/placement_controller.cpp
@@ -249,6 +249,7 @@
     mProgress = progress;
     mReconcileAt = mNow + Paced(kReconcileInterval);
     ClusterView view(*mTargets, *mPlacement, mPending);
+    MarkReturning(view);
     if (isPlanDue) {
       MakePlan(aBundle, aDemand, view);
     }
@@ -266,6 +267,24 @@
     CancelUnwanted(reconciler, aEffects);
   }
 
+  /**
+   * Marks copies that must not be unloaded yet. A target that checks fencing
+   * refuses a load from before the unload; any other would load again, beside
+   * the loads that the store's places are counted for.
+   */
+  void MarkReturning(ClusterView& aView) const
+  {
+    for (ClusterView::Index n = 0; n < aView.Targets().size(); ++n) {
+      ViewTarget& target = aView.Target(n);
+      if (target.mRecord->mAnnouncement.mChecksFencing) {
+        continue;
+      }
+      for (ViewCopy& copy : target.mCopies) {
+        copy.mMayReturn = mTracker.MayLoadArrive(mNow, target.mId, copy.mKey);
+      }
+    }
+  }
+
   void MakePlan(const Bundle& aBundle, const DemandTable& aDemand,
                 const ClusterView& aView)
   {
@@ -383,6 +402,15 @@
     });
   }
 
+  /** True for an earlier leader's unload that a late load could undo. */
+  bool WaitsForLoads(const Order& aOrder, const Announcement& aSaid) const
+  {
+    return aOrder.mAction == OrderAction::Unload && !aSaid.mChecksFencing &&
+           !mTracker.IsSentByThisLeader(aOrder.mId) &&
+           mTracker.MayLoadArrive(mNow, { aOrder.mTarget, aOrder.mIncarnation },
+                                  KeyOf(aOrder));
+  }
+
   /** True for an unload that only waits until no late load can undo it. */
   bool IsUnloaded(const Order& aOrder, const Announcement& aSaid) const
   {
@@ -407,7 +435,8 @@
       if (record == nullptr || mSettling.contains(id) ||
           record->mState != TargetState::Live ||
           IsRefused(record->mAnnouncement, id) || !mTracker.IsDue(mNow, id) ||
-          IsUnloaded(order, record->mAnnouncement)) {
+          IsUnloaded(order, record->mAnnouncement) ||
+          WaitsForLoads(order, record->mAnnouncement)) {
         continue;
       }
       if (order.mAction == OrderAction::Unload &&
--- a/packages/placement/src/reconciler.cpp
+++ b/packages/placement/src/reconciler.cpp
@@ -135,7 +135,8 @@
     const ViewCopy* victim = nullptr;
     std::tuple<bool, bool, Bytes> bestRank;
     for (const ViewCopy& copy : target.mCopies) {
-      if (copy.mState != CopyState::Held || IsWantedAt(aTarget, copy.mKey)) {
+      if (copy.mState != CopyState::Held || copy.mMayReturn ||
+          IsWantedAt(aTarget, copy.mKey)) {
         continue;
       }
       if (!MayUnloadWithAdapters(aTarget, copy)) {
@@ -276,7 +277,8 @@
                                            const ViewCopy& aCopy) const
 {
   const ViewTarget& target = mView.Target(aTarget);
-  if (aCopy.mState != CopyState::Held || !target.IsLive() || !target.mIsFresh) {
+  if (aCopy.mState != CopyState::Held || aCopy.mMayReturn || !target.IsLive() ||
+      !target.mIsFresh) {
     return {};
   }
   const SpecOf* spec = Find(aCopy.mKey.mModel, aCopy.mKey.mAdapter);
