Logs tell each decision on a request and never hold it up; metrics of nodes; carobtide explain

Cause: lines were written on the thread that serves, one summary a request; the nodes had no metrics; three lines of grep led from a failed request to its cause. Change: a bounded queue and a thread write the log, a stalled reader costs lines that are counted and told of. A request's steps (waiting, routed with the load, backlog, failure share, holders and age of the belief, sent on, resumed, refused with the loads that decided) are kept while it is open and written whole when it failed, was repeated or paused, else for one in sixteen; each last line says how many were left out. Edges log what they come to believe of targets. Metrics of edges (by kind and outcome) and control daemons (terms, commits, disk times, orders) at the address of the settings, and by the deploy file. `carobtide explain` merges logs and prints a request's way with its cause. Tests: the queue with a stalled reader and a full pipe, the story of three failures, and an e2e test that plays them and finds each cause by the logs alone, then stalls an edge's reader: it goes on serving and says how many it dropped.

--- a/main/carobtided.cpp
+++ b/main/carobtided.cpp
@@ -18,6 +18,8 @@
 
 constexpr int kExitFailure = 1;
 constexpr int kExitFaults = 2;
+/** Most that the end of the process waits for its last log lines. */
+constexpr carobtide::Duration kLastLines = std::chrono::milliseconds(300);
 
 template<class Settings>
 using Parser = std::variant<Settings, std::vector<carobtide::YamlFault>> (*)(
@@ -73,6 +75,7 @@
     if (signal == SIGHUP) {
       aReload();
     } else if (isStopping) {
+      carobtide::FlushLogs(kLastLines);
       std::_Exit(kExitFailure);
     } else {
       isStopping = true;
@@ -95,12 +98,14 @@
   const auto started = daemon.Start();
   if (!started) {
     carobtide::LogError(started.GetError());
+    carobtide::FlushLogs(kLastLines);
     return kExitFailure;
   }
   std::thread(
     HandleSignals, signals, [&daemon] { daemon.RequestStop(); }, [] {})
     .detach();
   daemon.Wait();
+  carobtide::FlushLogs(kLastLines);
   return 0;
 }
 
@@ -135,6 +140,7 @@
   const auto started = node->Start();
   if (!started) {
     carobtide::LogError(started.GetError());
+    carobtide::FlushLogs(kLastLines);
     return kExitFailure;
   }
   std::thread(
@@ -142,6 +148,7 @@
     [&node, aPath] { Reload(*node, aPath); })
     .detach();
   node->Run();
+  carobtide::FlushLogs(kLastLines);
   // The signal thread still refers to the node.
   std::_Exit(0);
 }
--- a/packages/cli/include/carobtide/cli/command_line.hpp
+++ b/packages/cli/include/carobtide/cli/command_line.hpp
@@ -40,6 +40,7 @@
 void AddBundleCommands(CLI::App& aApp, CommandContext& aContext);
 void AddStatusCommands(CLI::App& aApp, CommandContext& aContext);
 void AddTimelineCommand(CLI::App& aApp, CommandContext& aContext);
+void AddExplainCommand(CLI::App& aApp, CommandContext& aContext);
 void AddStandinCommands(CLI::App& aApp, CommandContext& aContext);
 void AddLoadCommand(CLI::App& aApp, CommandContext& aContext);
 
--- a/packages/cli/src/command_line.cpp
+++ b/packages/cli/src/command_line.cpp
@@ -20,6 +20,7 @@
   AddBundleCommands(aApp, aContext);
   AddStatusCommands(aApp, aContext);
   AddTimelineCommand(aApp, aContext);
+  AddExplainCommand(aApp, aContext);
   AddStandinCommands(aApp, aContext);
   AddLoadCommand(aApp, aContext);
 }
--- a/packages/daemon/include/carobtide/daemon/logging.hpp
+++ b/packages/daemon/include/carobtide/daemon/logging.hpp
@@ -2,18 +2,28 @@
 
 /**
  * @file
- * Structured logs: one JSON object a line on standard error, written through
- * easylogging++.
+ * Structured logs: one JSON object a line on standard output, written through
+ * easylogging++ by a thread of its own, so that a full pipe holds nothing up.
  */
 
 #include "carobtide/base.hpp"
 #include "carobtide/settings.hpp"
 
+#include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace carobtide {
 
+/** One of the values that a decision was made from. */
+struct LogInput
+{
+  std::string_view mName;
+  std::variant<std::int64_t, double, std::string_view> mValue;
+};
+
 /** Fields of one log line; empty ones are left out. */
 struct LogFields
 {
@@ -22,6 +32,11 @@
   RequestId mRequest;
   OrderId mOrder;
   std::string_view mMessage;
+  /** The id that the caller gave its request. */
+  std::string_view mCall = {};
+  std::span<const LogInput> mInputs = {};
+  /** When it happened, by the wall clock; 0 for now. */
+  std::int64_t mTimeMicros = 0;
 };
 
 /**
@@ -29,6 +44,12 @@
  */
 void InitLogging(std::string aProcess, LogLevel aLevel);
 
+/** Waits until all lines are written, this long at most. */
+void FlushLogs(Duration aTimeout);
+
+/** Lines dropped since nobody read them. Thread safety: any thread. */
+std::uint64_t DroppedLogLines();
+
 /** True if lines of this level are written. Thread safety: any thread. */
 bool IsLogged(LogLevel aLevel);
 
--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -3,6 +3,7 @@
 #include "carobtide/base/codec.hpp"
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
+#include "metrics.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -13,6 +14,7 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <sstream>
 #include <utility>
 
 namespace carobtide {
@@ -138,6 +140,7 @@
       })
   , mServer(mWorkers, HttpLimits{},
             [this](HttpExchange& aExchange) { return HandleCall(aExchange); })
+  , mMetricsServer(mWorkers, [this] { return RenderMetrics(); })
 {
   mPeers.SetSeeds(SeedPeers());
 }
@@ -202,6 +205,9 @@
   if (started) {
     started = mServer.Listen(mSettings.mControlAddress);
   }
+  if (started) {
+    started = mMetricsServer.Listen(mSettings.mMetricsAddress);
+  }
   if (!started) {
     return started;
   }
@@ -261,6 +267,7 @@
     if (now >= mNextExpiry) {
       mNextExpiry = now + kExpiryInterval;
       for (const TargetName& target : mTargets.Expire(now)) {
+        mMetrics.Add(ControlCounter::TargetsSilent);
         Log(LogLevel::Info, { "target.silent", target.Text(), {}, {}, {} });
         OnDirectoryChange(target);
       }
@@ -306,6 +313,29 @@
   mReplica.ProposeMembership(proposal->mNext);
 }
 
+std::string ControlNode::RenderMetrics() const
+{
+  const ReplicatedLog& log = mReplica.Log();
+  std::ostringstream disk;
+  disk << "# TYPE carobtide_disk_seconds histogram\n";
+  mReplica.DiskTimes().Render(disk, "disk_seconds", "");
+  return mMetrics.Render() + disk.str() +
+         RenderGauges({
+           { "leading", mReplica.IsLeading() ? 1.0 : 0.0 },
+           { "term", static_cast<double>(log.Term()) },
+           { "members",
+             static_cast<double>(log.CurrentMembership().mMembers.size()) },
+           { "catalog_version",
+             static_cast<double>(mCatalogs.Current().mVersion) },
+           { "targets", static_cast<double>(mTargets.All().size()) },
+           { "edges", static_cast<double>(mEdges.size()) },
+           { "orders_under_way",
+             mPlanner ? static_cast<double>(mPlanner->OrdersUnderWay()) : 0.0 },
+           { "watches_waiting", static_cast<double>(mNews.Waiting()) },
+           { "log_lines_dropped", static_cast<double>(DroppedLogLines()) },
+         });
+}
+
 awaitable<void> ControlNode::GreetingLoop()
 {
   asio::steady_timer timer(mExecutor);
--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -10,6 +10,8 @@
 #include "carobtide/placement/residency_planner.hpp"
 #include "carobtide/transport.hpp"
 #include "control_messages.hpp"
+#include "control_metrics.hpp"
+#include "metrics_endpoint.hpp"
 #include "replica_host.hpp"
 #include "watch_board.hpp"
 
@@ -81,6 +83,7 @@
   boost::asio::awaitable<void> SendOrder(ResidencyOrder aOrder);
   void PublishResidency();
   Endpoint LeaderAddress() const;
+  std::string RenderMetrics() const;
 
   NodeSettings mSettings;
   std::unique_ptr<Dialect> mDialect;
@@ -104,9 +107,12 @@
   WatchBoard mNews;
   WatchBoard mAdapterNews;
   bool mStopping = false;
+  ControlMetrics mMetrics;
+  bool mWasLeader = false;
   PeerNetwork mNetwork;
   HttpPool mPool;
   HttpServer mServer;
+  MetricsEndpoint mMetricsServer;
 };
 
 } // namespace carobtide
--- a/packages/daemon/src/control_node_calls.cpp
+++ b/packages/daemon/src/control_node_calls.cpp
@@ -87,6 +87,7 @@
     LogError(heartbeat.GetError());
     return MakeAnswer(kBadRequest);
   }
+  mMetrics.Add(ControlCounter::HeartbeatsTaken);
   const auto effect = mTargets.OnHeartbeat(SteadyNow(), *heartbeat);
   if (effect != HeartbeatEffect::Stale) {
     SendToPeers(FleetMessageType::HeartbeatNotice, *heartbeat);
@@ -121,6 +122,7 @@
     catalog ? CheckCatalog(*catalog) : Result<Unit>(catalog.GetError());
   if (!checked) {
     LogError(checked.GetError());
+    mMetrics.Add(ControlCounter::CatalogsRefused);
     co_return MakeAnswer(kBadRequest);
   }
   PutCatalog put;
@@ -129,6 +131,9 @@
   const auto reply = co_await std::move(executing);
   const auto outcome = static_cast<CommitOutcome>(reply.mOutcome);
   const bool isCommitted = outcome == CommitOutcome::Committed;
+  if (isCommitted) {
+    mMetrics.Add(ControlCounter::CatalogsAcknowledged);
+  }
   LogFields fields;
   fields.mStep = "catalog.put";
   const std::string message =
@@ -152,8 +157,12 @@
 
 awaitable<ProposeReply> ControlNode::ExecuteHere(std::string aCommand)
 {
+  const Instant startedAt = SteadyNow();
   auto committing = mReplica.Commit(std::move(aCommand), kCommitTimeout);
   const CommitOutcome outcome = co_await std::move(committing);
+  if (outcome == CommitOutcome::Committed) {
+    mMetrics.OnCommit(SteadyNow() - startedAt);
+  }
   ProposeReply reply;
   reply.mOutcome = static_cast<std::uint8_t>(outcome);
   if (outcome == CommitOutcome::Committed) {
--- a/packages/daemon/src/control_node_leader.cpp
+++ b/packages/daemon/src/control_node_leader.cpp
@@ -72,6 +72,10 @@
 {
   const ReplicatedLog& log = mReplica.Log();
   const bool isLeader = log.Role() == ReplicaRole::Leader;
+  if (std::exchange(mWasLeader, isLeader) != isLeader) {
+    mMetrics.Add(isLeader ? ControlCounter::LeadershipsGained
+                          : ControlCounter::LeadershipsLost);
+  }
   if (isLeader && mPlannerTerm != log.Term()) {
     mPlannerTerm = log.Term();
     mPlanner.emplace(SteadyNow() + mSettings.mLeasePeriod + kLeaseMargin);
@@ -152,6 +156,7 @@
 
 void ControlNode::Perform(const IssueOrder& aEffect)
 {
+  mMetrics.Add(ControlCounter::OrdersSent);
   LogFields fields;
   fields.mStep = "order.send";
   fields.mPeer = aEffect.mOrder.mTarget.Text();
@@ -227,6 +232,11 @@
     asio::steady_timer timer(mExecutor, kAdapterLoadTime);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
+  if (answer == ResidencyAnswer::Accepted) {
+    mMetrics.Add(ControlCounter::OrdersAccepted);
+  } else if (answer == ResidencyAnswer::Unknown) {
+    mMetrics.Add(ControlCounter::OrdersUnanswered);
+  }
   LogFields fields;
   fields.mStep = "order.answer";
   fields.mPeer = aOrder.mTarget.Text();
--- a/packages/daemon/src/edge_context.hpp
+++ b/packages/daemon/src/edge_context.hpp
@@ -8,6 +8,7 @@
 #include "carobtide/daemon/dialect.hpp"
 #include "carobtide/routing/dispatcher.hpp"
 #include "carobtide/transport.hpp"
+#include "request_metrics.hpp"
 #include "watch_board.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -31,6 +32,9 @@
   WatchBoard& mRoom;
   /** Has the leader load an adapter, and takes note of where it is. */
   std::function<boost::asio::awaitable<void>(EnsureAdapter)> mEnsureAdapter;
+  RequestMetrics& mMetrics;
+  /** Requests left out of the log since the last one that was written. */
+  std::uint64_t mLeftOut = 0;
 };
 
 } // namespace carobtide
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -3,6 +3,7 @@
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
 #include "edge_request.hpp"
+#include "metrics.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -67,15 +68,20 @@
         }
       })
   , mPool(HttpPoolOptions{ kMostIdlePerTarget, kMaxIdleTime })
-  , mContext{ *mDialect, mDispatcher, mPool, mRoom,
+  , mContext{ *mDialect,
+              mDispatcher,
+              mPool,
+              mRoom,
               [this](EnsureAdapter aWanted) {
                 return EnsureAdapterAt(std::move(aWanted));
-              } }
+              },
+              mMetrics }
   , mCallers(mWorkers, HttpLimits{},
              [this](HttpExchange& aExchange) { return Handle(aExchange); })
-  , mReadiness(mWorkers, HttpLimits{}, [this](HttpExchange& aExchange) {
-    return HandleReadiness(aExchange);
-  })
+  , mReadiness(
+      mWorkers, HttpLimits{},
+      [this](HttpExchange& aExchange) { return HandleReadiness(aExchange); })
+  , mMetricsServer(mWorkers, [this] { return RenderMetrics(); })
 {
   // The route's deadline bounds what this daemon waits for; a VM of the edge
   // shares the budget with at least as many others as there are seeds.
@@ -92,6 +98,9 @@
   if (started) {
     started = mCallers.Listen(mSettings.mCallerAddress);
   }
+  if (started) {
+    started = mMetricsServer.Listen(mSettings.mMetricsAddress);
+  }
   if (!started) {
     return started;
   }
@@ -142,6 +151,33 @@
   }
 }
 
+std::string EdgeNode::RenderMetrics() const
+{
+  const Instant now = SteadyNow();
+  const DispatcherStats stats = mDispatcher.Stats();
+  const FleetAges ages = mDispatcher.Ages(now);
+  const auto seconds = [](Duration aTime) {
+    return std::chrono::duration<double>(aTime).count();
+  };
+  return mMetrics.Render() +
+         RenderGauges({
+           { "ready", IsReady() ? 1.0 : 0.0 },
+           { "catalog_version", static_cast<double>(mCatalogVersion) },
+           { "open_requests", static_cast<double>(mCallers.OpenExchanges()) },
+           { "waiting_requests", static_cast<double>(mRoom.Waiting()) },
+           { "sends", static_cast<double>(stats.mSent) },
+           { "repeats", static_cast<double>(stats.mRepeated) },
+           { "repeats_denied", static_cast<double>(stats.mRepeatsDenied) },
+           { "turned_away", static_cast<double>(stats.mTurnedAway) },
+           { "retry_budget_left", mDispatcher.RepeatsLeft() },
+           { "targets", static_cast<double>(ages.mTargets) },
+           { "targets_silent", static_cast<double>(ages.mSilent) },
+           { "oldest_target_belief_seconds", seconds(ages.mOldestTarget) },
+           { "oldest_peer_load_seconds", seconds(ages.mOldestPeer) },
+           { "log_lines_dropped", static_cast<double>(DroppedLogLines()) },
+         });
+}
+
 ServiceName EdgeNode::PickService(const Route& aRoute)
 {
   if (aRoute.mServices.size() == 1) {
--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -8,6 +8,7 @@
 #include "carobtide/daemon/node.hpp"
 #include "carobtide/transport.hpp"
 #include "edge_context.hpp"
+#include "metrics_endpoint.hpp"
 #include "stop_schedule.hpp"
 
 #include <map>
@@ -48,6 +49,7 @@
   boost::asio::awaitable<void> LoadLoop();
   boost::asio::awaitable<void> DemandLoop();
   boost::asio::awaitable<void> StopWhenDone();
+  std::string RenderMetrics() const;
   bool IsReady() const { return mRoutes != nullptr && !mStop.IsStopping(); }
 
   NodeSettings mSettings;
@@ -70,9 +72,11 @@
   PeerNetwork mNetwork;
   HttpPool mPool;
   WatchBoard mRoom;
+  RequestMetrics mMetrics;
   EdgeContext mContext;
   HttpServer mCallers;
   HttpServer mReadiness;
+  MetricsEndpoint mMetricsServer;
 };
 
 } // namespace carobtide
--- a/packages/daemon/src/edge_node_fleet.cpp
+++ b/packages/daemon/src/edge_node_fleet.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace carobtide {
@@ -34,6 +35,20 @@
 /** Loads that fit one datagram. */
 constexpr std::size_t kMostLoads = 24;
 
+void LogNews(TargetNews aNews, const Heartbeat& aLast)
+{
+  const std::array inputs{
+    LogInput{ "incarnation",
+              static_cast<std::int64_t>(aLast.mIncarnation.Value()) },
+    LogInput{ "heartbeat", static_cast<std::int64_t>(aLast.mSequence) },
+  };
+  LogFields fields;
+  fields.mStep = kTargetNews.Name(aNews);
+  fields.mPeer = aLast.mTarget.Text();
+  fields.mInputs = inputs;
+  Log(LogLevel::Info, fields);
+}
+
 } // namespace
 
 void EdgeNode::WatchNewCores(const std::vector<Endpoint>& aCores)
@@ -111,7 +126,10 @@
   const Instant now = SteadyNow();
   for (const TargetName& name : aChanged) {
     if (const auto state = mFleet.Find(name)) {
-      mDispatcher.OnTarget(now, *state);
+      const TargetNews news = mDispatcher.OnTarget(now, *state);
+      if (news != TargetNews::None) {
+        LogNews(news, state->mLast);
+      }
     }
   }
   if (!aChanged.empty()) {
--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -32,8 +32,6 @@
 constexpr Bytes kMaxAnswerBytes = 16 * kMiB;
 /** Time for the answer to reach the caller before its time is over. */
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(5);
-/** One in so many requests that went well is logged. */
-constexpr std::uint64_t kLogEvery = 16;
 
 bool IsPromise(std::uint16_t aStatus)
 {
@@ -109,6 +107,7 @@
       co_return;
     }
     if (const auto* wait = std::get_if<WaitForRoom>(&decision)) {
+      mTrail.OnWait(wait->mUntil, SteadyNow());
       auto waiting = Wait(std::min(wait->mUntil, mDeadline));
       co_await std::move(waiting);
       continue;
@@ -119,21 +118,25 @@
       wanted.mModel = mCaller.mModel;
       wanted.mAdapter = mCaller.mAdapter;
       wanted.mOneMore = load->mOneMore;
+      mTrail.OnAdapterAsked();
       auto ensuring = mContext.mEnsureAdapter(std::move(wanted));
       co_await std::move(ensuring);
       continue;
     }
     const SendTo send = std::get<SendTo>(decision);
     mLastTarget = send.mTarget.Text();
-    mLastLoad = send.mLoad;
+    mTrail.OnRouted(send, mFrames.LastId());
     ++mSends;
     auto sending = Send(send);
     const Attempt attempt = co_await std::move(sending);
     const bool again =
       mContext.mDispatcher.OnEnd(SteadyNow(), send.mSend, attempt.mEnd, mState);
+    mTrail.OnSendEnded(send, attempt.mEnd, again);
     mContext.mRoom.Notify();
     if (attempt.mAnswered) {
-      LogEnd(kSendEnds.Name(attempt.mEnd), "answered");
+      End(attempt.mEnd == SendEnd::Whole ? RequestOutcome::Whole
+                                         : RequestOutcome::TargetFailed,
+          "answered");
       co_return;
     }
     if (!again && !mIsGone) {
@@ -142,7 +145,7 @@
       co_return;
     }
   }
-  LogEnd("caller-gone", mGoneReason);
+  End(RequestOutcome::CallerGone, mGoneReason);
   mExchange.Abort();
 }
 
@@ -280,8 +283,7 @@
                                                   HttpConnection& aConnection,
                                                   HttpResponseHead aHead)
 {
-  mContext.mDispatcher.OnFirstByte(SteadyNow(), aSend.mSend);
-  mContext.mRoom.Notify();
+  OnFirstByte(aSend);
   auto reading = aConnection.ReadAll(kMaxAnswerBytes, Left());
   auto body = co_await std::move(reading);
   if (!body) {
@@ -323,8 +325,7 @@
     }
     more = *read;
     if (std::exchange(isFirst, false)) {
-      mContext.mDispatcher.OnFirstByte(SteadyNow(), aSend.mSend);
-      mContext.mRoom.Notify();
+      OnFirstByte(aSend);
     }
     std::string events = mFrames.Take(bytes);
     if (!more) {
@@ -369,6 +370,7 @@
 
 awaitable<void> EdgeRequest::Refuse(TurnAway aAway)
 {
+  mTrail.OnRefused(aAway);
   // Every send so far was declared not run, or never left.
   const bool isCertain = mState.mRuns == 0;
   auto answering =
@@ -396,8 +398,11 @@
 awaitable<void> EdgeRequest::Answer(std::uint16_t aStatus, Duration aRetryAfter,
                                     std::string aReason)
 {
-  const std::string status = std::to_string(aStatus);
-  LogEnd(mHasBegun ? "broken-off" : status, aReason);
+  const RequestOutcome outcome = mHasBegun ? RequestOutcome::BrokenOff
+                                 : aStatus == kUnavailable
+                                   ? RequestOutcome::TurnedAway
+                                   : RequestOutcome::Failed;
+  End(outcome, std::to_string(aStatus) + ": " + aReason);
   if (mHasBegun) {
     mExchange.Abort();
     co_return;
@@ -412,6 +417,14 @@
   }
 }
 
+void EdgeRequest::OnFirstByte(const SendTo& aSend)
+{
+  const Instant now = SteadyNow();
+  mContext.mDispatcher.OnFirstByte(now, aSend.mSend);
+  mContext.mMetrics.OnFirstByte(mRoute.mKind, now - mState.mFacts.mArrived);
+  mContext.mRoom.Notify();
+}
+
 void EdgeRequest::NoteEvent()
 {
   const Instant now = SteadyNow();
@@ -421,38 +434,16 @@
   mEventAt = now;
 }
 
-void EdgeRequest::LogEnd(std::string_view aOutcome, std::string_view aReason)
+void EdgeRequest::End(RequestOutcome aOutcome, std::string_view aReason)
 {
-  const bool isFine = aOutcome == kSendEnds.Name(SendEnd::Whole) && mSends == 1;
-  if (isFine && ComputeChecksum(mCaller.mId) % kLogEvery != 0) {
-    return;
-  }
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-    SteadyNow() - mState.mFacts.mArrived);
-  std::string message = mCaller.mId;
-  message += " ";
-  message += mRoute.mName;
-  message += " ";
-  message += mCaller.mModel.Text();
-  if (!mCaller.mAdapter.IsEmpty()) {
-    message += "/" + mCaller.mAdapter.Text();
-  }
-  message += " ";
-  message += aOutcome;
-  message += " (";
-  message += aReason;
-  message += ") after " + std::to_string(age.count()) + " ms, sends " +
-             std::to_string(mSends) + ", load " + std::to_string(mLastLoad);
-  if (mLongestPause > Duration::zero()) {
-    const auto pause =
-      std::chrono::duration_cast<std::chrono::milliseconds>(mLongestPause);
-    message += ", pause " + std::to_string(pause.count()) + " ms";
-  }
-  LogFields fields;
-  fields.mStep = "request.end";
-  fields.mPeer = mLastTarget;
-  fields.mMessage = message;
-  Log(LogLevel::Info, fields);
+  TrailEnd end;
+  end.mOutcome = aOutcome;
+  end.mReason = aReason;
+  end.mTook = SteadyNow() - mState.mFacts.mArrived;
+  end.mSends = mSends;
+  end.mLongestPause = mLongestPause;
+  mContext.mMetrics.OnEnd(mRoute.mKind, aOutcome, end.mTook);
+  mTrail.Write(mCaller, mRoute, end, mContext.mLeftOut);
 }
 
 } // namespace carobtide
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -7,6 +7,7 @@
 
 #include "edge_context.hpp"
 #include "event_frames.hpp"
+#include "request_trail.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -64,8 +65,9 @@
   SendEnd EndOf(const Error& aError) const;
   Duration Left() const;
   void OnCallerGone();
+  void OnFirstByte(const SendTo& aSend);
   void NoteEvent();
-  void LogEnd(std::string_view aOutcome, std::string_view aReason);
+  void End(RequestOutcome aOutcome, std::string_view aReason);
 
   EdgeContext& mContext;
   HttpExchange& mExchange;
@@ -87,7 +89,7 @@
   Instant mEventAt;
   Duration mLongestPause{ 0 };
   std::string mLastTarget;
-  double mLastLoad = 0;
+  RequestTrail mTrail;
 };
 
 } // namespace carobtide
--- a/packages/daemon/src/metrics.hpp
+++ b/packages/daemon/src/metrics.hpp
@@ -66,6 +66,9 @@
   double mValue = 0.0;
 };
 
+/** Gauges in Prometheus' text format. */
+std::string RenderGauges(const std::vector<Gauge>& aGauges);
+
 /**
  * Thread safety: all methods from any thread; Add and Record take no lock.
  */
--- a/packages/daemon/src/replica_host.hpp
+++ b/packages/daemon/src/replica_host.hpp
@@ -86,6 +86,7 @@
   /** Precondition of all below: IsStarted. */
   const ReplicatedLog& Log() const { return *mLog; }
   bool IsLeading() const;
+  const TimingHistogram& DiskTimes() const { return mWorker->Times(); }
 
 private:
   struct Waiter
--- /dev/null
+++ b/packages/daemon/src/request_trail.cpp
@@ -0,0 +1,160 @@
+#include "request_trail.hpp"
+
+#include "carobtide/daemon/logging.hpp"
+#include "clock.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace carobtide {
+
+namespace {
+
+std::int64_t Millis(Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
+} // namespace
+
+RequestTrail::Entry& RequestTrail::Add(TrailStep aStep)
+{
+  if (mEntries.size() >= kMostSteps) {
+    ++mNotKept;
+    mEntries.pop_back();
+  }
+  Entry& entry = mEntries.emplace_back();
+  entry.mStep = aStep;
+  entry.mTimeMicros = WallMicros();
+  return entry;
+}
+
+void RequestTrail::OnWait(Instant aUntil, Instant aNow)
+{
+  // Woken and told to wait again: one step.
+  const bool isWaiting =
+    !mEntries.empty() && mEntries.back().mStep == TrailStep::Waiting;
+  if (!isWaiting) {
+    Add(TrailStep::Waiting).mPause = aUntil - aNow;
+  }
+}
+
+void RequestTrail::OnAdapterAsked()
+{
+  Add(TrailStep::AdapterAsked);
+}
+
+void RequestTrail::OnRouted(const SendTo& aSend, std::string_view aAfterEvent)
+{
+  Entry& entry =
+    Add(aAfterEvent.empty() ? TrailStep::Routed : TrailStep::Resumed);
+  entry.mTarget = aSend.mTarget;
+  entry.mBelief = aSend.mBelief;
+  entry.mDetail = aAfterEvent;
+}
+
+void RequestTrail::OnSendEnded(const SendTo& aSend, SendEnd aEnd,
+                               bool aMayRepeat)
+{
+  Entry& entry = Add(TrailStep::SendEnded);
+  entry.mTarget = aSend.mTarget;
+  entry.mEnd = aEnd;
+  entry.mMayRepeat = aMayRepeat;
+}
+
+void RequestTrail::OnRefused(const TurnAway& aAway)
+{
+  Entry& entry = Add(TrailStep::Refused);
+  entry.mDetail = aAway.mReason;
+  entry.mBelief.mHolders = aAway.mHolders;
+  entry.mBelief.mLoad = aAway.mLeastLoad;
+  entry.mLoadLimit = aAway.mLoadLimit;
+  entry.mPause = aAway.mRetryAfter;
+}
+
+void RequestTrail::WriteEntry(const Entry& aEntry, std::string_view aCall) const
+{
+  std::vector<LogInput> inputs;
+  switch (aEntry.mStep) {
+    case TrailStep::Waiting:
+      inputs.push_back({ "patience_ms", Millis(aEntry.mPause) });
+      break;
+    case TrailStep::AdapterAsked:
+      break;
+    case TrailStep::Resumed:
+      inputs.push_back({ "after_event", std::string_view(aEntry.mDetail) });
+      [[fallthrough]];
+    case TrailStep::Routed:
+      inputs.push_back({ "load", aEntry.mBelief.mLoad });
+      inputs.push_back({ "own_in_flight", static_cast<std::int64_t>(
+                                            aEntry.mBelief.mOwnInFlight) });
+      inputs.push_back({ "backlog_tokens", static_cast<std::int64_t>(
+                                             aEntry.mBelief.mBacklogTokens) });
+      inputs.push_back({ "failure_share", aEntry.mBelief.mFailureShare });
+      inputs.push_back(
+        { "holders", static_cast<std::int64_t>(aEntry.mBelief.mHolders) });
+      inputs.push_back(
+        { "heartbeat", static_cast<std::int64_t>(aEntry.mBelief.mHeartbeat) });
+      inputs.push_back({ "told_ms_ago", Millis(aEntry.mBelief.mToldAgo) });
+      break;
+    case TrailStep::Refused:
+      inputs.push_back({ "reason", std::string_view(aEntry.mDetail) });
+      inputs.push_back(
+        { "holders", static_cast<std::int64_t>(aEntry.mBelief.mHolders) });
+      inputs.push_back({ "least_load", aEntry.mBelief.mLoad });
+      inputs.push_back({ "load_limit", aEntry.mLoadLimit });
+      inputs.push_back({ "retry_after_ms", Millis(aEntry.mPause) });
+      break;
+    case TrailStep::SendEnded:
+      inputs.push_back({ "end", kSendEnds.Name(aEntry.mEnd) });
+      inputs.push_back(
+        { "then", std::string_view(aEntry.mMayRepeat ? "repeat" : "final") });
+      break;
+  }
+  LogFields fields;
+  fields.mStep = kTrailSteps.Name(aEntry.mStep);
+  fields.mPeer = aEntry.mTarget.Text();
+  fields.mCall = aCall;
+  fields.mInputs = inputs;
+  fields.mTimeMicros = aEntry.mTimeMicros;
+  Log(LogLevel::Info, fields);
+}
+
+void RequestTrail::Write(const CallerRequest& aCaller, const Route& aRoute,
+                         const TrailEnd& aEnd, std::uint64_t& aLeftOut) const
+{
+  const bool isFine = aEnd.mOutcome == RequestOutcome::Whole &&
+                      aEnd.mSends == 1 &&
+                      (aRoute.mPauseObjective == Duration::zero() ||
+                       aEnd.mLongestPause <= aRoute.mPauseObjective);
+  if (isFine && ComputeChecksum(aCaller.mId) % kSampled != 0) {
+    ++aLeftOut;
+    return;
+  }
+  std::ranges::for_each(
+    mEntries, [&](const Entry& aIt) { WriteEntry(aIt, aCaller.mId); });
+  std::vector<LogInput> inputs{
+    { "route", std::string_view(aRoute.mName) },
+    { "model", std::string_view(aCaller.mModel.Text()) },
+    { "adapter", std::string_view(aCaller.mAdapter.Text()) },
+    { "outcome", kRequestOutcomes.Name(aEnd.mOutcome) },
+    { "took_ms", Millis(aEnd.mTook) },
+    { "objective_ms", Millis(aRoute.mObjective) },
+    { "sends", static_cast<std::int64_t>(aEnd.mSends) },
+    { "pause_ms", Millis(aEnd.mLongestPause) },
+    { "left_out", static_cast<std::int64_t>(aLeftOut) },
+  };
+  if (mNotKept > 0) {
+    inputs.push_back({ "steps_not_kept", mNotKept });
+  }
+  aLeftOut = 0;
+  LogFields fields;
+  fields.mStep = "request.end";
+  fields.mPeer = mEntries.empty() ? "" : mEntries.back().mTarget.Text();
+  fields.mCall = aCaller.mId;
+  fields.mInputs = inputs;
+  fields.mMessage = aEnd.mReason;
+  Log(LogLevel::Info, fields);
+}
+
+} // namespace carobtide
--- /dev/null
+++ b/packages/daemon/src/request_trail.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+/**
+ * @file
+ * What happened to one request, kept until it is known whether to log it.
+ */
+
+#include "carobtide/catalog.hpp"
+#include "carobtide/daemon/dialect.hpp"
+#include "carobtide/routing/dispatcher.hpp"
+#include "request_metrics.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace carobtide {
+
+/** A decision that touched a request, or what became of one. */
+enum class TrailStep : std::uint8_t
+{
+  Waiting,
+  AdapterAsked,
+  Routed,
+  Resumed,
+  SendEnded,
+  Refused,
+};
+
+inline constexpr EnumTable<TrailStep, 6> kTrailSteps{ { {
+  { TrailStep::Waiting, "request.waiting" },
+  { TrailStep::AdapterAsked, "request.adapter-asked" },
+  { TrailStep::Routed, "request.routed" },
+  { TrailStep::Resumed, "request.resumed" },
+  { TrailStep::SendEnded, "request.send-ended" },
+  { TrailStep::Refused, "request.refused" },
+} } };
+
+/** How a request ended, for its last line. */
+struct TrailEnd
+{
+  RequestOutcome mOutcome = RequestOutcome::Whole;
+  std::string_view mReason;
+  Duration mTook{ 0 };
+  std::uint32_t mSends = 0;
+  Duration mLongestPause{ 0 };
+};
+
+/**
+ * The steps of one request. They are written when it has ended, all or none:
+ * whatever failed or was tried twice, and a sample of the rest.
+ *
+ * Thread safety: none; the owner guards it.
+ */
+class RequestTrail
+{
+public:
+  /** One in so many requests that went well is written. */
+  static constexpr std::uint64_t kSampled = 16;
+  /** Steps kept; later ones are counted only. */
+  static constexpr std::size_t kMostSteps = 24;
+
+  void OnWait(Instant aUntil, Instant aNow);
+  void OnAdapterAsked();
+  /** `aAfterEvent` is not empty if an answer goes on after that event. */
+  void OnRouted(const SendTo& aSend, std::string_view aAfterEvent);
+  void OnSendEnded(const SendTo& aSend, SendEnd aEnd, bool aMayRepeat);
+
+  void OnRefused(const TurnAway& aAway);
+
+  /** Writes the steps and the end, or counts the request as left out. */
+  void Write(const CallerRequest& aCaller, const Route& aRoute,
+             const TrailEnd& aEnd, std::uint64_t& aLeftOut) const;
+
+private:
+  struct Entry
+  {
+    TrailStep mStep = TrailStep::Waiting;
+    std::int64_t mTimeMicros = 0;
+    TargetName mTarget;
+    SendEnd mEnd = SendEnd::Whole;
+    bool mMayRepeat = false;
+    SendBelief mBelief;
+    double mLoadLimit = 0;
+    std::string mDetail;
+    /** How long it may wait, or is asked to stay away. */
+    Duration mPause{ 0 };
+  };
+
+  Entry& Add(TrailStep aStep);
+  void WriteEntry(const Entry& aEntry, std::string_view aCall) const;
+
+  std::vector<Entry> mEntries;
+  std::int64_t mNotKept = 0;
+};
+
+} // namespace carobtide
--- a/packages/daemon/src/storage_worker.cpp
+++ b/packages/daemon/src/storage_worker.cpp
@@ -1,5 +1,7 @@
 #include "storage_worker.hpp"
 
+#include "clock.hpp"
+
 #include <algorithm>
 #include <iterator>
 
@@ -81,7 +83,9 @@
     }
     const PersistBatch batch = TakeMerged();
     lock.unlock();
+    const Instant startedAt = SteadyNow();
     const auto persisted = mStorage->Persist(batch);
+    mTimes.Record(SteadyNow() - startedAt);
     if (persisted) {
       mOnDurable(batch.mSequence);
     } else {
--- a/packages/daemon/src/storage_worker.hpp
+++ b/packages/daemon/src/storage_worker.hpp
@@ -6,6 +6,7 @@
  */
 
 #include "carobtide/consensus.hpp"
+#include "timing_histogram.hpp"
 
 #include <condition_variable>
 #include <deque>
@@ -41,11 +42,15 @@
 
   void Enqueue(PersistBatch aBatch);
 
+  /** How long the disk took for each batch. */
+  const TimingHistogram& Times() const { return mTimes; }
+
 private:
   void Run();
   PersistBatch TakeMerged();
 
   std::unique_ptr<LogStorage> mStorage;
+  TimingHistogram mTimes;
   DurableHandler mOnDurable;
   FailureHandler mOnFailure;
   /** Guards mQueue and mStopping. */
--- a/packages/daemon/src/watch_board.hpp
+++ b/packages/daemon/src/watch_board.hpp
@@ -29,6 +29,8 @@
 
   void Notify();
 
+  std::size_t Waiting() const { return mWaiting.size(); }
+
 private:
   std::multimap<std::int64_t, boost::asio::steady_timer*> mWaiting;
 };
--- a/packages/placement/include/carobtide/placement/engine_book.hpp
+++ b/packages/placement/include/carobtide/placement/engine_book.hpp
@@ -108,6 +108,9 @@
   void OnSent(Instant aNow, const ResidencyOrder& aOrder,
               Duration aExpectedTime);
 
+  /** True while an order is out or carried out. */
+  bool IsBusy() const { return mOpen.has_value() || mWork.has_value(); }
+
   /** The order that must be sent again now, if any. */
   std::optional<ResidencyOrder> TakeResend(Instant aNow);
 
--- a/packages/placement/include/carobtide/placement/residency_planner.hpp
+++ b/packages/placement/include/carobtide/placement/residency_planner.hpp
@@ -83,6 +83,9 @@
   /** What all engines hold for requests. */
   std::vector<Residency> Map() const;
 
+  /** Engines with an order that has not come to its end. */
+  std::size_t OrdersUnderWay() const;
+
 private:
   using Service = CatalogService;
 
--- a/packages/placement/src/residency_planner.cpp
+++ b/packages/placement/src/residency_planner.cpp
@@ -107,6 +107,12 @@
   return map;
 }
 
+std::size_t ResidencyPlanner::OrdersUnderWay() const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    mEngines, [](const auto& aEngine) { return aEngine.second.IsBusy(); }));
+}
+
 std::size_t ResidencyPlanner::Board::CopiesOf(const ModelName& aModel) const
 {
   const auto it = mHolders.find(aModel);
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -60,6 +60,25 @@
   bool mAskedForAdapter = false;
 };
 
+/** What a target was chosen by, for the log. */
+struct SendBelief
+{
+  /** Requests in flight over slots, of all daemons as far as known. */
+  double mLoad = 0;
+  /** Of those, this daemon's own. */
+  std::uint32_t mOwnInFlight = 0;
+  /** Prompt tokens sent there that no first byte has answered. */
+  std::uint32_t mBacklogTokens = 0;
+  /** Recent share of failures, as seen here. */
+  double mFailureShare = 0;
+  /** Targets that hold all that the request needs. */
+  std::uint32_t mHolders = 0;
+  /** Number of the heartbeat that the choice relies on. */
+  std::uint64_t mHeartbeat = 0;
+  /** How long ago this daemon was last told of the target. */
+  Duration mToldAgo{ 0 };
+};
+
 /** Send the request to this target. */
 struct SendTo
 {
@@ -68,8 +87,7 @@
   Endpoint mAddress;
   /** Goes with the request to an engine; 0 is most urgent. */
   std::uint32_t mUrgency = 0;
-  /** The target's load when it was chosen, for the log. */
-  double mLoad = 0;
+  SendBelief mBelief;
 };
 
 /** Wait until woken or until this time, then ask again. */
@@ -90,13 +108,43 @@
 {
   ErrorCode mCode = ErrorCode::NoCapacity;
   Duration mRetryAfter{ 0 };
-  /** For the log. */
+  /** For the log, with the beliefs that it rests on. */
   std::string mReason;
+  /** Targets that hold all that the request needs. */
+  std::uint32_t mHolders = 0;
+  /** Load of the least loaded of them, and the load up to which one takes it.
+   */
+  double mLeastLoad = 0;
+  double mLoadLimit = 0;
 };
 
 using DispatchDecision =
   std::variant<SendTo, WaitForRoom, LoadAdapter, TurnAway>;
 
+/** What a new state of a target changes for the dispatcher. */
+enum class TargetNews : std::uint8_t
+{
+  None,
+  /** New here, or a new process of a known one. */
+  Started,
+  Ready,
+  Draining,
+  Silent,
+  /** No longer silent. */
+  Heard,
+  Gone,
+};
+
+inline constexpr EnumTable<TargetNews, 7> kTargetNews{ { {
+  { TargetNews::None, "target.unchanged" },
+  { TargetNews::Started, "target.started" },
+  { TargetNews::Ready, "target.ready" },
+  { TargetNews::Draining, "target.draining" },
+  { TargetNews::Silent, "target.silent" },
+  { TargetNews::Heard, "target.heard" },
+  { TargetNews::Gone, "target.gone" },
+} } };
+
 /** Choices and limits of a dispatcher. */
 struct DispatcherOptions
 {
@@ -114,6 +162,17 @@
   std::uint64_t mRepeatsDenied = 0;
 };
 
+/** How old the beliefs are that choices rely on, for metrics. */
+struct FleetAges
+{
+  std::size_t mTargets = 0;
+  std::size_t mSilent = 0;
+  /** Since a target was last told of: they are told of when they change. */
+  Duration mOldestTarget{ 0 };
+  /** Since another daemon last told its load, of those that still count. */
+  Duration mOldestPeer{ 0 };
+};
+
 /**
  * Chooses targets. Sans-I/O: takes time and events, returns decisions.
  *
@@ -129,8 +188,8 @@
 
   void SetCatalog(std::shared_ptr<const Catalog> aCatalog);
 
-  /** Takes the newest state of a target. */
-  void OnTarget(Instant aNow, const RoutedTarget& aState);
+  /** Takes the newest state of a target; what it changes. */
+  TargetNews OnTarget(Instant aNow, const RoutedTarget& aState);
 
   /** Another routing daemon's load on the targets. */
   void OnPeerLoad(Instant aNow, const EdgeLoad& aReport);
@@ -160,6 +219,11 @@
 
   const DispatcherStats& Stats() const { return mStats; }
 
+  FleetAges Ages(Instant aNow) const;
+
+  /** Repeats that the budget still allows, over all services. */
+  double RepeatsLeft() const;
+
 private:
   /** A peer's report of its load counts this long: several reports. */
   static constexpr Duration kPeerLoadMemory = std::chrono::milliseconds(1000);
@@ -171,6 +235,7 @@
     std::uint32_t mInFlight = 0;
     /** Prompt tokens sent that no first byte has answered. */
     std::uint32_t mPromptBacklog = 0;
+    Instant mToldAt;
     /** Shared prompt parts sent here lately, and when. */
     std::unordered_map<std::uint64_t, Instant> mParts;
   };
@@ -225,7 +290,8 @@
   {
     Target* mBest = nullptr;
     double mScore = 0;
-    double mLoad = 0;
+    TargetLoad mLoad;
+    std::uint32_t mHolders = 0;
     bool mModelHeld = false;
     bool mAdapterHeld = false;
     /** Least load among those that hold all, room or not. */
@@ -252,8 +318,7 @@
   bool MayRepeat(Instant aNow, SendEnd aEnd, DispatchState& aState);
   DispatchDecision Refuse(Instant aNow, const DispatchState& aState,
                           const Search& aSearch, const Pool& aPool);
-  SendTo Commit(Instant aNow, Target& aTarget, double aLoad,
-                DispatchState& aState);
+  SendTo Commit(Instant aNow, const Search& aSearch, DispatchState& aState);
   DemandItem& DemandOf(const ServiceName& aService, const ModelName& aModel,
                        const AdapterName& aAdapter);
 
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <iterator>
 #include <limits>
+#include <numeric>
 #include <random>
 #include <utility>
 
@@ -79,7 +81,7 @@
   return it->second;
 }
 
-void Dispatcher::OnTarget(Instant, const RoutedTarget& aState)
+TargetNews Dispatcher::OnTarget(Instant aNow, const RoutedTarget& aState)
 {
   const TargetName& name = aState.mLast.mTarget;
   auto it = mTargets.find(name);
@@ -93,19 +95,31 @@
     if (it != mTargets.end()) {
       std::erase(PoolOf(it->second.mState.mLast.mService).mTargets, name);
       mTargets.erase(it);
+      return TargetNews::Gone;
     }
-    return;
+    return TargetNews::None;
   }
+  TargetNews news = TargetNews::None;
   if (it == mTargets.end()) {
+    news = TargetNews::Started;
     it = mTargets.emplace(name, Target{}).first;
     PoolOf(aState.mLast.mService).mTargets.push_back(name);
   }
   const bool isHeard =
     aState.mLast.mSequence > it->second.mState.mLast.mSequence;
+  const RoutedTarget& before = it->second.mState;
+  if (news == TargetNews::None && before.mSilent != aState.mSilent) {
+    news = aState.mSilent ? TargetNews::Silent : TargetNews::Heard;
+  } else if (news == TargetNews::None &&
+             before.TakesWork() != aState.TakesWork()) {
+    news = aState.TakesWork() ? TargetNews::Ready : TargetNews::Draining;
+  }
   it->second.mState = aState;
+  it->second.mToldAt = aNow;
   if (isHeard) {
     it->second.mHealth.OnHeard();
   }
+  return news;
 }
 
 void Dispatcher::OnPeerLoad(Instant aNow, const EdgeLoad& aReport)
@@ -142,32 +156,39 @@
   }
 }
 
-SendTo Dispatcher::Commit(Instant aNow, Target& aTarget, double aLoad,
+SendTo Dispatcher::Commit(Instant aNow, const Search& aSearch,
                           DispatchState& aState)
 {
+  Target& target = *aSearch.mBest;
   const DispatchFacts& facts = aState.mFacts;
-  const Heartbeat& last = aTarget.mState.mLast;
+  const Heartbeat& last = target.mState.mLast;
   SendTo send;
   send.mSend = SendId(mNextSend++);
   send.mTarget = last.mTarget;
   send.mAddress = last.mAddress;
   send.mUrgency = kUrgency;
-  send.mLoad = aLoad;
+  send.mBelief = { LoadOf(target, aSearch.mLoad),
+                   target.mInFlight,
+                   aSearch.mLoad.mPromptBacklog,
+                   target.mHealth.FailureShare(aNow),
+                   aSearch.mHolders,
+                   last.mSequence,
+                   aNow - target.mToldAt };
   OpenSend open{
     last.mTarget,        aNow, facts.mService, facts.mModel, facts.mAdapter,
     facts.mPromptTokens, 0,    false
   };
-  open.mBacklog = LoadAt(aNow, aTarget).mPromptBacklog + facts.mPromptTokens;
+  open.mBacklog = aSearch.mLoad.mPromptBacklog + facts.mPromptTokens;
   mOpen.emplace(send.mSend, std::move(open));
-  ++aTarget.mInFlight;
-  aTarget.mPromptBacklog += facts.mPromptTokens;
-  aTarget.mHealth.OnSent(aNow, send.mSend);
+  ++target.mInFlight;
+  target.mPromptBacklog += facts.mPromptTokens;
+  target.mHealth.OnSent(aNow, send.mSend);
   if (facts.mSharedPart != 0) {
-    if (aTarget.mParts.size() >= kMostParts) {
-      aTarget.mParts.erase(std::ranges::min_element(
-        aTarget.mParts, {}, [](const auto& aPart) { return aPart.second; }));
+    if (target.mParts.size() >= kMostParts) {
+      target.mParts.erase(std::ranges::min_element(
+        target.mParts, {}, [](const auto& aPart) { return aPart.second; }));
     }
-    aTarget.mParts[facts.mSharedPart] = aNow;
+    target.mParts[facts.mSharedPart] = aNow;
   }
   ++mStats.mSent;
   return send;
@@ -196,12 +217,15 @@
                  : aSearch.mModelHeld ? "no target holds the adapter"
                  : isEngine           ? "no target holds the model"
                                       : "no target is known";
+  away.mHolders = aSearch.mHolders;
+  away.mLoadLimit = LoadLimit(aPool, facts);
+  // All holders may be unreachable or tried before.
+  const bool isMeasured =
+    aSearch.mLeastLoad < std::numeric_limits<double>::max();
+  away.mLeastLoad = isMeasured ? aSearch.mLeastLoad : 0;
   Duration pause = kLoadPause;
   if (isHeld) {
-    const bool isMeasured =
-      aSearch.mLeastLoad < std::numeric_limits<double>::max();
-    const double excess =
-      isMeasured ? aSearch.mLeastLoad - LoadLimit(aPool, facts) : 0;
+    const double excess = isMeasured ? away.mLeastLoad - away.mLoadLimit : 0;
     pause = Duration(static_cast<Duration::rep>(
       std::max(excess, 0.0) * static_cast<double>(aPool.mRunTime.count())));
   }
@@ -229,7 +253,7 @@
     return LoadAdapter{ isCrowded };
   }
   if (search.mBest != nullptr) {
-    return Commit(aNow, *search.mBest, search.mLoad, aState);
+    return Commit(aNow, search, aState);
   }
   return Refuse(aNow, aState, search, pool);
 }
@@ -334,6 +358,30 @@
   return loads;
 }
 
+FleetAges Dispatcher::Ages(Instant aNow) const
+{
+  FleetAges ages;
+  ages.mTargets = mTargets.size();
+  for (const auto& [name, target] : mTargets) {
+    ages.mSilent += target.mState.mSilent ? 1 : 0;
+    ages.mOldestTarget = std::max(ages.mOldestTarget, aNow - target.mToldAt);
+  }
+  for (const auto& [address, peer] : mPeers) {
+    const Duration age = aNow - peer.mHeardAt;
+    if (age < kPeerLoadMemory) {
+      ages.mOldestPeer = std::max(ages.mOldestPeer, age);
+    }
+  }
+  return ages;
+}
+
+double Dispatcher::RepeatsLeft() const
+{
+  return std::transform_reduce(
+    mPools.begin(), mPools.end(), 0.0, std::plus{},
+    [](const auto& aPool) { return aPool.second.mAllowance.Left(); });
+}
+
 std::vector<DemandItem> Dispatcher::TakeDemand()
 {
   for (const auto& [send, open] : mOpen) {
--- a/packages/routing/src/dispatcher_choice.cpp
+++ b/packages/routing/src/dispatcher_choice.cpp
@@ -174,6 +174,7 @@
       }
     }
     search.mAdapterHeld = true;
+    ++search.mHolders;
     if (!target.mHealth.IsReachable(aNow) ||
         std::ranges::find(aState.mTried, name) != aState.mTried.end()) {
       continue;
@@ -188,7 +189,7 @@
     if (search.mBest == nullptr || score < search.mScore) {
       search.mBest = &target;
       search.mScore = score;
-      search.mLoad = load;
+      search.mLoad = all;
     }
   }
   return search;
