An adapter in use gives way to none; one goes where a place is free first

An adapter that had come for a request was unloaded 3 ms later, since the planner knew of the arrival only from the next demand report; adapters in use were unloaded, which waits for their runs and answers the next order with a conflict (300 ms lost); a place was cleared while another engine had one free. Both new tests fail on the code before.

--- a/packages/placement/include/carobtide/placement/demand_estimate.hpp
+++ b/packages/placement/include/carobtide/placement/demand_estimate.hpp
@@ -44,6 +44,12 @@
   /** Slots needed for one adapter. */
   double NeedOf(const ModelKey& aKey) const;
 
+  /** A request for it arrived, told of before the daemon's next report. */
+  void NoteArrival(Instant aNow, const ModelKey& aKey);
+
+  /** True if routing daemons lately reported requests for it in flight. */
+  bool IsInUse(Instant aNow, const ModelKey& aKey) const;
+
   /** When a request for it arrived last; the epoch's start if never. */
   Instant LastArrival(const ModelKey& aKey) const;
 
--- a/packages/placement/include/carobtide/placement/residency_planner.hpp
+++ b/packages/placement/include/carobtide/placement/residency_planner.hpp
@@ -116,6 +116,13 @@
     double mCost = 0;
   };
 
+  /** An engine for an adapter, and what must give way to it there. */
+  struct AdapterPlace
+  {
+    EngineBook* mEngine = nullptr;
+    std::optional<ModelKey> mVictim;
+  };
+
   /** Time an unload takes when nothing runs. */
   static constexpr Duration kUnloadTime = std::chrono::milliseconds(50);
 
@@ -126,12 +133,13 @@
   void PlanResends(Instant aNow, std::vector<ResidencyEffect>& aEffects);
   void PlanAdapters(Instant aNow, Board& aBoard,
                     std::vector<ResidencyEffect>& aEffects);
-  /** The least loaded free engine that holds the model only. */
-  EngineBook* FindAdapterPlace(Instant aNow, Board& aBoard,
-                               const ModelKey& aKey) const;
-  /** The adapter on an engine that was asked for longest ago. */
-  std::optional<ModelKey> LeastUsedAdapter(const ServiceName& aService,
-                                           const EngineBook& aEngine) const;
+  /** The best engine that holds the model only and has a place to give. */
+  AdapterPlace FindAdapterPlace(Instant aNow, Board& aBoard,
+                                const ModelKey& aKey) const;
+  /** Of the adapters that nobody uses, the one asked for longest ago. */
+  std::optional<ModelKey> SpareAdapter(Instant aNow,
+                                       const ServiceName& aService,
+                                       const EngineBook& aEngine) const;
   static std::size_t AdaptersOn(const EngineBook& aEngine);
   void PlanModels(Instant aNow, Board& aBoard,
                   std::vector<ResidencyEffect>& aEffects);
--- a/packages/placement/src/demand_estimate.cpp
+++ b/packages/placement/src/demand_estimate.cpp
@@ -73,6 +73,21 @@
   return it == mNeed.end() ? 0.0 : it->second;
 }
 
+void DemandEstimate::NoteArrival(Instant aNow, const ModelKey& aKey)
+{
+  mArrivedAt[aKey] = aNow;
+}
+
+bool DemandEstimate::IsInUse(Instant aNow, const ModelKey& aKey) const
+{
+  return std::ranges::any_of(mSources, [&](const auto& aSource) {
+    const Source& source = aSource.second;
+    const auto it = source.mSlots.find(aKey);
+    return aNow - source.mHeardAt <= kReportMemory &&
+           it != source.mSlots.end() && it->second > 0;
+  });
+}
+
 Instant DemandEstimate::LastArrival(const ModelKey& aKey) const
 {
   const auto it = mArrivedAt.find(aKey);
--- a/packages/placement/src/residency_adapters.cpp
+++ b/packages/placement/src/residency_adapters.cpp
@@ -11,6 +11,13 @@
 constexpr Duration kWantedFor = std::chrono::milliseconds(400);
 /** Time an adapter takes at most when few are on their way. */
 constexpr Duration kAdapterTime = std::chrono::milliseconds(20);
+/**
+ * An adapter asked for this lately is on its way to its request, or in use
+ * there before any report says so: reports come every 250 ms.
+ */
+constexpr Duration kAdapterRest = std::chrono::milliseconds(350);
+/** Load that an engine must be better by to be worth an unload first. */
+constexpr double kUnloadScore = 0.25;
 
 bool HoldsAdapter(const HeldModel& aModel, const AdapterName& aAdapter)
 {
@@ -22,8 +29,9 @@
 
 void ResidencyPlanner::WantAdapter(Instant aNow, const EnsureAdapter& aWanted)
 {
-  mWanted[ModelKey{ aWanted.mService, aWanted.mModel, aWanted.mAdapter }] =
-    aNow + kWantedFor;
+  const ModelKey key{ aWanted.mService, aWanted.mModel, aWanted.mAdapter };
+  mWanted[key] = aNow + kWantedFor;
+  mDemand.NoteArrival(aNow, key);
 }
 
 std::vector<TargetName> ResidencyPlanner::HoldersOf(const ModelKey& aKey) const
@@ -39,24 +47,36 @@
   return holders;
 }
 
-EngineBook* ResidencyPlanner::FindAdapterPlace(Instant aNow, Board& aBoard,
-                                               const ModelKey& aKey) const
+ResidencyPlanner::AdapterPlace ResidencyPlanner::FindAdapterPlace(
+  Instant aNow, Board& aBoard, const ModelKey& aKey) const
 {
-  EngineBook* best = nullptr;
+  AdapterPlace best;
+  double bestScore = 0;
   for (EngineBook* engine : aBoard.mEngines) {
     const HeldModel* model = engine->Find(aKey.mModel);
     const bool isFit = model != nullptr && engine->IsFree(aNow) &&
                        !HoldsAdapter(*model, aKey.mAdapter);
-    if (isFit &&
-        (best == nullptr || aBoard.mLoad[engine] < aBoard.mLoad[best])) {
-      best = engine;
+    if (!isFit) {
+      continue;
+    }
+    const bool isFull =
+      AdaptersOn(*engine) >= aBoard.mService->mEngine->mAdapterSlots;
+    const auto victim =
+      isFull ? SpareAdapter(aNow, aKey.mService, *engine) : std::nullopt;
+    if (isFull && !victim) {
+      continue;
+    }
+    const double score = aBoard.mLoad[engine] + (isFull ? kUnloadScore : 0);
+    if (best.mEngine == nullptr || score < bestScore) {
+      best = { engine, victim };
+      bestScore = score;
     }
   }
   return best;
 }
 
-std::optional<ModelKey> ResidencyPlanner::LeastUsedAdapter(
-  const ServiceName& aService, const EngineBook& aEngine) const
+std::optional<ModelKey> ResidencyPlanner::SpareAdapter(
+  Instant aNow, const ServiceName& aService, const EngineBook& aEngine) const
 {
   std::optional<ModelKey> oldest;
   for (const ModelName& name : aEngine.Occupying()) {
@@ -66,7 +86,10 @@
     }
     for (const AdapterName& adapter : model->mAdapters) {
       const ModelKey key{ aService, name, adapter };
-      if (!oldest || mDemand.LastArrival(key) < mDemand.LastArrival(*oldest)) {
+      const Instant arrived = mDemand.LastArrival(key);
+      const bool isSpare =
+        aNow - arrived >= kAdapterRest && !mDemand.IsInUse(aNow, key);
+      if (isSpare && (!oldest || arrived < mDemand.LastArrival(*oldest))) {
         oldest = key;
       }
     }
@@ -91,24 +114,22 @@
                 [&](const auto& aItem) { return aNow >= aItem.second; });
   for (auto it = mWanted.begin(); it != mWanted.end();) {
     const ModelKey key = it->first;
-    EngineBook* place = key.mService == aBoard.mService->mName
-                          ? FindAdapterPlace(aNow, aBoard, key)
-                          : nullptr;
-    if (place == nullptr) {
+    const AdapterPlace place = key.mService == aBoard.mService->mName
+                                 ? FindAdapterPlace(aNow, aBoard, key)
+                                 : AdapterPlace{};
+    if (place.mEngine == nullptr) {
       ++it;
       continue;
     }
-    if (AdaptersOn(*place) >= aBoard.mService->mEngine->mAdapterSlots) {
-      // The adapter takes the place once its unload is answered.
-      if (const auto victim = LeastUsedAdapter(key.mService, *place)) {
-        Issue(aNow, *place, ResidencyAction::Unload, victim->mModel,
-              victim->mAdapter, kUnloadTime, "place for another adapter",
-              aEffects);
-      }
+    if (place.mVictim) {
+      // The adapter takes the place once the unload is answered.
+      Issue(aNow, *place.mEngine, ResidencyAction::Unload,
+            place.mVictim->mModel, place.mVictim->mAdapter, kUnloadTime,
+            "place for another adapter", aEffects);
       ++it;
       continue;
     }
-    Issue(aNow, *place, ResidencyAction::Load, key.mModel, key.mAdapter,
+    Issue(aNow, *place.mEngine, ResidencyAction::Load, key.mModel, key.mAdapter,
           kAdapterTime, "adapter asked for", aEffects);
     it = mWanted.erase(it);
   }
--- a/packages/placement/tests/residency_planner_test.cpp
+++ b/packages/placement/tests/residency_planner_test.cpp
@@ -339,4 +339,62 @@
   CHECK_FALSE(pump.IsAnyOverfull());
 }
 
+// Found on stiltjuggle-host quiet-1: an adapter was unloaded 3 ms after it had
+// come for a request, to make place for the next one.
+TEST_CASE("an adapter that was just asked for gives way to none")
+{
+  Pump pump(1, 2, 0);
+  pump.Run(5s, {});
+  const auto want = [&](std::size_t aNumber) {
+    EnsureAdapter wanted;
+    wanted.mService = kService;
+    wanted.mModel = Pump::Model(0);
+    wanted.mAdapter = AdapterName("a" + std::to_string(aNumber));
+    pump.mPlanner.WantAdapter(pump.mNow, wanted);
+    return ModelKey{ kService, wanted.mModel, wanted.mAdapter };
+  };
+  // More than there are places, at once.
+  std::vector<ModelKey> keys;
+  for (std::size_t n = 1; n <= kAdapterSlots + 2; ++n) {
+    keys.push_back(want(n));
+  }
+  std::set<ModelKey> held;
+  const Instant until = pump.mNow + 300ms;
+  while (pump.mNow < until) {
+    pump.Run(10ms, {});
+    for (const ModelKey& key : keys) {
+      const bool isHeld = !pump.mPlanner.HoldersOf(key).empty();
+      INFO(key.mAdapter.Text());
+      CHECK((isHeld || !held.contains(key)));
+      if (isHeld) {
+        held.insert(key);
+      }
+    }
+  }
+  CHECK(held.size() == kAdapterSlots);
+}
+
+TEST_CASE("an adapter goes where a place is free before one is cleared")
+{
+  Pump pump(2, 2, 0);
+  pump.Run(5s, {});
+  const auto want = [&](std::size_t aNumber) {
+    EnsureAdapter wanted;
+    wanted.mService = kService;
+    wanted.mModel = Pump::Model(0);
+    wanted.mAdapter = AdapterName("a" + std::to_string(aNumber));
+    pump.mPlanner.WantAdapter(pump.mNow, wanted);
+    pump.Run(500ms, {});
+    return ModelKey{ kService, wanted.mModel, wanted.mAdapter };
+  };
+  std::vector<ModelKey> keys;
+  for (std::size_t n = 1; n <= 2 * kAdapterSlots; ++n) {
+    keys.push_back(want(n));
+  }
+  for (const ModelKey& key : keys) {
+    INFO(key.mAdapter.Text());
+    CHECK(pump.mPlanner.HoldersOf(key).size() == 1);
+  }
+}
+
 } // namespace carobtide
