Prompts are paced by what their own model takes to read them

Change: the time per token is learned for each model, from prompts of 128 tokens or more that are most of what an engine reads; edges share the time to read instead of tokens; a prompt's own time counts, against 0.6 of the pause objective. The new test fails on the code before.

--- a/packages/daemon/src/request_trail.cpp
+++ b/packages/daemon/src/request_trail.cpp
@@ -88,8 +88,7 @@
       inputs.push_back({ "load", aEntry.mBelief.mLoad });
       inputs.push_back({ "own_in_flight", static_cast<std::int64_t>(
                                             aEntry.mBelief.mOwnInFlight) });
-      inputs.push_back({ "backlog_tokens", static_cast<std::int64_t>(
-                                             aEntry.mBelief.mBacklogTokens) });
+      inputs.push_back({ "reading_ms", Millis(aEntry.mBelief.mReading) });
       inputs.push_back({ "failure_share", aEntry.mBelief.mFailureShare });
       inputs.push_back(
         { "holders", static_cast<std::int64_t>(aEntry.mBelief.mHolders) });
--- a/packages/fleet/include/carobtide/fleet/messages.hpp
+++ b/packages/fleet/include/carobtide/fleet/messages.hpp
@@ -178,11 +178,14 @@
   std::uint32_t mInFlight = 0;
   /** Refused or kept waiting because no target had room or held it. */
   std::uint32_t mUnplaced = 0;
+  /** Microseconds that an engine should need to read the arrivals' prompts. */
+  std::uint64_t mReading = 0;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mService, mModel, mAdapter, mArrivals, mInFlight, mUnplaced);
+    aArchive(mService, mModel, mAdapter, mArrivals, mInFlight, mUnplaced,
+             mReading);
   }
 };
 
@@ -203,13 +206,16 @@
 {
   TargetName mTarget;
   std::uint32_t mInFlight = 0;
-  /** Prompt tokens of those that have not had their first byte. */
-  std::uint32_t mPromptBacklog = 0;
+  /**
+   * Microseconds that the engine should need to read the prompts of those that
+   * have not had their first byte.
+   */
+  std::uint64_t mReading = 0;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mTarget, mInFlight, mPromptBacklog);
+    aArchive(mTarget, mInFlight, mReading);
   }
 };
 
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -67,8 +67,8 @@
   double mLoad = 0;
   /** Of those, this daemon's own. */
   std::uint32_t mOwnInFlight = 0;
-  /** Prompt tokens sent there that no first byte has answered. */
-  std::uint32_t mBacklogTokens = 0;
+  /** Time to read the prompts sent there that no first byte has answered. */
+  Duration mReading{ 0 };
   /** Recent share of failures, as seen here. */
   double mFailureShare = 0;
   /** Targets that hold all that the request needs. */
@@ -234,7 +234,8 @@
     TargetHealth mHealth;
     std::uint32_t mInFlight = 0;
     /** Prompt tokens sent that no first byte has answered. */
-    std::uint32_t mPromptBacklog = 0;
+    /** Time to read the prompts that no first byte has answered. */
+    Duration mReading{ 0 };
     Instant mToldAt;
     /** Shared prompt parts sent here lately, and when. */
     std::unordered_map<std::uint64_t, Instant> mParts;
@@ -255,8 +256,9 @@
     ModelName mModel;
     AdapterName mAdapter;
     std::uint32_t mPromptTokens = 0;
-    /** Prompt tokens at the target when it was sent, its own included. */
-    std::uint32_t mBacklog = 0;
+    /** Expected time to read its prompt, and with it all at the target. */
+    Duration mReading{ 0 };
+    Duration mAllReading{ 0 };
     bool mFirstByte = false;
   };
 
@@ -272,7 +274,11 @@
     Duration mRunTime{ 0 };
     /** Smoothed time to the first byte over all targets. */
     Duration mFirstByte{ 0 };
-    /** Smoothed time that a prompt token takes, in microseconds. */
+    /**
+     * Smoothed time that a prompt token takes, in microseconds: of each model,
+     * as they differ by a factor of three and more, and over all of them.
+     */
+    std::unordered_map<ModelName, double> mModelTokenMicros;
     double mTokenMicros = 0;
     std::vector<TargetName> mTargets;
   };
@@ -305,11 +311,12 @@
   TargetLoad LoadAt(Instant aNow, const Target& aTarget) const;
   /** Requests in flight over slots. */
   static double LoadOf(const Target& aTarget, const TargetLoad& aLoad);
-  /** Time until the prompts sent to a target before are read. */
-  static Duration BacklogTime(const Pool& aPool, const TargetLoad& aLoad);
+  /** Time that an engine should need for the request's prompt. */
+  static Duration ReadingTime(const Pool& aPool, const DispatchFacts& aFacts);
+  static void LearnReading(Pool& aPool, const OpenSend& aSend, Duration aTook);
   /** True if one more prompt would hold up the target's streams. */
-  bool IsReading(const Pool& aPool, const DispatchFacts& aFacts,
-                 const TargetLoad& aLoad) const;
+  static bool IsReading(const Pool& aPool, const DispatchFacts& aFacts,
+                        const TargetLoad& aLoad);
   double ScoreOf(Instant aNow, const Target& aTarget, const Pool& aPool,
                  const DispatchFacts& aFacts, const TargetLoad& aLoad);
   double LoadLimit(const Pool& aPool, const DispatchFacts& aFacts) const;
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -150,9 +150,14 @@
 
 void Dispatcher::OnArrival(Instant aNow, const DispatchFacts& aFacts)
 {
-  PoolOf(aFacts.mService).mAllowance.OnFirstAttempt(aNow);
+  Pool& pool = PoolOf(aFacts.mService);
+  pool.mAllowance.OnFirstAttempt(aNow);
   if (!aFacts.mModel.IsEmpty()) {
-    ++DemandOf(aFacts.mService, aFacts.mModel, aFacts.mAdapter).mArrivals;
+    DemandItem& demand =
+      DemandOf(aFacts.mService, aFacts.mModel, aFacts.mAdapter);
+    ++demand.mArrivals;
+    demand.mReading +=
+      static_cast<std::uint64_t>(ReadingTime(pool, aFacts).count());
   }
 }
 
@@ -169,19 +174,23 @@
   send.mUrgency = kUrgency;
   send.mBelief = { LoadOf(target, aSearch.mLoad),
                    target.mInFlight,
-                   aSearch.mLoad.mPromptBacklog,
+                   Duration(static_cast<Duration::rep>(aSearch.mLoad.mReading)),
                    target.mHealth.FailureShare(aNow),
                    aSearch.mHolders,
                    last.mSequence,
                    aNow - target.mToldAt };
-  OpenSend open{
-    last.mTarget,        aNow, facts.mService, facts.mModel, facts.mAdapter,
-    facts.mPromptTokens, 0,    false
-  };
-  open.mBacklog = aSearch.mLoad.mPromptBacklog + facts.mPromptTokens;
+  OpenSend open;
+  open.mTarget = last.mTarget;
+  open.mSentAt = aNow;
+  open.mService = facts.mService;
+  open.mModel = facts.mModel;
+  open.mAdapter = facts.mAdapter;
+  open.mPromptTokens = facts.mPromptTokens;
+  open.mReading = ReadingTime(PoolOf(facts.mService), facts);
+  open.mAllReading = send.mBelief.mReading + open.mReading;
+  target.mReading += open.mReading;
   mOpen.emplace(send.mSend, std::move(open));
   ++target.mInFlight;
-  target.mPromptBacklog += facts.mPromptTokens;
   target.mHealth.OnSent(aNow, send.mSend);
   if (facts.mSharedPart != 0) {
     if (target.mParts.size() >= kMostParts) {
@@ -268,19 +277,12 @@
   const Duration took = aNow - it->second.mSentAt;
   Pool& pool = PoolOf(it->second.mService);
   Smooth(pool.mFirstByte, took);
-  if (it->second.mBacklog > 0) {
-    const double micros =
-      static_cast<double>(took.count()) / it->second.mBacklog;
-    pool.mTokenMicros =
-      pool.mTokenMicros == 0
-        ? micros
-        : pool.mTokenMicros + (micros - pool.mTokenMicros) / kTimeDivisor;
-  }
+  LearnReading(pool, it->second, took);
   if (const auto target = mTargets.find(it->second.mTarget);
       target != mTargets.end()) {
     target->second.mHealth.OnFirstByte(aNow, aSend, took);
-    target->second.mPromptBacklog -=
-      std::min(target->second.mPromptBacklog, it->second.mPromptTokens);
+    target->second.mReading -=
+      std::min(target->second.mReading, it->second.mReading);
   }
 }
 
@@ -338,8 +340,8 @@
       target != mTargets.end()) {
     target->second.mInFlight -= std::min(target->second.mInFlight, 1U);
     if (!open.mFirstByte) {
-      target->second.mPromptBacklog -=
-        std::min(target->second.mPromptBacklog, open.mPromptTokens);
+      target->second.mReading -=
+        std::min(target->second.mReading, open.mReading);
     }
     target->second.mHealth.OnEnd(aNow, aSend, aEnd);
   }
@@ -352,7 +354,8 @@
   std::vector<TargetLoad> loads;
   for (const auto& [name, target] : mTargets) {
     if (target.mInFlight > 0) {
-      loads.push_back({ name, target.mInFlight, target.mPromptBacklog });
+      loads.push_back({ name, target.mInFlight,
+                        static_cast<std::uint64_t>(target.mReading.count()) });
     }
   }
   return loads;
--- a/packages/routing/src/dispatcher_choice.cpp
+++ b/packages/routing/src/dispatcher_choice.cpp
@@ -33,10 +33,18 @@
 constexpr double kMostQueueLoad = 3.0;
 /**
  * Parts of the pause objective that prompts on their way to an engine may
- * take: its streams stand still while it reads them.
+ * take, the new one included: its streams stand still while it reads them.
  */
-constexpr double kUrgentPause = 0.5;
+constexpr double kUrgentPause = 0.6;
 constexpr double kPatientPause = 0.25;
+/** Smaller prompts tell more of the network than of the engine. */
+constexpr std::uint32_t kTellingPrompt = 128;
+/** Part of the reading that must be the prompt's own to tell of its model. */
+constexpr double kTellingShare = 0.5;
+/** A first byte is late for other reasons as well: bounds of one sample. */
+constexpr double kMostRatio = 3.0;
+/** Weight of the newest sample: about the last twenty count. */
+constexpr double kPaceDivisor = 20.0;
 /** Score of prompts that take the whole objective to read. */
 constexpr double kBacklogScore = 1.0;
 /** Load up to which patient work is sent to engines. */
@@ -56,13 +64,13 @@
 TargetLoad Dispatcher::LoadAt(Instant aNow, const Target& aTarget) const
 {
   TargetLoad load{ aTarget.mState.mLast.mTarget, aTarget.mInFlight,
-                   aTarget.mPromptBacklog };
+                   static_cast<std::uint64_t>(aTarget.mReading.count()) };
   for (const auto& [address, peer] : mPeers) {
     if (aNow - peer.mHeardAt < kPeerLoadMemory) {
       const auto it = peer.mLoads.find(load.mTarget);
       if (it != peer.mLoads.end()) {
         load.mInFlight += it->second.mInFlight;
-        load.mPromptBacklog += it->second.mPromptBacklog;
+        load.mReading += it->second.mReading;
       }
     }
   }
@@ -75,19 +83,50 @@
   return static_cast<double>(aLoad.mInFlight) / slots;
 }
 
-Duration Dispatcher::BacklogTime(const Pool& aPool, const TargetLoad& aLoad)
+Duration Dispatcher::ReadingTime(const Pool& aPool, const DispatchFacts& aFacts)
 {
-  return Duration(
-    static_cast<Duration::rep>(aPool.mTokenMicros * aLoad.mPromptBacklog));
+  const auto it = aPool.mModelTokenMicros.find(aFacts.mModel);
+  const double micros =
+    it == aPool.mModelTokenMicros.end() ? aPool.mTokenMicros : it->second;
+  return Duration(static_cast<Duration::rep>(micros * aFacts.mPromptTokens));
+}
+
+void Dispatcher::LearnReading(Pool& aPool, const OpenSend& aSend,
+                              Duration aTook)
+{
+  const auto took = static_cast<double>(aTook.count());
+  const auto expected = static_cast<double>(aSend.mAllReading.count());
+  const auto own = static_cast<double>(aSend.mReading.count());
+  if (aSend.mPromptTokens < kTellingPrompt ||
+      (expected > 0 && own < kTellingShare * expected)) {
+    return;
+  }
+  double& micros = aPool.mModelTokenMicros[aSend.mModel];
+  if (micros == 0) {
+    micros =
+      aPool.mTokenMicros == 0 ? took / aSend.mPromptTokens : aPool.mTokenMicros;
+  }
+  if (expected > 0) {
+    const double ratio =
+      std::clamp(took / expected, 1 / kMostRatio, kMostRatio);
+    micros += micros * (ratio - 1) / kPaceDivisor;
+  }
+  aPool.mTokenMicros =
+    aPool.mTokenMicros == 0
+      ? micros
+      : aPool.mTokenMicros + (micros - aPool.mTokenMicros) / kPaceDivisor;
 }
 
 bool Dispatcher::IsReading(const Pool& aPool, const DispatchFacts& aFacts,
-                           const TargetLoad& aLoad) const
+                           const TargetLoad& aLoad)
 {
+  if (aFacts.mPauseObjective <= Duration::zero() || aLoad.mReading == 0) {
+    return false;
+  }
   const double share = aFacts.IsPatient() ? kPatientPause : kUrgentPause;
   const auto most = static_cast<double>(aFacts.mPauseObjective.count()) * share;
-  return aFacts.mPauseObjective > Duration::zero() &&
-         static_cast<double>(BacklogTime(aPool, aLoad).count()) > most;
+  const auto own = static_cast<double>(ReadingTime(aPool, aFacts).count());
+  return static_cast<double>(aLoad.mReading) + own > most;
 }
 
 double Dispatcher::ScoreOf(Instant aNow, const Target& aTarget,
@@ -96,8 +135,7 @@
 {
   double score = LoadOf(aTarget, aLoad);
   if (aFacts.mObjective > Duration::zero()) {
-    score += kBacklogScore *
-             static_cast<double>(BacklogTime(aPool, aLoad).count()) /
+    score += kBacklogScore * static_cast<double>(aLoad.mReading) /
              static_cast<double>(aFacts.mObjective.count());
   }
   const Heartbeat& last = aTarget.mState.mLast;
--- a/packages/routing/tests/dispatcher_test.cpp
+++ b/packages/routing/tests/dispatcher_test.cpp
@@ -250,6 +250,48 @@
   CHECK(waiting >= 4);
 }
 
+// Replays what was seen on scale-1 of stiltjuggle-host: nearly all streams that
+// paused were of the two models whose prompts take three times as long to read.
+TEST_CASE("prompts are paced by what their model takes to read them")
+{
+  const ModelName heavy("heavy");
+  Bench bench(1);
+  RoutedTarget target = MakeTarget("t0", "a");
+  target.mModels.push_back({ heavy, 1, {} });
+  bench.mDispatcher.OnTarget(bench.mNow, target);
+  const auto arrive = [&](const ModelName& aModel) {
+    DispatchState state = bench.Arrive(RequestKind::Stream);
+    state.mFacts.mModel = aModel;
+    return state;
+  };
+  for (int n = 0; n < 200; ++n) {
+    for (const bool isHeavy : { false, true }) {
+      DispatchState state = arrive(isHeavy ? heavy : kModel);
+      const SendTo send = bench.MustSend(state);
+      bench.mNow += isHeavy ? 60ms : 20ms;
+      bench.mDispatcher.OnFirstByte(bench.mNow, send.mSend);
+      bench.End(send, SendEnd::Whole, state);
+    }
+  }
+  const auto count = [&](const ModelName& aModel) {
+    int sent = 0;
+    while (true) {
+      DispatchState state = arrive(aModel);
+      if (!std::holds_alternative<SendTo>(bench.Choose(state))) {
+        return sent;
+      }
+      ++sent;
+    }
+  };
+  // At most 120 ms of reading for a pause objective of 200 ms.
+  const bool isHeavy = GENERATE(false, true);
+  const ModelName model = isHeavy ? heavy : kModel;
+  const int sent = count(model);
+  INFO(model.Text());
+  CHECK(sent >= (isHeavy ? 1 : 4));
+  CHECK(sent <= (isHeavy ? 2 : 6));
+}
+
 TEST_CASE("what peers have sent counts")
 {
   Bench bench(2);
