--- a/packages/placement/include/carobtide/placement/demand_estimate.hpp
+++ b/packages/placement/include/carobtide/placement/demand_estimate.hpp
@@ -32,8 +32,18 @@
 class DemandEstimate
 {
 public:
-  /** Takes a report; it replaces the daemon's report before. */
-  void OnReport(Instant aNow, const DemandReport& aReport);
+  /**
+   * Takes a report; it replaces the daemon's report before. `aSlots` is what
+   * an engine has: one that reads prompts for kReadingShare of its time counts
+   * as if all were taken.
+   *
+   * Answers: models whose prompts take long to read are asked for, and their
+   * streams pause while most slots are free.
+   */
+  void OnReport(Instant aNow, const DemandReport& aReport, double aSlots);
+
+  /** From this share on, the prompts that come hold up the streams that run. */
+  static constexpr double kReadingShare = 0.3;
 
   /** Moves the estimates towards the newest reports. Call every 100 ms. */
   void Step(Instant aNow);
--- a/packages/placement/src/demand_estimate.cpp
+++ b/packages/placement/src/demand_estimate.cpp
@@ -9,6 +9,9 @@
 
 /** Reports older than this no longer count: several intervals. */
 constexpr Duration kReportMemory = std::chrono::milliseconds(1500);
+/** Bounds of the time between two reports, which come every 250 ms. */
+constexpr Duration kShortestInterval = std::chrono::milliseconds(100);
+constexpr Duration kLongestInterval = std::chrono::milliseconds(1000);
 /** Part of the way that an estimate goes in a step, up and down. */
 constexpr double kRise = 0.4;
 constexpr double kFall = 0.03;
@@ -22,14 +25,20 @@
 
 } // namespace
 
-void DemandEstimate::OnReport(Instant aNow, const DemandReport& aReport)
+void DemandEstimate::OnReport(Instant aNow, const DemandReport& aReport,
+                              double aSlots)
 {
   Source& source = mSources[aReport.mFrom];
+  const Duration since =
+    std::clamp(aNow - source.mHeardAt, kShortestInterval, kLongestInterval);
   source.mHeardAt = aNow;
   source.mSlots.clear();
   for (const DemandItem& demand : aReport.mModels) {
     const ModelKey key{ demand.mService, demand.mModel, demand.mAdapter };
-    source.mSlots[key] = demand.mInFlight + kUnplacedSlots * demand.mUnplaced;
+    const double reading =
+      static_cast<double>(demand.mReading) / static_cast<double>(since.count());
+    source.mSlots[key] = demand.mInFlight + kUnplacedSlots * demand.mUnplaced +
+                         aSlots * reading / kReadingShare;
     if (demand.mArrivals > 0) {
       mArrivedAt[key] = aNow;
     }
--- a/packages/placement/src/residency_planner.cpp
+++ b/packages/placement/src/residency_planner.cpp
@@ -76,7 +76,11 @@
 
 void ResidencyPlanner::OnDemand(Instant aNow, const DemandReport& aReport)
 {
-  mDemand.OnReport(aNow, aReport);
+  double slots = 0;
+  for (const auto& [name, engine] : mEngines) {
+    slots = std::max(slots, static_cast<double>(engine.Last().mSlots));
+  }
+  mDemand.OnReport(aNow, aReport, slots);
 }
 
 void ResidencyPlanner::OnReport(Instant aNow, const TargetName& aTarget,
--- a/packages/placement/tests/residency_planner_test.cpp
+++ b/packages/placement/tests/residency_planner_test.cpp
@@ -166,6 +166,12 @@
         item.mModel = model;
         item.mArrivals = 1;
         item.mInFlight = slots;
+        if (const auto it = mReading.find(model); it != mReading.end()) {
+          // Reports closer than this count as if they were this far apart.
+          constexpr double kIntervalMicros = 100'000;
+          item.mReading =
+            static_cast<std::uint64_t>(it->second * kIntervalMicros);
+        }
         report.mModels.push_back(item);
       }
       mPlanner.OnDemand(mNow, report);
@@ -207,6 +213,8 @@
   }
 
   Instant mNow = kStart;
+  /** Part of an engine's time that a model's prompts take. */
+  std::map<ModelName, double> mReading;
   ResidencyPlanner mPlanner;
   std::map<TargetName, FakeEngine> mEngines;
 
@@ -339,6 +347,26 @@
   CHECK_FALSE(pump.IsAnyOverfull());
 }
 
+// Replays what was seen on trouble-2 of stiltjuggle-host: two models whose
+// prompts take long to read had one engine, most of its slots free, while
+// engines of light models had hardly any prompt to read.
+TEST_CASE("a model whose prompts take an engine's time gets more engines")
+{
+  Pump pump(4, 8, 0);
+  pump.Run(8s, {});
+  const ModelName heavy = Pump::Model(0);
+  const int before = pump.CopiesOf(heavy);
+  std::map<ModelName, std::uint32_t> demand;
+  for (int n = 0; n < 8; ++n) {
+    demand[Pump::Model(n)] = 2;
+  }
+  pump.mReading[heavy] = 0.9;
+  pump.Run(20s, demand);
+  CHECK(pump.CopiesOf(heavy) > before);
+  CHECK(pump.CopiesOf(heavy) >= 3);
+  CHECK_FALSE(pump.IsAnyOverfull());
+}
+
 // Found on stiltjuggle-host quiet-1: an adapter was unloaded 3 ms after it had
 // come for a request, to make place for the next one.
 TEST_CASE("an adapter that was just asked for gives way to none")
