--- a/packages/cli/src/log_story.cpp
+++ b/packages/cli/src/log_story.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <ranges>
 #include <set>
 
 namespace carobtide {
@@ -102,11 +101,12 @@
     told += "; " + std::to_string(others) + " other sends broke there as well";
   }
   // The latest news of it: what came before its end is history.
-  for (const LogLine& line : std::views::reverse(aLines)) {
-    if (line.mPeer == aTarget && line.mStep.starts_with("target.")) {
-      told += "; " + line.mStep + " by " + line.mProcess;
-      break;
-    }
+  const auto last =
+    std::find_if(aLines.rbegin(), aLines.rend(), [&](const LogLine& aIt) {
+      return aIt.mPeer == aTarget && aIt.mStep.starts_with("target.");
+    });
+  if (last != aLines.rend()) {
+    told += "; " + last->mStep + " by " + last->mProcess;
   }
   return told;
 }
@@ -153,6 +153,30 @@
   return cause;
 }
 
+/** Inputs and message; whose request it was if it was another's. */
+std::string RenderDetail(const LogLine& aLine, std::string_view aRequest)
+{
+  std::string detail;
+  const auto separate = [&] { detail += detail.empty() ? "" : " "; };
+  for (const auto& [name, value] : aLine.mInputs) {
+    separate();
+    detail += name;
+    detail += '=';
+    detail += value;
+  }
+  if (!aLine.mMessage.empty()) {
+    separate();
+    detail += aLine.mMessage;
+  }
+  if (!IsAbout(aLine, aRequest) && !aLine.mCall.empty()) {
+    separate();
+    detail += "(request ";
+    detail += aLine.mCall;
+    detail += ')';
+  }
+  return detail;
+}
+
 } // namespace
 
 std::string_view LogLine::Input(std::string_view aName) const
@@ -257,19 +281,10 @@
         std::snprintf(buf.data(), buf.size(), "%+.1f",
                       static_cast<double>(line.mTimeMicros - own->mTimeMicros) /
                         kMicrosPerMilli);
-      std::string detail;
-      for (const auto& [name, value] : line.mInputs) {
-        detail += (detail.empty() ? "" : " ") + name + "=" + value;
-      }
-      if (!line.mMessage.empty()) {
-        detail += (detail.empty() ? "" : " ") + line.mMessage;
-      }
-      if (!IsAbout(line, aRequest) && !line.mCall.empty()) {
-        detail += " (request " + line.mCall + ")";
-      }
       table.AddRow({ std::string(buf.data(), static_cast<std::size_t>(n)),
                      line.mProcess, line.mStep,
-                     line.mPeer.empty() ? "-" : line.mPeer, detail });
+                     line.mPeer.empty() ? "-" : line.mPeer,
+                     RenderDetail(line, aRequest) });
     }
     text = table.Render() + '\n';
   }
--- a/packages/daemon/src/logging.cpp
+++ b/packages/daemon/src/logging.cpp
@@ -33,8 +33,8 @@
 /** Never destroyed: other threads log until the process ends. */
 LogState& State()
 {
-  static auto* const state = new LogState;
-  return *state;
+  static auto* const kState = new LogState;
+  return *kState;
 }
 
 bool WriteToOutput(std::string_view aLines)
