--- a/packages/placement/include/carobtide/placement/demand_estimate.hpp
+++ b/packages/placement/include/carobtide/placement/demand_estimate.hpp
@@ -43,7 +43,7 @@
   void OnReport(Instant aNow, const DemandReport& aReport, double aSlots);
 
   /** From this share on, the prompts that come hold up the streams that run. */
-  static constexpr double kReadingShare = 0.3;
+  static constexpr double kReadingShare = 0.4;
 
   /** Moves the estimates towards the newest reports. Call every 100 ms. */
   void Step(Instant aNow);
