The end of a request names its content in the log

A request that comes again bears another id, so the logs of a series of crashes could not tell whether the requests in flight had anything in common. The last line of each request that is written now has a hash of host, method, path and body. Logs only; no decision uses it.

--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -55,6 +55,9 @@
   , mExchange(aExchange)
   , mCaller(std::move(aCaller))
   , mRoute(aRoute)
+  , mContent(
+      FingerprintOf({ mCaller.mHost, mExchange.Request().mMethod,
+                      mExchange.Request().mTarget, mExchange.Request().mBody }))
 {
   const Duration patience =
     std::min(mCaller.mPatience.value_or(mRoute.mTimeout), mRoute.mTimeout);
@@ -470,6 +473,7 @@
   end.mTook = SteadyNow() - mState.mFacts.mArrived;
   end.mSends = mSends;
   end.mLongestPause = mLongestPause;
+  end.mContent = mContent;
   mContext.mMetrics.OnEnd(mRoute.mKind, aOutcome, end.mTook);
   mTrail.Write(mCaller, mRoute, end, mContext.mLeftOut);
 }
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -92,6 +92,7 @@
   Instant mEventAt;
   Duration mLongestPause{ 0 };
   std::string mLastTarget;
+  const Fingerprint mContent;
   RequestTrail mTrail;
 };
 
--- a/packages/daemon/src/request_trail.cpp
+++ b/packages/daemon/src/request_trail.cpp
@@ -132,8 +132,10 @@
   }
   std::ranges::for_each(
     mEntries, [&](const Entry& aIt) { WriteEntry(aIt, aCaller.mId); });
+  const std::string content = ToHex(aEnd.mContent);
   std::vector<LogInput> inputs{
     { "route", std::string_view(aRoute.mName) },
+    { "content", std::string_view(content) },
     { "model", std::string_view(aCaller.mModel.Text()) },
     { "adapter", std::string_view(aCaller.mAdapter.Text()) },
     { "outcome", kRequestOutcomes.Name(aEnd.mOutcome) },
--- a/packages/daemon/src/request_trail.hpp
+++ b/packages/daemon/src/request_trail.hpp
@@ -8,6 +8,7 @@
 #include "carobtide/catalog.hpp"
 #include "carobtide/daemon/dialect.hpp"
 #include "carobtide/routing/dispatcher.hpp"
+#include "carobtide/routing/fingerprint.hpp"
 #include "request_metrics.hpp"
 
 #include <cstdint>
@@ -45,6 +46,8 @@
   Duration mTook{ 0 };
   std::uint32_t mSends = 0;
   Duration mLongestPause{ 0 };
+  /** Equal for requests of equal content, whatever their ids. */
+  Fingerprint mContent;
 };
 
 /**
