Content that crashes targets is blocked at every routing daemon

Cause: quarantine served the bundle path only. On the catalog path a routing daemon forgets a request when it has ended, and knows it by its id, which is new each time. Class: a promise proved on one path and absent on the other.

Change: a request is recognized by a digest of host, method, path and body. A daemon that loses a connection probes the target's address; if nothing listens there, or the process was replaced, what was in flight is reported to the home and by it to all control daemons. Three crashes under one content block it for ten minutes, everywhere: blocks travel with the answers to watches, restarted control daemons get them from the others and from their watchers, restarted edges from any control daemon; a daemon without a home counts its own crashes. Crashes that blocked content explains count against nothing else; an answer in full clears content, blocked or not. Blocked requests are answered 503 at once, not run, with the rest of the block as Retry-After. Reports, tally and blocks are bounded.

--- a/packages/base/include/carobtide/base/hash.hpp
+++ b/packages/base/include/carobtide/base/hash.hpp
@@ -8,6 +8,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -34,6 +35,9 @@
 /** Computes the digest of some bytes. Thread safety: any thread. */
 Digest ComputeDigest(std::string_view aBytes);
 
+/** Computes the digest of texts in order; their borders count. */
+Digest ComputeDigest(std::initializer_list<std::string_view> aTexts);
+
 /** Computes a 64-bit checksum. Thread safety: any thread. */
 std::uint64_t ComputeChecksum(std::string_view aBytes, std::uint64_t aSeed = 0);
 
--- a/packages/base/src/hash.cpp
+++ b/packages/base/src/hash.cpp
@@ -5,6 +5,7 @@
 
 #include <charconv>
 #include <cstdio>
+#include <numeric>
 #include <system_error>
 
 namespace carobtide {
@@ -38,6 +39,18 @@
   return Digest{ hash.high64, hash.low64 };
 }
 
+Digest ComputeDigest(std::initializer_list<std::string_view> aTexts)
+{
+  // The digest of one text seeds the next.
+  return std::accumulate(
+    aTexts.begin(), aTexts.end(), Digest{},
+    [](const Digest& aSeed, std::string_view aText) {
+      const XXH128_hash_t hash =
+        XXH3_128bits_withSeed(aText.data(), aText.size(), aSeed.mLow);
+      return Digest{ hash.high64 ^ aSeed.mHigh, hash.low64 };
+    });
+}
+
 std::uint64_t ComputeChecksum(std::string_view aBytes, std::uint64_t aSeed)
 {
   return XXH3_64bits_withSeed(aBytes.data(), aBytes.size(), aSeed);
--- a/packages/daemon/fuzz/peer_message.cpp
+++ b/packages/daemon/fuzz/peer_message.cpp
@@ -33,6 +33,17 @@
   }
 }
 
+/** Notices of any content leave the receiver in a sound state. */
+void TakeCrashNotice(std::string_view aBytes)
+{
+  constexpr Instant kNow{ Duration(1'000'000) };
+  if (const auto notice = Decode<CrashNotice>(aBytes)) {
+    ContentBoard board;
+    board.OnNotice(kNow, *notice);
+    board.Blocks().Since(kNow, 0);
+  }
+}
+
 /** What decodes must encode and decode again. */
 template<class Message>
 void DecodeAs(std::string_view aBytes)
@@ -50,6 +61,8 @@
 {
   const std::string_view bytes(reinterpret_cast<const char*>(aData), aSize);
   DecodeAs<ConsensusMessage>(bytes);
+  DecodeAs<CrashNotice>(bytes);
+  TakeCrashNotice(bytes);
   DecodeAs<BootstrapProbe>(bytes);
   DecodeAs<BootstrapStatus>(bytes);
   DecodeAs<BundleQuery>(bytes);
--- a/packages/daemon/src/control_metrics.hpp
+++ b/packages/daemon/src/control_metrics.hpp
@@ -26,9 +26,10 @@
   OrdersSent,
   OrdersAccepted,
   OrdersUnanswered,
+  CrashReportsTaken,
 };
 
-inline constexpr EnumTable<ControlCounter, 9> kControlCounters{ { {
+inline constexpr EnumTable<ControlCounter, 10> kControlCounters{ { {
   { ControlCounter::LeadershipsGained, "leaderships_gained" },
   { ControlCounter::LeadershipsLost, "leaderships_lost" },
   { ControlCounter::CatalogsAcknowledged, "catalogs_acknowledged" },
@@ -38,6 +39,7 @@
   { ControlCounter::OrdersSent, "orders_sent" },
   { ControlCounter::OrdersAccepted, "orders_accepted" },
   { ControlCounter::OrdersUnanswered, "orders_unanswered" },
+  { ControlCounter::CrashReportsTaken, "crash_reports_taken" },
 } } };
 
 /**
@@ -46,9 +48,9 @@
 class ControlMetrics
 {
 public:
-  void Add(ControlCounter aCounter)
+  void Add(ControlCounter aCounter, std::uint64_t aCount = 1)
   {
-    ++mCounts[static_cast<std::size_t>(aCounter)];
+    mCounts[static_cast<std::size_t>(aCounter)] += aCount;
   }
 
   /** From a command's arrival at the leader until it is applied. */
--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -31,6 +31,8 @@
 constexpr Duration kCandidateTimeout = std::chrono::milliseconds(1000);
 constexpr Duration kMembershipInterval = std::chrono::milliseconds(200);
 constexpr Duration kExpiryInterval = std::chrono::milliseconds(200);
+/** Blocks are repeated to control daemons that restarted or were cut off. */
+constexpr Duration kBlockInterval = std::chrono::seconds(2);
 /** Between handing leadership over and the end of the process. */
 constexpr Duration kHandOverTime = std::chrono::milliseconds(500);
 /** A routing daemon is forgotten after this long without a watch. */
@@ -276,6 +278,11 @@
       std::erase_if(mEdges, [&](const auto& aEdge) {
         return now - aEdge.second.mAskedAt > kEdgeTimeout;
       });
+      mContents.Expire(now);
+      if (now >= mNextBlocks && mContents.Blocks().Size() > 0) {
+        mNextBlocks = now + kBlockInterval;
+        SendToPeers(FleetMessageType::CrashNotice, mContents.AllBlocks(now));
+      }
     }
     if (mReplica.IsLeading() && !mStopping) {
       StepPlanner();
--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -81,6 +81,7 @@
   /** Asks the leader for the residency changes that were missed, if any. */
   void RequestResidency();
   void OnResidencyRequest(const ResidencyRequest& aRequest);
+  void OnCrashNotice(const CrashNotice& aNotice);
   /** Number of routing daemons that this daemon relays to. */
   std::size_t CountHomeWatchers() const;
   bool HasNews(const WatchRequest& aRequest) const;
@@ -119,6 +120,9 @@
   std::optional<ResidencyPlanner> mPlanner;
   std::uint64_t mPlannerTerm = 0;
   ResidencyBoard mResidency;
+  ContentBoard mContents;
+  /** When the blocks are next sent to the other control daemons. */
+  Instant mNextBlocks;
   Instant mNextPublish;
   /** Routing daemons that watch. */
   std::map<Endpoint, Watcher> mEdges;
--- a/packages/daemon/src/control_node_calls.cpp
+++ b/packages/daemon/src/control_node_calls.cpp
@@ -1,4 +1,5 @@
 // Calls to a control daemon: from operators, targets and other daemons.
+#include "block_log.hpp"
 #include "carobtide/base/codec.hpp"
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
@@ -51,6 +52,7 @@
 
 template void ControlNode::SendToPeers(FleetMessageType, const Greeting&);
 template void ControlNode::SendToPeers(FleetMessageType, const ResidencyMap&);
+template void ControlNode::SendToPeers(FleetMessageType, const CrashNotice&);
 
 awaitable<void> ControlNode::HandleCall(HttpExchange& aExchange)
 {
@@ -238,6 +240,15 @@
       LogError(wanted.GetError());
       break;
     }
+    case FleetMessageType::CrashNotice: {
+      const auto notice = Decode<CrashNotice>(aPayload, aPeer);
+      if (notice) {
+        OnCrashNotice(*notice);
+      } else {
+        LogError(notice.GetError());
+      }
+      break;
+    }
     case FleetMessageType::Propose: {
       auto executing = ExecuteHere(std::move(aPayload));
       const auto reply = co_await std::move(executing);
@@ -311,6 +322,10 @@
         OnResidencyRequest(aRequest);
       });
       break;
+    case FleetMessageType::CrashNotice:
+      take(CrashNotice{},
+           [&](const CrashNotice& aNotice) { OnCrashNotice(aNotice); });
+      break;
     case FleetMessageType::Demand:
       take(DemandReport{}, [&](const DemandReport& aReport) {
         if (mPlanner) {
@@ -345,11 +360,25 @@
   }
 }
 
+void ControlNode::OnCrashNotice(const CrashNotice& aNotice)
+{
+  mMetrics.Add(ControlCounter::CrashReportsTaken, aNotice.mCrashes.size());
+  LogCrashReports(aNotice.mCrashes);
+  LogBlockChanges(mContents.OnNotice(SteadyNow(), aNotice));
+  mNews.Notify();
+  if (!aNotice.mIsRelayed) {
+    CrashNotice relayed = aNotice;
+    relayed.mIsRelayed = true;
+    SendToPeers(FleetMessageType::CrashNotice, relayed);
+  }
+}
+
 bool ControlNode::HasNews(const WatchRequest& aRequest) const
 {
   return aRequest.mEpoch != mEpoch ||
          aRequest.mChange < mTargets.RoutingChange() ||
          aRequest.mCatalogVersion < mCatalogs.Current().mVersion ||
+         aRequest.mBlockVersion < mContents.Blocks().Version() ||
          (aRequest.mIsHome &&
           mResidency.IsNewerThan(aRequest.mResidencyTerm,
                                  aRequest.mResidencyVersion));
@@ -375,6 +404,8 @@
   reply.mCores = mPeers.Addresses();
   reply.mCores.push_back(mSettings.mPeerAddress);
   reply.mEdges = static_cast<std::uint32_t>(mEdges.size());
+  reply.mBlocks = mContents.Blocks().Since(
+    SteadyNow(), aRequest.mEpoch == mEpoch ? aRequest.mBlockVersion : 0);
   return reply;
 }
 
--- a/packages/daemon/src/edge_context.hpp
+++ b/packages/daemon/src/edge_context.hpp
@@ -6,6 +6,7 @@
  */
 
 #include "carobtide/daemon/dialect.hpp"
+#include "carobtide/routing/content_guard.hpp"
 #include "carobtide/routing/dispatcher.hpp"
 #include "carobtide/transport.hpp"
 #include "request_metrics.hpp"
@@ -28,11 +29,16 @@
 {
   const Dialect& mDialect;
   Dispatcher& mDispatcher;
+  ContentGuard& mGuard;
   HttpPool& mPool;
   /** Notified when a send ends: room for a request that waits. */
   WatchBoard& mRoom;
   /** Has the leader load an adapter, and takes note of where it is. */
   std::function<boost::asio::awaitable<void>(EnsureAdapter)> mEnsureAdapter;
+  /** Finds out whether a target that lost a connection still listens. */
+  std::function<boost::asio::awaitable<void>(TargetProcess, Endpoint)> mProbe;
+  /** Sends and logs what the guard found. */
+  std::function<void()> mReportCrashes;
   RequestMetrics& mMetrics;
   /** Requests left out of the log since the last one that was written. */
   std::uint64_t mLeftOut = 0;
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -61,11 +61,16 @@
   , mPool(HttpPoolOptions{ kMostIdlePerTarget, kMaxIdleTime })
   , mContext{ *mDialect,
               mDispatcher,
+              mGuard,
               mPool,
               mRoom,
               [this](EnsureAdapter aWanted) {
                 return EnsureAdapterAt(std::move(aWanted));
               },
+              [this](TargetProcess aProcess, Endpoint aAddress) {
+                return ProbeTarget(std::move(aProcess), std::move(aAddress));
+              },
+              [this] { ReportCrashes(); },
               mMetrics,
               0,
               &mStop }
@@ -163,6 +168,10 @@
            { "repeats_denied", static_cast<double>(stats.mRetriesDenied) },
            { "turned_away", static_cast<double>(stats.mRejected) },
            { "retry_budget_left", mDispatcher.RetriesLeft() },
+           { "blocked_contents", static_cast<double>(mGuard.Blocks()) },
+           { "target_crashes", static_cast<double>(mGuard.Stats().mCrashes) },
+           { "crash_reports_dropped",
+             static_cast<double>(mGuard.Stats().mReportsDropped) },
            { "targets", static_cast<double>(ages.mTargets) },
            { "targets_silent", static_cast<double>(ages.mSilent) },
            { "oldest_target_belief_seconds", seconds(ages.mOldestTarget) },
--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -52,6 +52,12 @@
   void OnDatagram(std::uint16_t aType, const std::string& aPayload,
                   const std::string& aPeer);
   boost::asio::awaitable<void> DemandLoop();
+  boost::asio::awaitable<void> ProbeTarget(TargetProcess aProcess,
+                                           Endpoint aAddress);
+  /** Logs what the guard found and sends it to the home. */
+  void ReportCrashes();
+  /** Repeats a notice until a home has confirmed it. */
+  boost::asio::awaitable<void> SendCrashNotice(CrashNotice aNotice);
   boost::asio::awaitable<void> StopWhenDone();
   std::string RenderMetrics() const;
   bool IsReady() const { return mRoutes != nullptr && !mStop.IsStopping(); }
@@ -64,6 +70,7 @@
   StopSchedule mStop;
   FleetView mFleet;
   Dispatcher mDispatcher;
+  ContentGuard mGuard;
   std::shared_ptr<const RouteMap> mRoutes;
   std::uint64_t mCatalogVersion = 0;
   bool mFetching = false;
--- a/packages/daemon/src/edge_node_fleet.cpp
+++ b/packages/daemon/src/edge_node_fleet.cpp
@@ -1,4 +1,5 @@
 // What an edge hears of the fleet, and what it tells others.
+#include "block_log.hpp"
 #include "carobtide/base/codec.hpp"
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
@@ -37,6 +38,11 @@
 constexpr Duration kMinReportInterval = std::chrono::milliseconds(25);
 constexpr Duration kMaxReportInterval = std::chrono::milliseconds(500);
 constexpr Duration kDemandInterval = std::chrono::milliseconds(250);
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(400);
+/** A notice that no home confirms is given up after about ten seconds. */
+constexpr int kMaxNoticeSends = 20;
+constexpr Duration kNoticeTimeout = std::chrono::milliseconds(300);
+constexpr Duration kNoticePause = std::chrono::milliseconds(200);
 
 void LogNews(TargetTransition aNews, const Heartbeat& aLast)
 {
@@ -113,6 +119,15 @@
 void EdgeNode::OnWatchReply(const Endpoint& aCore, const WatchReply& aReply)
 {
   mHomes.OnReply(SteadyNow(), aCore, aReply.mFailureDomain);
+  if (mFleet.EpochOf(aCore) != aReply.mEpoch && mGuard.Blocks() > 0) {
+    CrashNotice blocks = mGuard.AllBlocks(SteadyNow());
+    blocks.mIsRelayed = true;
+    mNetwork.Send(aCore,
+                  static_cast<std::uint16_t>(FleetMessageType::CrashNotice),
+                  Encode(blocks));
+  }
+  mGuard.OnBlockChanges(SteadyNow(), aReply.mBlocks);
+  ReportCrashes();
   TakeTargets(mFleet.OnReply(SteadyNow(), aCore, aReply));
   WatchNewCores(aReply.mCores);
   if (aReply.mEdges > 0) {
@@ -131,6 +146,7 @@
   const Instant now = SteadyNow();
   for (const TargetName& name : aChanged) {
     if (const auto state = mFleet.Find(name)) {
+      mGuard.OnTarget(now, *state);
       const TargetTransition news = mDispatcher.OnTarget(now, *state);
       if (news != TargetTransition::None) {
         LogNews(news, state->mLast);
@@ -142,6 +158,73 @@
   }
 }
 
+awaitable<void> EdgeNode::ProbeTarget(TargetProcess aProcess, Endpoint aAddress)
+{
+  constexpr int kProbes = 2;
+  for (int n = 0; n < kProbes; ++n) {
+    if (n > 0) {
+      asio::steady_timer timer(mExecutor, CrashDetector::kStaleEvidenceWindow);
+      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    auto probing = ProbeAddress(aAddress, kProbeTimeout);
+    const ProbeResult result = co_await std::move(probing);
+    if (result == ProbeResult::Refused) {
+      mGuard.OnDead(SteadyNow(), aProcess);
+      break;
+    }
+    if (result == ProbeResult::Accepted &&
+        !mGuard.OnAlive(SteadyNow(), aProcess)) {
+      break;
+    }
+  }
+  ReportCrashes();
+}
+
+void EdgeNode::ReportCrashes()
+{
+  const GuardChanges changes = mGuard.TakeChanges();
+  for (const TargetProcess& process : changes.mCrashed) {
+    const std::array inputs{ LogInput{
+      "incarnation",
+      static_cast<std::int64_t>(process.mIncarnation.Value()) } };
+    LogFields fields;
+    fields.mStep = "target.crashed";
+    fields.mPeer = process.mTarget.Text();
+    fields.mInputs = inputs;
+    Log(LogLevel::Warning, fields);
+  }
+  LogBlockChanges(changes.mBlocks);
+  CrashNotice notice = mGuard.TakeNotice();
+  if (!notice.IsEmpty()) {
+    asio::co_spawn(
+      mExecutor,
+      [this, notice = std::move(notice)] { return SendCrashNotice(notice); },
+      asio::detached);
+  }
+}
+
+awaitable<void> EdgeNode::SendCrashNotice(CrashNotice aNotice)
+{
+  const std::string encoded = Encode(aNotice);
+  asio::steady_timer timer(mExecutor);
+  for (int n = 0; n < kMaxNoticeSends; ++n) {
+    if (const auto home = mHomes.Select(SteadyNow())) {
+      auto calling = mNetwork.Call(
+        *home, static_cast<std::uint16_t>(FleetMessageType::CrashNotice),
+        encoded, kNoticeTimeout);
+      const auto answer = co_await std::move(calling);
+      if (answer) {
+        co_return;
+      }
+      LogError(answer.GetError());
+    }
+    timer.expires_after(kNoticePause);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  // What this daemon has blocked itself holds here all the same.
+  Log(LogLevel::Warning, { "crash.not-reported", {}, {}, {}, "no home" });
+}
+
 awaitable<void> EdgeNode::FetchCatalog(Endpoint aCore)
 {
   auto calling = mNetwork.Call(
@@ -266,6 +349,8 @@
     DemandReport report;
     report.mFrom = mSettings.mPeerAddress;
     report.mModels = mDispatcher.TakeDemand(SteadyNow());
+    mGuard.Expire(SteadyNow());
+    ReportCrashes();
     const Endpoint leader = mFleet.Leader();
     if (!leader.mHost.empty()) {
       mNetwork.Send(leader,
--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -4,6 +4,9 @@
 #include "clock.hpp"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -56,7 +59,7 @@
   , mCaller(std::move(aCaller))
   , mRoute(aRoute)
   , mContent(
-      FingerprintOf({ mCaller.mHost, mExchange.Request().mMethod,
+      ComputeDigest({ mCaller.mHost, mExchange.Request().mMethod,
                       mExchange.Request().mTarget, mExchange.Request().mBody }))
 {
   const Duration patience =
@@ -75,6 +78,7 @@
   facts.mPauseObjective = mRoute.mPauseObjective;
   facts.mArrived = aArrived;
   facts.mDeadline = mDeadline;
+  mFingerprints.Add(mContent);
   mDue = (aArrived + mRoute.mObjective).time_since_epoch().count();
 }
 
@@ -103,6 +107,11 @@
       co_await std::move(failing);
       co_return;
     }
+    if (auto blocked = FindBlock()) {
+      auto refusing = Refuse(std::move(*blocked));
+      co_await std::move(refusing);
+      co_return;
+    }
     auto decision = mContext.mDispatcher.Choose(SteadyNow(), mState);
     if (auto* away = std::get_if<Rejection>(&decision)) {
       auto refusing = Refuse(std::move(*away));
@@ -141,6 +150,8 @@
     const bool again =
       mContext.mDispatcher.OnEnd(SteadyNow(), send.mSend, attempt.mEnd, mState);
     mTrail.OnSendEnded(send, attempt.mEnd, again);
+    auto noting = NoteEvidence(send, attempt.mEnd);
+    co_await std::move(noting);
     mContext.mRoom.Notify();
     if (attempt.mAnswered) {
       End(attempt.mEnd == SendEnd::Whole ? RequestOutcome::Whole
@@ -174,6 +185,43 @@
   return rejection;
 }
 
+std::optional<Rejection> EdgeRequest::FindBlock() const
+{
+  const Instant now = SteadyNow();
+  const auto until = mContext.mGuard.BlockedUntil(now, mFingerprints);
+  if (!until) {
+    return std::nullopt;
+  }
+  Rejection rejection;
+  rejection.mCode = ErrorCode::Quarantined;
+  rejection.mRetryAfter = *until - now;
+  rejection.mReason = "its content crashes targets";
+  return rejection;
+}
+
+awaitable<void> EdgeRequest::NoteEvidence(SendTo aSend, SendEnd aEnd)
+{
+  const Instant now = SteadyNow();
+  const TargetProcess process{ aSend.mTarget, aSend.mIncarnation };
+  if (aEnd == SendEnd::Broken) {
+    const bool isSuspect = mContext.mGuard.IsSuspect(mFingerprints);
+    if (!mContext.mGuard.OnConnectionLost(now, process, mFingerprints)) {
+      co_return;
+    }
+    auto probing = mContext.mProbe(process, aSend.mAddress);
+    if (isSuspect) {
+      // One more crash may block the content: know it before a retry.
+      co_await std::move(probing);
+    } else {
+      const auto executor = co_await asio::this_coro::executor;
+      asio::co_spawn(executor, std::move(probing), asio::detached);
+    }
+  } else if (aEnd == SendEnd::Whole) {
+    mContext.mGuard.OnWhole(now, mFingerprints);
+    mContext.mReportCrashes();
+  }
+}
+
 awaitable<void> EdgeRequest::Wait(Instant aUntil)
 {
   auto waiting =
@@ -452,6 +500,7 @@
 {
   const Instant now = SteadyNow();
   mContext.mDispatcher.OnFirstByte(now, aSend.mSend);
+  mContext.mGuard.OnAlive(now, { aSend.mTarget, aSend.mIncarnation });
   mContext.mMetrics.OnFirstByte(mRoute.mKind, now - mState.mFacts.mArrived);
   mContext.mRoom.Notify();
 }
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -60,6 +60,10 @@
   /** Until when the request may wait for a target. */
   Instant WaitLimit() const;
   static Rejection MakeStopRejection();
+  /** Why the request must not be sent, if its content is blocked. */
+  std::optional<Rejection> FindBlock() const;
+  /** Tells the guard what the end of a send shows of content and target. */
+  boost::asio::awaitable<void> NoteEvidence(SendTo aSend, SendEnd aEnd);
   boost::asio::awaitable<void> Refuse(Rejection aAway);
   boost::asio::awaitable<void> Fail(SendEnd aEnd);
   boost::asio::awaitable<void> Answer(std::uint16_t aStatus,
@@ -92,7 +96,8 @@
   Instant mEventAt;
   Duration mLongestPause{ 0 };
   std::string mLastTarget;
-  const Fingerprint mContent;
+  const Digest mContent;
+  Fingerprints mFingerprints;
   RequestTrail mTrail;
 };
 
--- a/packages/daemon/src/request_trail.cpp
+++ b/packages/daemon/src/request_trail.cpp
@@ -132,7 +132,7 @@
   }
   std::ranges::for_each(
     mEntries, [&](const Entry& aIt) { WriteEntry(aIt, aCaller.mId); });
-  const std::string content = ToHex(aEnd.mContent);
+  const std::string content = aEnd.mContent.ToHex();
   std::vector<LogInput> inputs{
     { "route", std::string_view(aRoute.mName) },
     { "content", std::string_view(content) },
--- a/packages/daemon/src/request_trail.hpp
+++ b/packages/daemon/src/request_trail.hpp
@@ -8,7 +8,6 @@
 #include "carobtide/catalog.hpp"
 #include "carobtide/daemon/dialect.hpp"
 #include "carobtide/routing/dispatcher.hpp"
-#include "carobtide/routing/fingerprint.hpp"
 #include "request_metrics.hpp"
 
 #include <cstdint>
@@ -47,7 +46,7 @@
   std::uint32_t mSends = 0;
   Duration mLongestPause{ 0 };
   /** Equal for requests of equal content, whatever their ids. */
-  Fingerprint mContent;
+  Digest mContent;
 };
 
 /**
--- a/packages/fleet/include/carobtide/fleet.hpp
+++ b/packages/fleet/include/carobtide/fleet.hpp
@@ -6,6 +6,10 @@
  * what they say of themselves.
  */
 
+#include "carobtide/fleet/block_list.hpp"
+#include "carobtide/fleet/content_board.hpp"
+#include "carobtide/fleet/crash_messages.hpp"
+#include "carobtide/fleet/crash_tally.hpp"
 #include "carobtide/fleet/fleet_view.hpp"
 #include "carobtide/fleet/home_selector.hpp"
 #include "carobtide/fleet/load_aggregator.hpp"
--- a/packages/fleet/include/carobtide/fleet/fleet_view.hpp
+++ b/packages/fleet/include/carobtide/fleet/fleet_view.hpp
@@ -51,6 +51,9 @@
   /** What the request to this daemon must carry to be told just the news. */
   void FillRequest(const Endpoint& aSource, WatchRequest& aRequest) const;
 
+  /** The process that answered last at this address; zero if none did. */
+  std::uint64_t EpochOf(const Endpoint& aSource) const;
+
   /** A daemon is no longer watched: its word on silence no longer counts. */
   void DropSource(const Endpoint& aSource);
 
@@ -69,6 +72,7 @@
   {
     std::uint64_t mEpoch = 0;
     std::uint64_t mChange = 0;
+    std::uint64_t mBlockVersion = 0;
     std::set<TargetName> mKnown;
     std::set<TargetName> mSilent;
   };
--- a/packages/fleet/include/carobtide/fleet/messages.hpp
+++ b/packages/fleet/include/carobtide/fleet/messages.hpp
@@ -7,6 +7,7 @@
  */
 
 #include "carobtide/catalog/catalog_register.hpp"
+#include "carobtide/fleet/crash_messages.hpp"
 #include "carobtide/fleet/peer_directory.hpp"
 #include "carobtide/fleet/target.hpp"
 
@@ -27,6 +28,7 @@
   LoadTotal = 107,
   Residency = 108,
   ResidencyRequest = 109,
+  CrashNotice = 110,
   /** Calls. */
   Watch = 121,
   GetCatalog = 122,
@@ -127,12 +129,13 @@
   bool mIsHome = false;
   std::uint64_t mResidencyTerm = 0;
   std::uint64_t mResidencyVersion = 0;
+  std::uint64_t mBlockVersion = 0;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(mFrom, mFailureDomain, mEpoch, mChange, mCatalogVersion, mIsHome,
-             mResidencyTerm, mResidencyVersion);
+             mResidencyTerm, mResidencyVersion, mBlockVersion);
   }
 };
 
@@ -156,12 +159,13 @@
   std::vector<Endpoint> mCores;
   /** Number of routing daemons that watch. */
   std::uint32_t mEdges = 0;
+  BlockChanges mBlocks;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(mEpoch, mChange, mReset, mTargets, mCatalogVersion, mLeader,
-             mResidency, mFailureDomain, mCores, mEdges);
+             mResidency, mFailureDomain, mCores, mEdges, mBlocks);
   }
 };
 
--- a/packages/fleet/src/fleet_view.cpp
+++ b/packages/fleet/src/fleet_view.cpp
@@ -81,6 +81,7 @@
   }
   source.mEpoch = aReply.mEpoch;
   source.mChange = aReply.mChange;
+  source.mBlockVersion = aReply.mBlocks.mVersion;
   std::set<TargetName> changed;
   for (const FleetRecord& record : aReply.mTargets) {
     const TargetName& name = record.mLast.mTarget;
@@ -114,11 +115,18 @@
   if (const auto it = mSources.find(aSource); it != mSources.end()) {
     aRequest.mEpoch = it->second.mEpoch;
     aRequest.mChange = it->second.mChange;
+    aRequest.mBlockVersion = it->second.mBlockVersion;
   }
   aRequest.mResidencyTerm = mResidencyTerm;
   aRequest.mResidencyVersion = mResidencyVersion;
 }
 
+std::uint64_t FleetView::EpochOf(const Endpoint& aSource) const
+{
+  const auto it = mSources.find(aSource);
+  return it == mSources.end() ? 0 : it->second.mEpoch;
+}
+
 void FleetView::DropSource(const Endpoint& aSource)
 {
   mSources.erase(aSource);
--- a/packages/routing/include/carobtide/routing.hpp
+++ b/packages/routing/include/carobtide/routing.hpp
@@ -6,6 +6,7 @@
  * hedging and quarantine on one daemon.
  */
 
+#include "carobtide/routing/content_guard.hpp"
 #include "carobtide/routing/dispatcher.hpp"
 #include "carobtide/routing/policy.hpp"
 #include "carobtide/routing/router.hpp"
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -91,6 +91,7 @@
 {
   SendId mSend;
   TargetName mTarget;
+  Incarnation mIncarnation;
   Endpoint mAddress;
   /** Priority passed to the engine; 0 is the most urgent. */
   std::uint32_t mUrgency = 0;
--- a/packages/routing/include/carobtide/routing/types.hpp
+++ b/packages/routing/include/carobtide/routing/types.hpp
@@ -7,6 +7,7 @@
 
 #include "carobtide/base.hpp"
 #include "carobtide/bundle.hpp"
+#include "carobtide/fleet/crash_messages.hpp"
 
 #include <cstdint>
 #include <string>
@@ -80,31 +81,6 @@
   std::string mDetail;
 };
 
-/**
- * A request that was in flight on a target that crashed. Daemons exchange these
- * reports so that crashes add up when the same content is sent to several
- * daemons.
- */
-struct CrashReport
-{
-  /** Digest of the request's model and content. */
-  Digest mFingerprint;
-  /**
-   * The process that crashed, which identifies the crash: two daemons may
-   * report the same one.
-   */
-  TargetName mTarget;
-  Incarnation mIncarnation;
-
-  bool operator==(const CrashReport&) const = default;
-
-  template<class Archive>
-  void serialize(Archive& aArchive)
-  {
-    aArchive(mFingerprint, mTarget, mIncarnation);
-  }
-};
-
 /** Effect: send a crash report to all daemons. */
 struct AnnounceCrash
 {
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -210,6 +210,7 @@
   SendTo send;
   send.mSend = SendId(mNextSend++);
   send.mTarget = last.mTarget;
+  send.mIncarnation = last.mIncarnation;
   send.mAddress = last.mAddress;
   send.mUrgency = kUrgency;
   send.mSnapshot = { LoadOf(target, aSearch.mLoad),
--- a/packages/transport/include/carobtide/transport/http_client.hpp
+++ b/packages/transport/include/carobtide/transport/http_client.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -68,6 +69,26 @@
 boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> ConnectHttp(
   Endpoint aAddress, Duration aTimeout);
 
+/** How an address answers an attempt to connect. */
+enum class ProbeResult : std::uint8_t
+{
+  Accepted,
+  /** Nothing listens there. */
+  Refused,
+  /** No answer in time, or no way there. */
+  Unknown,
+};
+
+inline constexpr EnumTable<ProbeResult, 3> kProbeResults{ { {
+  { ProbeResult::Accepted, "accepted" },
+  { ProbeResult::Refused, "refused" },
+  { ProbeResult::Unknown, "unknown" },
+} } };
+
+/** Connects and closes. */
+boost::asio::awaitable<ProbeResult> ProbeAddress(Endpoint aAddress,
+                                                 Duration aTimeout);
+
 /** Bounds of a pool of idle connections. */
 struct HttpPoolOptions
 {
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -248,6 +248,25 @@
   co_return connection;
 }
 
+awaitable<ProbeResult> ProbeAddress(Endpoint aAddress, Duration aTimeout)
+{
+  beast::error_code ec;
+  const auto address = asio::ip::make_address(aAddress.mHost, ec);
+  if (ec) {
+    co_return ProbeResult::Unknown;
+  }
+  const auto executor = co_await asio::this_coro::executor;
+  beast::tcp_stream stream(executor);
+  stream.expires_after(aTimeout);
+  const asio::ip::tcp::endpoint endpoint(address, aAddress.mPort);
+  co_await stream.async_connect(endpoint, redirect_error(use_awaitable, ec));
+  if (!ec) {
+    co_return ProbeResult::Accepted;
+  }
+  co_return ec == asio::error::connection_refused ? ProbeResult::Refused
+                                                  : ProbeResult::Unknown;
+}
+
 awaitable<Result<HttpResponse>> FetchOnce(Endpoint aAddress,
                                           HttpRequest aRequest,
                                           Duration aTimeout, Bytes aLimit)
