Work does not go on for callers that left unnoticed

Looked for by reading what notices a close; two ways past it were found.

Cause: the watch for a caller's close ended at the first bytes of a further request, so a close behind them went unnoticed. And a daemon that reads late sent a request whose caller had left already: the watch looks at the socket only once the request is on its way. Class: an event that is looked for once.

Change: behind unread bytes the close is polled for; before a send the daemon looks whether the caller is still there.

Evidence: "a target is told that a caller has left that had sent more" and "a request that was read after its caller left reaches no target" fail without the change (20 s without a close; the target answered the caller that left) and pass with it, 6 of 6.

--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -107,6 +107,11 @@
       co_await std::move(failing);
       co_return;
     }
+    // A busy daemon may read a request long after its caller left.
+    if (mExchange.IsClientGone()) {
+      OnCallerGone();
+      break;
+    }
     if (auto blocked = FindBlock()) {
       auto refusing = Refuse(std::move(*blocked));
       co_await std::move(refusing);
--- a/packages/transport/include/carobtide/transport/http_server.hpp
+++ b/packages/transport/include/carobtide/transport/http_server.hpp
@@ -68,6 +68,9 @@
    * while the handler runs. Dropped when the handler returns.
    */
   virtual void OnClientGone(std::function<void()> aCallback) = 0;
+
+  /** True if the client is known to be gone at this moment. */
+  virtual bool IsClientGone() = 0;
 };
 
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
--- a/packages/transport/src/http_connection.cpp
+++ b/packages/transport/src/http_connection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -15,6 +16,7 @@
 #include <algorithm>
 #include <array>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace carobtide {
@@ -33,6 +35,8 @@
 /** Bytes and time that a client gets to read an answer sent early. */
 constexpr std::size_t kMaxDiscardedBytes = 16 * 1024 * 1024;
 constexpr auto kDiscardTime = std::chrono::seconds(1);
+/** Interval at which a close is looked for behind unread bytes. */
+constexpr auto kClosePollInterval = std::chrono::milliseconds(100);
 
 std::uint16_t RefusalStatus(ErrorCode aCode, const std::string& aDetail)
 {
@@ -317,8 +321,14 @@
   beast::error_code ec;
   co_await mStream.socket().async_wait(asio::ip::tcp::socket::wait_read,
                                        redirect_error(use_awaitable, ec));
+  // Bytes of the next request stay unread and keep the socket readable.
+  asio::steady_timer timer(mStream.get_executor());
+  while (!ec && !IsClientGone()) {
+    timer.expires_after(kClosePollInterval);
+    co_await timer.async_wait(redirect_error(use_awaitable, ec));
+  }
   mWatching = false;
-  if (!ec && IsClosedByClient() && mClientGone) {
+  if (!ec && mClientGone) {
     const auto callback = std::exchange(mClientGone, nullptr);
     callback();
   }
@@ -330,8 +340,13 @@
   mStopWatch.emit(asio::cancellation_type::all);
 }
 
-bool HttpServerConnection::IsClosedByClient()
+bool HttpServerConnection::IsClientGone()
 {
+  pollfd state{ mStream.socket().native_handle(), POLLRDHUP, 0 };
+  if (::poll(&state, 1, 0) > 0) {
+    return true;
+  }
+  // Where unread bytes do not hide it, the end of the stream shows as well.
   char byte = 0;
   ssize_t n = 0;
   do {
--- a/packages/transport/src/http_connection.hpp
+++ b/packages/transport/src/http_connection.hpp
@@ -79,6 +79,7 @@
   boost::asio::awaitable<Result<Unit>> FinishStream() override;
   void Abort() override;
   void OnClientGone(std::function<void()> aCallback) override;
+  bool IsClientGone() override;
 
   boost::asio::awaitable<bool> WaitForRequest();
   boost::asio::awaitable<bool> ReadRequest();
@@ -88,7 +89,6 @@
   boost::asio::awaitable<void> RefuseRequest(const Error& aError);
   boost::asio::awaitable<void> WatchClient();
   void StopWatching();
-  bool IsClosedByClient();
   void TakeRequest();
   Error LibraryError(const boost::beast::error_code& aCode,
                      std::string_view aStep);
