The end of a request names the shared parts of its prompt in the log

Requests with a part that crashes engines are alike in nothing else; request.end did not name the parts, so that the logs could not show which one was in flight at every crash. Logs only; no decision uses it.

--- a/packages/daemon/include/carobtide/daemon/dialect.hpp
+++ b/packages/daemon/include/carobtide/daemon/dialect.hpp
@@ -17,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace carobtide {
 
@@ -31,6 +32,8 @@
   AdapterName mAdapter;
   /** Identifies the prompt's longest shared part; 0 if there is none. */
   std::uint64_t mSharedPrefix = 0;
+  /** The shared parts of the prompt in order, as the caller names them. */
+  std::vector<std::string> mSharedParts;
   /** Tokens of the prompt; 0 if the caller does not say. */
   std::uint32_t mPromptTokens = 0;
   /** How long the caller waits; nothing if it does not say. */
--- a/packages/daemon/src/request_trail.cpp
+++ b/packages/daemon/src/request_trail.cpp
@@ -3,6 +3,8 @@
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
 
+#include <boost/algorithm/string/join.hpp>
+
 #include <algorithm>
 #include <chrono>
 
@@ -133,11 +135,13 @@
   std::ranges::for_each(
     mEntries, [&](const Entry& aIt) { WriteEntry(aIt, aCaller.mId); });
   const std::string content = aEnd.mContent.ToHex();
+  const std::string parts = boost::algorithm::join(aCaller.mSharedParts, ",");
   std::vector<LogInput> inputs{
     { "route", std::string_view(aRoute.mName) },
     { "content", std::string_view(content) },
     { "model", std::string_view(aCaller.mModel.Text()) },
     { "adapter", std::string_view(aCaller.mAdapter.Text()) },
+    { "parts", std::string_view(parts) },
     { "outcome", kRequestOutcomes.Name(aEnd.mOutcome) },
     { "took_ms", Millis(aEnd.mTook) },
     { "objective_ms", Millis(aRoute.mObjective) },
