A part of prompts that crashes targets is blocked, not what goes along with it

Cause: crashes were counted by whole content, and no two of these requests are alike. Class: evidence kept for too narrow a unit.

Change: each shared part of a prompt counts like content of its own. A part is not counted by a daemon that has seen it answered lately (PartHistory), nor for sends that were under way when its last crash became known, so that neither the part that all requests of a class share nor a rack that fails is taken for the cause; a daemon that sees a blocked part answered lifts the block everywhere.

--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -58,7 +58,7 @@
   , mExchange(aExchange)
   , mCaller(std::move(aCaller))
   , mRoute(aRoute)
-  , mContent(
+  , mFingerprints(
       ComputeDigest({ mCaller.mHost, mExchange.Request().mMethod,
                       mExchange.Request().mTarget, mExchange.Request().mBody }))
 {
@@ -78,7 +78,9 @@
   facts.mPauseObjective = mRoute.mPauseObjective;
   facts.mArrived = aArrived;
   facts.mDeadline = mDeadline;
-  mFingerprints.Add(mContent);
+  for (const std::string& part : mCaller.mSharedParts) {
+    mFingerprints.AddPart(ComputeDigest({ "part", part }));
+  }
   mDue = (aArrived + mRoute.mObjective).time_since_epoch().count();
 }
 
@@ -150,12 +152,13 @@
     mLastTarget = send.mTarget.Text();
     mTrail.OnRouted(send, mFrames.LastId());
     ++mSends;
+    const Instant sentAt = SteadyNow();
     auto sending = Send(send);
     const Attempt attempt = co_await std::move(sending);
     const bool again =
       mContext.mDispatcher.OnEnd(SteadyNow(), send.mSend, attempt.mEnd, mState);
     mTrail.OnSendEnded(send, attempt.mEnd, again);
-    auto noting = NoteEvidence(send, attempt.mEnd);
+    auto noting = NoteEvidence(send, sentAt, attempt.mEnd);
     co_await std::move(noting);
     mContext.mRoom.Notify();
     if (attempt.mAnswered) {
@@ -204,13 +207,15 @@
   return rejection;
 }
 
-awaitable<void> EdgeRequest::NoteEvidence(SendTo aSend, SendEnd aEnd)
+awaitable<void> EdgeRequest::NoteEvidence(SendTo aSend, Instant aSentAt,
+                                          SendEnd aEnd)
 {
   const Instant now = SteadyNow();
   const TargetProcess process{ aSend.mTarget, aSend.mIncarnation };
   if (aEnd == SendEnd::Broken) {
     const bool isSuspect = mContext.mGuard.IsSuspect(mFingerprints);
-    if (!mContext.mGuard.OnConnectionLost(now, process, mFingerprints)) {
+    if (!mContext.mGuard.OnConnectionLost(now, process, aSentAt,
+                                          mFingerprints)) {
       co_return;
     }
     auto probing = mContext.mProbe(process, aSend.mAddress);
@@ -527,7 +532,7 @@
   end.mTook = SteadyNow() - mState.mFacts.mArrived;
   end.mSends = mSends;
   end.mLongestPause = mLongestPause;
-  end.mContent = mContent;
+  end.mContent = mFingerprints.Content();
   mContext.mMetrics.OnEnd(mRoute.mKind, aOutcome, end.mTook);
   mTrail.Write(mCaller, mRoute, end, mContext.mLeftOut);
 }
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -63,7 +63,8 @@
   /** Why the request must not be sent, if its content is blocked. */
   std::optional<Rejection> FindBlock() const;
   /** Tells the guard what the end of a send shows of content and target. */
-  boost::asio::awaitable<void> NoteEvidence(SendTo aSend, SendEnd aEnd);
+  boost::asio::awaitable<void> NoteEvidence(SendTo aSend, Instant aSentAt,
+                                            SendEnd aEnd);
   boost::asio::awaitable<void> Refuse(Rejection aAway);
   boost::asio::awaitable<void> Fail(SendEnd aEnd);
   boost::asio::awaitable<void> Answer(std::uint16_t aStatus,
@@ -96,7 +97,6 @@
   Instant mEventAt;
   Duration mLongestPause{ 0 };
   std::string mLastTarget;
-  const Digest mContent;
   Fingerprints mFingerprints;
   RequestTrail mTrail;
 };
--- a/packages/routing/include/carobtide/routing/content_guard.hpp
+++ b/packages/routing/include/carobtide/routing/content_guard.hpp
@@ -7,6 +7,7 @@
 
 #include "carobtide/fleet.hpp"
 #include "carobtide/routing/crash_detector.hpp"
+#include "carobtide/routing/part_history.hpp"
 
 #include <array>
 #include <cstdint>
@@ -18,24 +19,28 @@
 
 namespace carobtide {
 
-/** The digests by which a request is recognized when it comes again. */
+/** The digests by which a request, or a part of it, is recognized. */
 class Fingerprints
 {
 public:
-  static constexpr std::size_t kMax = 8;
+  static constexpr std::size_t kMaxParts = 8;
 
-  /** Adds one; ignored beyond kMax. */
-  void Add(const Digest& aDigest)
+  explicit Fingerprints(const Digest& aContent = {}) { mDigests[0] = aContent; }
+
+  /** Adds a part that requests may share; ignored beyond kMaxParts. */
+  void AddPart(const Digest& aDigest)
   {
-    if (mCount < kMax) {
+    if (mCount <= kMaxParts) {
       mDigests[mCount++] = aDigest;
     }
   }
+  const Digest& Content() const { return mDigests[0]; }
+  std::span<const Digest> Parts() const { return All().subspan(1); }
   std::span<const Digest> All() const { return { mDigests.data(), mCount }; }
 
 private:
-  std::array<Digest, kMax> mDigests{};
-  std::size_t mCount = 0;
+  std::array<Digest, kMaxParts + 1> mDigests{};
+  std::size_t mCount = 1;
 };
 
 /** One process of a target. */
@@ -67,8 +72,15 @@
  * the crashes that all routing daemons report (CrashTally); this daemon counts
  * its own, in case it is cut off from them.
  *
+ * The whole content of a request always counts. A part that requests share
+ * counts unless this daemon has seen it answered lately (PartHistory), and once
+ * for all sends that were under way when its last crash became known: targets
+ * that fail together are one event to it.
+ *
  * Answers: a request that crashes each target that runs it, comes again under
- * other ids at any daemon, and would take all targets of its service down.
+ * other ids at any daemon, and would take all targets of its service down; a
+ * prompt part that does so in requests that are alike in nothing else, beside
+ * sound requests that share their other parts.
  *
  * Thread safety: none; the owner synchronizes access.
  */
@@ -80,11 +92,12 @@
   static constexpr double kReportsPerSecond = 60;
 
   /**
-   * A connection was lost with a request in flight. True if the target should
-   * be probed: once for all requests that it lost at that time.
+   * A connection was lost with a request in flight that was sent at aSentAt.
+   * True if the target should be probed: once for all requests that it lost at
+   * that time.
    */
   bool OnConnectionLost(Instant aNow, const TargetProcess& aProcess,
-                        const Fingerprints& aContent);
+                        Instant aSentAt, const Fingerprints& aContent);
 
   /**
    * Bytes of an answer arrived, or the target accepted a connection. True if
@@ -132,12 +145,15 @@
   void Take(Instant aNow, const CrashDecision& aDecision);
   void Apply(Instant aNow, const TallyResult& aResult);
   void Block(Instant aNow, const Digest& aFingerprint);
+  /** Tells the other daemons that content is sound. */
+  void Clear(Instant aNow, const Digest& aFingerprint);
   void Lift(Instant aNow, const Digest& aFingerprint);
   bool TakeReportToken(Instant aNow);
 
   CrashDetector mDetector;
   CrashTally mTally;
   BlockList mBlocks;
+  PartHistory mParts;
   /** Processes with a pending decision. */
   std::map<TargetProcess, TargetIndex> mPending;
   TargetIndex mNextIndex = 0;
--- a/packages/routing/src/content_guard.cpp
+++ b/packages/routing/src/content_guard.cpp
@@ -13,14 +13,21 @@
 }
 
 bool ContentGuard::OnConnectionLost(Instant aNow, const TargetProcess& aProcess,
+                                    Instant aSentAt,
                                     const Fingerprints& aContent)
 {
   const auto [it, isFirst] = mPending.try_emplace(aProcess, mNextIndex);
   mNextIndex += isFirst ? 1 : 0;
-  for (const Digest& fingerprint : aContent.All()) {
+  const auto suspect = [&](const Digest& aFingerprint) {
     mDetector.OnConnectionLost(
       aNow, it->second,
-      { RequestId(mNextLost++), fingerprint, aProcess.mIncarnation });
+      { RequestId(mNextLost++), aFingerprint, aProcess.mIncarnation });
+  };
+  suspect(aContent.Content());
+  for (const Digest& part : aContent.Parts()) {
+    if (!mParts.IsSound(aNow, part) && mParts.LastCrash(part) <= aSentAt) {
+      suspect(part);
+    }
   }
   return isFirst;
 }
@@ -75,6 +82,7 @@
   mChanges.mCrashed.push_back(process);
   std::vector<CrashReport> reports;
   for (const LostRequest& lost : aDecision.mLost) {
+    mParts.OnCrash(aNow, lost.mFingerprint);
     if (TakeReportToken(aNow)) {
       reports.push_back(
         { lost.mFingerprint, process.mTarget, process.mIncarnation });
@@ -128,13 +136,21 @@
   }
 }
 
+void ContentGuard::Clear(Instant aNow, const Digest& aFingerprint)
+{
+  mTally.Clear(aFingerprint);
+  mNotice.mSound.push_back(aFingerprint);
+  Lift(aNow, aFingerprint);
+}
+
 void ContentGuard::OnWhole(Instant aNow, const Fingerprints& aContent)
 {
+  for (const Digest& part : aContent.Parts()) {
+    mParts.OnAnswer(aNow, part);
+  }
   for (const Digest& fingerprint : aContent.All()) {
-    const bool wasSuspected = mTally.Clear(fingerprint);
-    if (wasSuspected || mBlocks.Until(aNow, fingerprint)) {
-      mNotice.mSound.push_back(fingerprint);
-      Lift(aNow, fingerprint);
+    if (mTally.Knows(fingerprint) || mBlocks.Until(aNow, fingerprint)) {
+      Clear(aNow, fingerprint);
     }
   }
 }
@@ -142,7 +158,9 @@
 void ContentGuard::OnBlockChanges(Instant aNow, const BlockChanges& aChanges)
 {
   for (const ContentBlock& block : aChanges.mBlocks) {
-    if (mBlocks.Block(aNow, block)) {
+    if (mParts.IsSound(aNow, block.mFingerprint)) {
+      Clear(aNow, block.mFingerprint);
+    } else if (mBlocks.Block(aNow, block)) {
       mChanges.mBlocks.mBlocked.push_back(block.mFingerprint);
     }
   }
@@ -162,6 +180,7 @@
     mChanges.mBlocks.mLifted.push_back(fingerprint);
   }
   mTally.Expire(aNow);
+  mParts.Expire(aNow);
 }
 
 std::optional<Instant> ContentGuard::BlockedUntil(
