A stream that ends inside an event is broken off, not whole

A target that ended such a stream inside an event made it look whole: the part of the event was passed on and the answer finished.

Change: the rest at a stream's end is an error of the attempt; the events before it are passed on, so that a resumable stream goes on after them. TakeRest, which gave the rest out, is gone; its test is replaced by one that demands that the rest stays until its event is whole, and one for empty lines.

--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -392,6 +392,15 @@
   co_return Attempt{ isFailure ? SendEnd::TargetFailed : SendEnd::Whole, true };
 }
 
+EdgeRequest::Attempt EdgeRequest::EndInsideEvent(
+  HttpConnection& aConnection) const
+{
+  LogError(MakeError(ErrorCode::ConnectionLost, "edge.read-event", mLastTarget,
+                     "the stream ended inside an event"));
+  aConnection.Cancel();
+  return Attempt{ SendEnd::Broken, false };
+}
+
 EdgeRequest::AwaitAttempt EdgeRequest::RelayStream(SendTo aSend,
                                                    HttpConnection& aConnection,
                                                    HttpResponseHead aHead)
@@ -410,20 +419,21 @@
     if (std::exchange(isFirst, false)) {
       OnFirstByte(aSend);
     }
-    std::string events = mFrames.Take(bytes);
-    if (!more) {
-      events += mFrames.TakeRest();
-    }
+    const std::string events = mFrames.Take(bytes);
     if (mFrames.IsTooLong()) {
       LogError(MakeError(ErrorCode::TooLarge, "edge.read-event", mLastTarget,
                          "no end of an event"));
       aConnection.Cancel();
       co_return Attempt{ SendEnd::Broken, false };
     }
+    const bool isCut = !more && mFrames.HasRest();
     if (events.empty() && more) {
       // A part of an event: what was sent so far stays between two events.
       continue;
     }
+    if (events.empty() && isCut) {
+      co_return EndInsideEvent(aConnection);
+    }
     if (!mHasBegun) {
       mHasBegun = true;
       HttpResponseHead head;
@@ -448,6 +458,9 @@
       aConnection.Cancel();
       co_return Attempt{ SendEnd::CallerGone, false };
     }
+    if (isCut) {
+      co_return EndInsideEvent(aConnection);
+    }
   }
   auto finishing = mExchange.FinishStream();
   const auto finished = co_await std::move(finishing);
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -53,6 +53,8 @@
                           HttpResponseHead aHead);
   AwaitAttempt RelayStream(SendTo aSend, HttpConnection& aConnection,
                            HttpResponseHead aHead);
+  /** The attempt broke off, whatever its framing says. */
+  Attempt EndInsideEvent(HttpConnection& aConnection) const;
   /** Reads heads until one answers this request. */
   boost::asio::awaitable<Result<HttpResponseHead>> ReadOwnHead(
     HttpConnection& aConnection, HttpResponseHead aFirst);
--- a/packages/daemon/src/event_frames.cpp
+++ b/packages/daemon/src/event_frames.cpp
@@ -1,7 +1,6 @@
 #include "event_frames.hpp"
 
 #include <algorithm>
-#include <utility>
 
 namespace carobtide {
 
@@ -32,11 +31,6 @@
   return events;
 }
 
-std::string EventFrames::TakeRest()
-{
-  return std::exchange(mRest, {});
-}
-
 void EventFrames::NoteIds(std::string_view aEvents)
 {
   constexpr std::string_view kField = "id:";
--- a/packages/daemon/src/event_frames.hpp
+++ b/packages/daemon/src/event_frames.hpp
@@ -25,14 +25,14 @@
   std::string Take(std::string_view aBytes);
 
   /** Bytes of an event that is not whole. */
-  bool HasRest() const { return !mRest.empty(); }
+  bool HasRest() const
+  {
+    return mRest.find_first_not_of("\r\n") != std::string::npos;
+  }
 
   /** True if the part of an event is longer than any event may be. */
   bool IsTooLong() const { return mRest.size() > kMaxEventBytes; }
 
-  /** What is left when the stream ended; nothing follows. */
-  std::string TakeRest();
-
   /** Forgets a part of an event: the stream goes on with a whole one. */
   void DropRest() { mRest.clear(); }
 
--- a/packages/daemon/tests/event_frames_test.cpp
+++ b/packages/daemon/tests/event_frames_test.cpp
@@ -30,12 +30,22 @@
   CHECK_FALSE(frames.HasRest());
 }
 
-TEST_CASE("what follows the last event is kept until the stream ends")
+TEST_CASE("what follows the last event is kept until the event is whole")
 {
   EventFrames frames;
   CHECK(frames.Take("data: x\n\ntail") == "data: x\n\n");
   CHECK(frames.LastId().empty());
-  CHECK(frames.TakeRest() == "tail");
+  CHECK(frames.HasRest());
+  CHECK(frames.Take("\n\n") == "tail\n\n");
+  CHECK_FALSE(frames.HasRest());
+}
+
+TEST_CASE("an empty line more is no event that is cut")
+{
+  EventFrames frames;
+  CHECK(frames.Take("data: x\r\n\r\n") == "data: x\r\n\r\n");
+  CHECK(frames.Take("\r\n").empty());
+  CHECK_FALSE(frames.HasRest());
 }
 
 TEST_CASE("bytes without the end of an event are noticed as too many")
