Targets that started together have load keys of their own

The keys of load messages had the same fault as the identities of crashes: routing daemons would see one target's load at another. Names of the users' targets are long enough not to show it; those of our stand-ins are not.

Change: one function for both, which hashes name and incarnation one after the other.

--- a/packages/fleet/include/carobtide/fleet/crash_tally.hpp
+++ b/packages/fleet/include/carobtide/fleet/crash_tally.hpp
@@ -6,6 +6,7 @@
  */
 
 #include "carobtide/fleet/crash_messages.hpp"
+#include "carobtide/fleet/target.hpp"
 
 #include <cstdint>
 #include <map>
--- a/packages/fleet/include/carobtide/fleet/target.hpp
+++ b/packages/fleet/include/carobtide/fleet/target.hpp
@@ -16,6 +16,9 @@
 
 namespace carobtide {
 
+/** Identifies one process of a target. Thread safety: any thread. */
+std::uint64_t ProcessHash(const TargetName& aTarget, Incarnation aIncarnation);
+
 /** A model in a target's memory, with its adapters. */
 struct HeldModel
 {
--- a/packages/fleet/src/crash_tally.cpp
+++ b/packages/fleet/src/crash_tally.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <string>
 
 namespace carobtide {
 
@@ -15,10 +14,7 @@
 
 CrashTally::CrashId CrashTally::IdOf(const CrashReport& aReport)
 {
-  // Seeding with the incarnation lets short names of targets that started at
-  // about the same time collide.
-  return ComputeChecksum(std::to_string(aReport.mIncarnation.Value()),
-                         ComputeChecksum(aReport.mTarget.Text()));
+  return ProcessHash(aReport.mTarget, aReport.mIncarnation);
 }
 
 void CrashTally::Insert(Instant aNow, const CrashReport& aReport)
--- a/packages/fleet/src/load_messages.cpp
+++ b/packages/fleet/src/load_messages.cpp
@@ -16,8 +16,7 @@
 
 TargetKey KeyOf(const TargetName& aTarget, Incarnation aIncarnation)
 {
-  return static_cast<TargetKey>(
-    ComputeChecksum(aTarget.Text(), aIncarnation.Value()));
+  return static_cast<TargetKey>(ProcessHash(aTarget, aIncarnation));
 }
 
 PackedLoad PackedLoad::Pack(TargetKey aTarget, const TargetLoad& aLoad)
--- a/packages/fleet/tests/load_aggregator_test.cpp
+++ b/packages/fleet/tests/load_aggregator_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <set>
 #include <string>
 
 namespace carobtide {
@@ -34,6 +35,19 @@
 
 } // namespace
 
+// Seeding a hash with the incarnation gave targets with short names that
+// started a millisecond apart the same key, and so each other's load.
+TEST_CASE("targets that started together have keys of their own")
+{
+  std::set<TargetKey> keys;
+  for (int n = 0; n < 10; ++n) {
+    keys.insert(KeyOf(TargetName("i-" + std::to_string(n)),
+                      Incarnation(1796403665070U +
+                                  static_cast<std::uint64_t>(n))));
+  }
+  CHECK(keys.size() == 10);
+}
+
 TEST_CASE("a home adds up its watchers and the sums of other homes")
 {
   LoadAggregator home;
