--- a/packages/fleet/tests/load_aggregator_test.cpp
+++ b/packages/fleet/tests/load_aggregator_test.cpp
@@ -41,9 +41,9 @@
 {
   std::set<TargetKey> keys;
   for (int n = 0; n < 10; ++n) {
-    keys.insert(KeyOf(TargetName("i-" + std::to_string(n)),
-                      Incarnation(1796403665070U +
-                                  static_cast<std::uint64_t>(n))));
+    keys.insert(
+      KeyOf(TargetName("i-" + std::to_string(n)),
+            Incarnation(1796403665070U + static_cast<std::uint64_t>(n))));
   }
   CHECK(keys.size() == 10);
 }
