Only a success clears content under which targets crashed

Found by reading: a target that answers a request with 404 has not run it on an engine, yet the answer counted as proof that its content, and each part of its prompt, is sound, and lifted their blocks everywhere.

Change: the end of an attempt says whether the target succeeded.

--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -158,7 +158,7 @@
     const bool again =
       mContext.mDispatcher.OnEnd(SteadyNow(), send.mSend, attempt.mEnd, mState);
     mTrail.OnSendEnded(send, attempt.mEnd, again);
-    auto noting = NoteEvidence(send, sentAt, attempt.mEnd);
+    auto noting = NoteEvidence(send, sentAt, attempt);
     co_await std::move(noting);
     mContext.mRoom.Notify();
     if (attempt.mAnswered) {
@@ -208,11 +208,11 @@
 }
 
 awaitable<void> EdgeRequest::NoteEvidence(SendTo aSend, Instant aSentAt,
-                                          SendEnd aEnd)
+                                          Attempt aAttempt)
 {
   const Instant now = SteadyNow();
   const TargetProcess process{ aSend.mTarget, aSend.mIncarnation };
-  if (aEnd == SendEnd::Broken) {
+  if (aAttempt.mEnd == SendEnd::Broken) {
     const bool isSuspect = mContext.mGuard.IsSuspect(mFingerprints);
     if (!mContext.mGuard.OnConnectionLost(now, process, aSentAt,
                                           mFingerprints)) {
@@ -226,7 +226,7 @@
       const auto executor = co_await asio::this_coro::executor;
       asio::co_spawn(executor, std::move(probing), asio::detached);
     }
-  } else if (aEnd == SendEnd::Whole) {
+  } else if (aAttempt.mEnd == SendEnd::Whole && aAttempt.mSucceeded) {
     mContext.mGuard.OnWhole(now, mFingerprints);
     mContext.mReportCrashes();
   }
@@ -389,7 +389,8 @@
   if (!sent) {
     LogError(sent.GetError());
   }
-  co_return Attempt{ isFailure ? SendEnd::TargetFailed : SendEnd::Whole, true };
+  co_return Attempt{ isFailure ? SendEnd::TargetFailed : SendEnd::Whole, true,
+                     IsSuccess(aHead.mStatus) };
 }
 
 EdgeRequest::Attempt EdgeRequest::EndInsideEvent(
@@ -467,7 +468,7 @@
   if (!finished) {
     LogError(finished.GetError());
   }
-  co_return Attempt{ SendEnd::Whole, true };
+  co_return Attempt{ SendEnd::Whole, true, true };
 }
 
 awaitable<void> EdgeRequest::Refuse(Rejection aAway)
