A caller gets its final answer before a target is probed

Found by reading the change: a request whose content was suspect waited for the probes of its target, 300 ms and more, also when it was not going to be sent again and its caller had nothing to wait for.

Change: only a retry waits, and for the first probe only; a second one, which rules a crash out, runs by itself.

--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -52,8 +52,14 @@
   void OnDatagram(std::uint16_t aType, const std::string& aPayload,
                   const std::string& aPeer);
   boost::asio::awaitable<void> DemandLoop();
+  /** Probes a target that lost a connection, later once more if need be. */
   boost::asio::awaitable<void> ProbeTarget(TargetProcess aProcess,
                                            Endpoint aAddress);
+  boost::asio::awaitable<void> ProbeLater(TargetProcess aProcess,
+                                          Endpoint aAddress);
+  /** True if it is still open whether the target crashed. */
+  boost::asio::awaitable<bool> ProbeOnce(TargetProcess aProcess,
+                                         Endpoint aAddress);
   /** Logs what the guard found and sends it to the home. */
   void ReportCrashes();
   /** Repeats a notice until a home has confirmed it. */
--- a/packages/daemon/src/edge_node_fleet.cpp
+++ b/packages/daemon/src/edge_node_fleet.cpp
@@ -158,26 +158,35 @@
   }
 }
 
-awaitable<void> EdgeNode::ProbeTarget(TargetProcess aProcess, Endpoint aAddress)
+awaitable<bool> EdgeNode::ProbeOnce(TargetProcess aProcess, Endpoint aAddress)
 {
-  constexpr int kProbes = 2;
-  for (int n = 0; n < kProbes; ++n) {
-    if (n > 0) {
-      asio::steady_timer timer(mExecutor, CrashDetector::kStaleEvidenceWindow);
-      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
-    auto probing = ProbeAddress(aAddress, kProbeTimeout);
-    const ProbeResult result = co_await std::move(probing);
-    if (result == ProbeResult::Refused) {
-      mGuard.OnDead(SteadyNow(), aProcess);
-      break;
-    }
-    if (result == ProbeResult::Accepted &&
-        !mGuard.OnAlive(SteadyNow(), aProcess)) {
-      break;
-    }
+  auto probing = ProbeAddress(aAddress, kProbeTimeout);
+  const ProbeResult result = co_await std::move(probing);
+  bool isPending = result == ProbeResult::Unknown;
+  if (result == ProbeResult::Refused) {
+    mGuard.OnDead(SteadyNow(), aProcess);
+  } else if (result == ProbeResult::Accepted) {
+    isPending = mGuard.OnAlive(SteadyNow(), aProcess);
   }
   ReportCrashes();
+  co_return isPending;
+}
+
+awaitable<void> EdgeNode::ProbeTarget(TargetProcess aProcess, Endpoint aAddress)
+{
+  auto probing = ProbeOnce(aProcess, aAddress);
+  const bool isPending = co_await std::move(probing);
+  if (isPending) {
+    asio::co_spawn(mExecutor, ProbeLater(aProcess, aAddress), asio::detached);
+  }
+}
+
+awaitable<void> EdgeNode::ProbeLater(TargetProcess aProcess, Endpoint aAddress)
+{
+  asio::steady_timer timer(mExecutor, CrashDetector::kStaleEvidenceWindow);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  auto probing = ProbeOnce(aProcess, aAddress);
+  co_await std::move(probing);
 }
 
 void EdgeNode::ReportCrashes()
--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -137,9 +137,9 @@
     const bool again =
       mContext.mDispatcher.OnEnd(SteadyNow(), send.mSend, attempt.mEnd, mState);
     mTrail.OnSendEnded(send, attempt.mEnd, again);
-    auto noting = NoteEvidence(send, sentAt, attempt);
-    co_await std::move(noting);
     mContext.mRoom.Notify();
+    auto noting = NoteEvidence(send, sentAt, attempt, again);
+    co_await std::move(noting);
     if (attempt.mAnswered) {
       End(attempt.mEnd == SendEnd::Whole ? RequestOutcome::Whole
                                          : RequestOutcome::TargetFailed,
@@ -187,18 +187,18 @@
 }
 
 awaitable<void> EdgeRequest::NoteEvidence(SendTo aSend, Instant aSentAt,
-                                          Attempt aAttempt)
+                                          Attempt aAttempt, bool aMayRetry)
 {
   const Instant now = SteadyNow();
   const TargetProcess process{ aSend.mTarget, aSend.mIncarnation };
   if (aAttempt.mEnd == SendEnd::Broken) {
-    const bool isSuspect = mContext.mGuard.IsSuspect(mFingerprints);
+    const bool mustWait = aMayRetry && mContext.mGuard.IsSuspect(mFingerprints);
     if (!mContext.mGuard.OnConnectionLost(now, process, aSentAt,
                                           mFingerprints)) {
       co_return;
     }
     auto probing = mContext.mProbe(process, aSend.mAddress);
-    if (isSuspect) {
+    if (mustWait) {
       // One more crash may block the content: know it before a retry.
       co_await std::move(probing);
     } else {
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -68,7 +68,7 @@
   std::optional<Rejection> FindBlock() const;
   /** Tells the guard what the end of a send shows of content and target. */
   boost::asio::awaitable<void> NoteEvidence(SendTo aSend, Instant aSentAt,
-                                            Attempt aAttempt);
+                                            Attempt aAttempt, bool aMayRetry);
   boost::asio::awaitable<void> Refuse(Rejection aAway);
   boost::asio::awaitable<void> Fail(SendEnd aEnd);
   boost::asio::awaitable<void> Answer(std::uint16_t aStatus,
