The end of a send names how the target's answer was framed

It has `framing` now: length, chunks, connection or none. What ended the connection (a reset, an end inside an event) is in the error lines already.

--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -136,7 +136,7 @@
     const Attempt attempt = co_await std::move(sending);
     const bool again =
       mContext.mDispatcher.OnEnd(SteadyNow(), send.mSend, attempt.mEnd, mState);
-    mTrail.OnSendEnded(send, attempt.mEnd, again);
+    mTrail.OnSendEnded(send, attempt.mEnd, attempt.mFraming, again);
     mContext.mRoom.Notify();
     auto noting = NoteEvidence(send, sentAt, attempt, again);
     co_await std::move(noting);
@@ -246,7 +246,8 @@
   }
   mConnection = connection->get();
   auto exchanging = Exchange(aSend, **connection);
-  const Attempt attempt = co_await std::move(exchanging);
+  Attempt attempt = co_await std::move(exchanging);
+  attempt.mFraming = (*connection)->Framing();
   mConnection = nullptr;
   mContext.mPool.Release(aSend.mAddress, std::move(*connection));
   co_return attempt;
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -43,6 +43,7 @@
     bool mAnswered = false;
     /** The target answered that it succeeded. */
     bool mSucceeded = false;
+    BodyFraming mFraming = BodyFraming::None;
   };
 
   using AwaitAttempt = boost::asio::awaitable<Attempt>;
--- a/packages/daemon/src/request_trail.cpp
+++ b/packages/daemon/src/request_trail.cpp
@@ -56,11 +56,12 @@
 }
 
 void RequestTrail::OnSendEnded(const SendTo& aSend, SendEnd aEnd,
-                               bool aMayRepeat)
+                               BodyFraming aFraming, bool aMayRepeat)
 {
   Entry& entry = Add(TrailStep::SendEnded);
   entry.mTarget = aSend.mTarget;
   entry.mEnd = aEnd;
+  entry.mFraming = aFraming;
   entry.mMayRepeat = aMayRepeat;
 }
 
@@ -108,6 +109,7 @@
       break;
     case TrailStep::SendEnded:
       inputs.push_back({ "end", kSendEnds.Name(aEntry.mEnd) });
+      inputs.push_back({ "framing", kBodyFramings.Name(aEntry.mFraming) });
       inputs.push_back(
         { "then", std::string_view(aEntry.mMayRepeat ? "repeat" : "final") });
       break;
--- a/packages/daemon/src/request_trail.hpp
+++ b/packages/daemon/src/request_trail.hpp
@@ -8,6 +8,7 @@
 #include "carobtide/catalog.hpp"
 #include "carobtide/daemon/dialect.hpp"
 #include "carobtide/routing/dispatcher.hpp"
+#include "carobtide/transport/http_client.hpp"
 #include "request_metrics.hpp"
 
 #include <cstdint>
@@ -67,8 +68,9 @@
   void OnAdapterAsked();
   /** `aAfterEvent` is not empty if an answer goes on after that event. */
   void OnRouted(const SendTo& aSend, std::string_view aAfterEvent);
-  void OnSendEnded(const SendTo& aSend, SendEnd aEnd, bool aMayRepeat);
-
+  /** `aFraming` is that of the target's answer. */
+  void OnSendEnded(const SendTo& aSend, SendEnd aEnd, BodyFraming aFraming,
+                   bool aMayRepeat);
   void OnRefused(const Rejection& aAway);
 
   /** Writes the steps and the end, or counts the request as left out. */
@@ -82,6 +84,7 @@
     std::int64_t mTimeMicros = 0;
     TargetName mTarget;
     SendEnd mEnd = SendEnd::Whole;
+    BodyFraming mFraming = BodyFraming::None;
     bool mMayRepeat = false;
     TargetSnapshot mSnapshot;
     double mLoadLimit = 0;
--- a/packages/transport/include/carobtide/transport/http_client.hpp
+++ b/packages/transport/include/carobtide/transport/http_client.hpp
@@ -16,6 +16,25 @@
 
 namespace carobtide {
 
+/** What tells where an answer's body ends. */
+enum class BodyFraming : std::uint8_t
+{
+  /** No head of an answer was read. */
+  None,
+  /** A length, or a status that has no body. */
+  Length,
+  Chunks,
+  /** The end of the connection: a body that was cut may look whole. */
+  Connection,
+};
+
+inline constexpr EnumTable<BodyFraming, 4> kBodyFramings{ { {
+  { BodyFraming::None, "none" },
+  { BodyFraming::Length, "length" },
+  { BodyFraming::Chunks, "chunks" },
+  { BodyFraming::Connection, "connection" },
+} } };
+
 /**
  * One connection; one request at a time.
  *
@@ -52,6 +71,9 @@
   virtual boost::asio::awaitable<Result<std::string>> ReadAll(
     Bytes aLimit, Duration aTimeout) = 0;
 
+  /** Framing of the last answer whose head was read whole. */
+  virtual BodyFraming Framing() const = 0;
+
   /** True if the last body was read whole and the peer keeps it open. */
   virtual bool IsReusable() const = 0;
 
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -49,6 +49,7 @@
                                    Duration aTimeout) override;
   awaitable<Result<std::string>> ReadAll(Bytes aLimit,
                                          Duration aTimeout) override;
+  BodyFraming Framing() const override { return mFraming; }
   bool IsReusable() const override;
   Duration StatedIdleTime() const override;
   void Cancel() override;
@@ -57,7 +58,7 @@
   using Parser = http::response_parser<http::buffer_body>;
 
   http::request<http::string_body> MakeMessage(const HttpRequest& aRequest);
-  HttpResponseHead TakeHead() const;
+  HttpResponseHead TakeHead();
   Error LibraryError(const beast::error_code& aCode,
                      std::string_view aStep) const
   {
@@ -69,6 +70,7 @@
   beast::flat_buffer mBuffer;
   std::optional<Parser> mParser;
   std::array<char, kBodyChunkBytes> mChunk;
+  BodyFraming mFraming = BodyFraming::None;
   bool mCancelled = false;
   bool mSkipBody = false;
 };
@@ -91,8 +93,11 @@
   return message;
 }
 
-HttpResponseHead BeastConnection::TakeHead() const
+HttpResponseHead BeastConnection::TakeHead()
 {
+  mFraming = mParser->need_eof()  ? BodyFraming::Connection
+             : mParser->chunked() ? BodyFraming::Chunks
+                                  : BodyFraming::Length;
   HttpResponseHead head;
   head.mStatus = static_cast<std::uint16_t>(mParser->get().result_int());
   for (const auto& field : mParser->get()) {
@@ -107,6 +112,7 @@
 {
   beast::error_code ec;
   const auto message = MakeMessage(aRequest);
+  mFraming = BodyFraming::None;
   mStream.expires_after(aTimeout);
   co_await http::async_write(mStream, message,
                              redirect_error(use_awaitable, ec));
@@ -122,6 +128,7 @@
 awaitable<Result<HttpResponseHead>> BeastConnection::ReadHead(Duration aTimeout)
 {
   beast::error_code ec;
+  mFraming = BodyFraming::None;
   mParser.emplace();
   mParser->header_limit(kMaxResponseHeaderBytes);
   mParser->body_limit(boost::none);
--- a/packages/transport/src/http_pool.cpp
+++ b/packages/transport/src/http_pool.cpp
@@ -61,6 +61,7 @@
   {
     return mInner->ReadAll(aLimit, aTimeout);
   }
+  BodyFraming Framing() const override { return mInner->Framing(); }
   bool IsReusable() const override { return mInner->IsReusable(); }
   Duration StatedIdleTime() const override { return mInner->StatedIdleTime(); }
   void Cancel() override { mInner->Cancel(); }
