An answer that ends with its connection is whole only while its target lives

Cause: an answer with neither length nor chunks ends with its connection, and a process that dies closes its connections in order too. A part of an event shows the cut since; where the crash fell between two events, before the first one, or into a body, nothing did, and the edge wrote the end itself. Class of fault: an end that nobody stated is passed on as a stated one.

Change: after such an end the edge connects to the target once more.

--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -56,8 +56,15 @@
                           HttpResponseHead aHead);
   AwaitAttempt RelayStream(SendTo aSend, HttpConnection& aConnection,
                            HttpResponseHead aHead);
-  /** The attempt broke off, whatever its framing says. */
-  Attempt EndInsideEvent(HttpConnection& aConnection) const;
+  /** True if a stream that its framing calls ended was not broken off. */
+  boost::asio::awaitable<bool> IsWholeAtEnd(SendTo aSend,
+                                            HttpConnection& aConnection);
+  /** Sends the head to the caller unless an earlier attempt has. */
+  boost::asio::awaitable<Result<Unit>> BeginStream(
+    const HttpResponseHead& aHead);
+  /** Sends whole events to the caller; false if it is gone. */
+  boost::asio::awaitable<bool> PassOn(const HttpResponseHead& aHead,
+                                      std::string_view aEvents);
   /** Reads heads until one answers this request. */
   boost::asio::awaitable<Result<HttpResponseHead>> ReadOwnHead(
     HttpConnection& aConnection, HttpResponseHead aFirst);
--- a/packages/daemon/src/edge_request_answer.cpp
+++ b/packages/daemon/src/edge_request_answer.cpp
@@ -1,6 +1,7 @@
 // How an edge takes a target's answer and passes it on.
 #include "edge_request.hpp"
 
+#include "answer_end.hpp"
 #include "carobtide/daemon/logging.hpp"
 
 #include <algorithm>
@@ -110,6 +111,12 @@
     LogError(body.GetError());
     co_return Attempt{ EndOf(body.GetError()), false };
   }
+  auto confirming = ConfirmEnd(aConnection, aSend.mAddress, Left());
+  const auto confirmed = co_await std::move(confirming);
+  if (!confirmed) {
+    LogError(confirmed.GetError());
+    co_return Attempt{ EndOf(confirmed.GetError()), false };
+  }
   const bool isFailure = aHead.mStatus >= kServerErrors;
   const bool mayRepeat =
     IsRepeatable(mRoute.mKind) && mState.mRuns + 1 < mState.mFacts.mMaxAttempts;
@@ -130,13 +137,34 @@
                      IsSuccess(aHead.mStatus) };
 }
 
-EdgeRequest::Attempt EdgeRequest::EndInsideEvent(
-  HttpConnection& aConnection) const
+awaitable<bool> EdgeRequest::IsWholeAtEnd(SendTo aSend,
+                                          HttpConnection& aConnection)
 {
-  LogError(MakeError(ErrorCode::ConnectionLost, "edge.read-event", mLastTarget,
-                     "the stream ended inside an event"));
-  aConnection.Cancel();
-  return Attempt{ SendEnd::Broken, false };
+  if (mFrames.HasRest()) {
+    LogError(MakeError(ErrorCode::ConnectionLost, "edge.read-event",
+                       mLastTarget, "the stream ended inside an event"));
+    aConnection.Cancel();
+    co_return false;
+  }
+  auto confirming = ConfirmEnd(aConnection, aSend.mAddress, Left());
+  const auto confirmed = co_await std::move(confirming);
+  if (!confirmed) {
+    LogError(confirmed.GetError());
+  }
+  co_return confirmed.HasValue();
+}
+
+awaitable<Result<Unit>> EdgeRequest::BeginStream(const HttpResponseHead& aHead)
+{
+  if (std::exchange(mHasBegun, true)) {
+    co_return Success();
+  }
+  HttpResponseHead head;
+  head.mStatus = aHead.mStatus;
+  head.mHeaders = EndToEndHeaders(aHead.mHeaders);
+  auto beginning = mExchange.BeginStream(std::move(head));
+  const auto begun = co_await std::move(beginning);
+  co_return begun;
 }
 
 EdgeRequest::AwaitAttempt EdgeRequest::RelayStream(SendTo aSend,
@@ -164,42 +192,29 @@
       aConnection.Cancel();
       co_return Attempt{ SendEnd::Broken, false };
     }
-    const bool isCut = !more && mFrames.HasRest();
-    if (events.empty() && more) {
-      // A part of an event: what was sent so far stays between two events.
-      continue;
-    }
-    if (events.empty() && isCut) {
-      co_return EndInsideEvent(aConnection);
-    }
-    if (!mHasBegun) {
-      mHasBegun = true;
-      HttpResponseHead head;
-      head.mStatus = aHead.mStatus;
-      head.mHeaders = EndToEndHeaders(aHead.mHeaders);
-      auto beginning = mExchange.BeginStream(std::move(head));
-      const auto begun = co_await std::move(beginning);
-      if (!begun) {
-        mIsGone = true;
-        mGoneReason = begun.GetError().ToString();
-      }
-    }
+    // A part of an event waits for its rest: what was passed on stays between
+    // two events.
     if (!events.empty()) {
-      NoteEvent();
-    }
-    auto writing = mExchange.WriteChunk(events);
-    const auto written = co_await std::move(writing);
-    if (mIsGone || !written) {
-      if (!std::exchange(mIsGone, true)) {
-        mGoneReason = written.GetError().ToString();
+      auto passing = PassOn(aHead, events);
+      const bool isPassed = co_await std::move(passing);
+      if (!isPassed) {
+        aConnection.Cancel();
+        co_return Attempt{ SendEnd::CallerGone, false };
       }
-      aConnection.Cancel();
-      co_return Attempt{ SendEnd::CallerGone, false };
-    }
-    if (isCut) {
-      co_return EndInsideEvent(aConnection);
     }
   }
+  auto checking = IsWholeAtEnd(aSend, aConnection);
+  const bool isWhole = co_await std::move(checking);
+  if (!isWhole) {
+    co_return Attempt{ mIsGone ? SendEnd::CallerGone : SendEnd::Broken, false };
+  }
+  auto beginning = BeginStream(aHead);
+  const auto begun = co_await std::move(beginning);
+  if (!begun) {
+    mIsGone = true;
+    mGoneReason = begun.GetError().ToString();
+    co_return Attempt{ SendEnd::CallerGone, false };
+  }
   auto finishing = mExchange.FinishStream();
   const auto finished = co_await std::move(finishing);
   if (!finished) {
@@ -208,4 +223,20 @@
   co_return Attempt{ SendEnd::Whole, true, true };
 }
 
+awaitable<bool> EdgeRequest::PassOn(const HttpResponseHead& aHead,
+                                    std::string_view aEvents)
+{
+  auto beginning = BeginStream(aHead);
+  auto passed = co_await std::move(beginning);
+  if (passed) {
+    NoteEvent();
+    auto writing = mExchange.WriteChunk(aEvents);
+    passed = co_await std::move(writing);
+  }
+  if (!passed && !std::exchange(mIsGone, true)) {
+    mGoneReason = passed.GetError().ToString();
+  }
+  co_return passed.HasValue() && !mIsGone;
+}
+
 } // namespace carobtide
