Services' answers that end with their connection are confirmed on the bundle path

Engines' streams were safe by their end mark.

Change: the stream's rest is a broken attempt; bodies and streams without length or chunks are confirmed at their target as on the catalog path. An order whose answer cannot be confirmed has an unknown outcome and is never run again.

--- a/packages/daemon/src/attempt.cpp
+++ b/packages/daemon/src/attempt.cpp
@@ -1,5 +1,6 @@
 #include "attempt.hpp"
 
+#include "answer_end.hpp"
 #include "clock.hpp"
 
 #include <algorithm>
@@ -110,6 +111,12 @@
   if (!body) {
     co_return body.GetError();
   }
+  auto confirming =
+    ConfirmEnd(*aAttempt.mConnection, aAttempt.mDispatch.mAddress, left);
+  const auto confirmed = co_await std::move(confirming);
+  if (!confirmed) {
+    co_return confirmed.GetError();
+  }
   aAttempt.mBody = std::move(*body);
   co_return head;
 }
--- a/packages/daemon/src/event_stream.hpp
+++ b/packages/daemon/src/event_stream.hpp
@@ -38,6 +38,12 @@
   /** An event that is not whole yet. */
   std::string_view Partial() const { return mPartial; }
 
+  /** True if bytes of an event that is not whole were taken. */
+  bool HasPartial() const
+  {
+    return mPartial.find_first_not_of("\r\n") != std::string::npos;
+  }
+
   /** Token events since the last call. */
   std::uint32_t TakeTokens();
 
--- a/packages/daemon/src/order_runner.cpp
+++ b/packages/daemon/src/order_runner.cpp
@@ -1,5 +1,6 @@
 #include "order_runner.hpp"
 
+#include "answer_end.hpp"
 #include "answers.hpp"
 #include "clock.hpp"
 
@@ -200,6 +201,12 @@
   if (!body) {
     co_return EndAttempt(id, AttemptEnd::ConnectionLost, ConnectionBroke{});
   }
+  const Endpoint address = aDispatch.mAddress;
+  auto confirming = ConfirmEnd(connection, address, TimeLeft(mPlan->mFacts));
+  const auto confirmed = co_await std::move(confirming);
+  if (!confirmed) {
+    co_return EndAttempt(id, AttemptEnd::ConnectionLost, ConnectionBroke{});
+  }
   AnswerArrived arrived;
   arrived.mAnswer.mStatus = head->mStatus;
   arrived.mAnswer.mContentType =
--- a/packages/daemon/src/request_runner.cpp
+++ b/packages/daemon/src/request_runner.cpp
@@ -1,5 +1,6 @@
 #include "request_runner.hpp"
 
+#include "answer_end.hpp"
 #include "answers.hpp"
 #include "clock.hpp"
 
@@ -268,9 +269,15 @@
     aAttempt.mHasMore = *more;
   }
   if (!mPlan->mIsEngine) {
-    auto delivering = Deliver(mStream.Partial());
-    const bool isDelivered = co_await std::move(delivering);
-    co_return isDelivered ? AttemptEnd::Whole : AttemptEnd::CallerGone;
+    // Services mark no end.
+    if (mStream.HasPartial()) {
+      co_return AttemptEnd::ConnectionLost;
+    }
+    auto confirming =
+      ConfirmEnd(*aAttempt.mConnection, aAttempt.mDispatch.mAddress,
+                 TimeLeft(mPlan->mFacts));
+    const auto confirmed = co_await std::move(confirming);
+    co_return confirmed ? AttemptEnd::Whole : AttemptEnd::ConnectionLost;
   }
   // An engine marks the end of its stream; without the mark it was cut.
   const bool isWhole = mStream.HasEnded() || mStream.HasFinished();
--- a/packages/daemon/tests/event_stream_test.cpp
+++ b/packages/daemon/tests/event_stream_test.cpp
@@ -35,12 +35,22 @@
   EventStream events;
   CHECK(events.Take("data: {\"a\":1}\n\ndata: {\"b") == "data: {\"a\":1}\n\n");
   CHECK(events.Partial() == "data: {\"b");
+  CHECK(events.HasPartial());
   events.DropPartial();
+  CHECK_FALSE(events.HasPartial());
   CHECK(events.Take("data: {\"b\":2}\n\n") == "data: {\"b\":2}\n\n");
   CHECK(events.TokenCount() == 2);
   CHECK_FALSE(events.HasEnded());
 }
 
+TEST_CASE("an empty line more is no part of an event")
+{
+  EventStream events;
+  events.Take("data: {\"a\":1}\r\n\r\n");
+  CHECK(events.Take("\r\n").empty());
+  CHECK_FALSE(events.HasPartial());
+}
+
 TEST_CASE("a stream without its end mark has not ended")
 {
   EventStream events;
