Logs name the software version of targets and what a caller takes up

Change: the version is part of a heartbeat and of what routing daemons know of a target; request.routed, request.resumed and the target.* lines have `software`, request.end has `resumes` and `resume_after`. Nothing is decided by them yet. Heartbeats between daemons have one field more: daemons of earlier builds do not read them.

--- a/packages/base/include/carobtide/base/ids.hpp
+++ b/packages/base/include/carobtide/base/ids.hpp
@@ -100,6 +100,8 @@
 using AdapterName = TextId<struct AdapterNameTag>;
 /** A plain service named in the bundle. */
 using ServiceName = TextId<struct ServiceNameTag>;
+/** The version of a target's software, as the target states it. */
+using SoftwareVersion = TextId<struct SoftwareVersionTag>;
 /** A caller's key for a non-idempotent request. */
 using IdempotencyKey = TextId<struct IdempotencyKeyTag>;
 
--- a/packages/daemon/include/carobtide/daemon/dialect.hpp
+++ b/packages/daemon/include/carobtide/daemon/dialect.hpp
@@ -38,6 +38,10 @@
   std::uint32_t mPromptTokens = 0;
   /** How long the caller waits; nothing if it does not say. */
   std::optional<Duration> mPatience;
+  /** The last event that the caller has of a stream; empty if it has none. */
+  std::string mAfterEvent;
+  /** Id of the request that brought the first event of that stream. */
+  std::string mResumes;
 };
 
 /** What the system itself adds to a request that it sends to a target. */
--- a/packages/daemon/src/edge_node_fleet.cpp
+++ b/packages/daemon/src/edge_node_fleet.cpp
@@ -50,6 +50,7 @@
     LogInput{ "incarnation",
               static_cast<std::int64_t>(aLast.mIncarnation.Value()) },
     LogInput{ "heartbeat", static_cast<std::int64_t>(aLast.mSequence) },
+    LogInput{ "software", std::string_view(aLast.mSoftware.Text()) },
   };
   LogFields fields;
   fields.mStep = kTargetTransitions.Name(aNews);
--- a/packages/daemon/src/request_trail.cpp
+++ b/packages/daemon/src/request_trail.cpp
@@ -51,6 +51,7 @@
   Entry& entry =
     Add(aAfterEvent.empty() ? TrailStep::Routed : TrailStep::Resumed);
   entry.mTarget = aSend.mTarget;
+  entry.mSoftware = aSend.mSoftware;
   entry.mSnapshot = aSend.mSnapshot;
   entry.mDetail = aAfterEvent;
 }
@@ -88,6 +89,8 @@
       inputs.push_back({ "after_event", std::string_view(aEntry.mDetail) });
       [[fallthrough]];
     case TrailStep::Routed:
+      inputs.push_back(
+        { "software", std::string_view(aEntry.mSoftware.Text()) });
       inputs.push_back({ "load", aEntry.mSnapshot.mLoad });
       inputs.push_back({ "own_in_flight", static_cast<std::int64_t>(
                                             aEntry.mSnapshot.mOwnInFlight) });
@@ -151,6 +154,10 @@
     { "pause_ms", Millis(aEnd.mLongestPause) },
     { "left_out", static_cast<std::int64_t>(aLeftOut) },
   };
+  if (!aCaller.mAfterEvent.empty()) {
+    inputs.push_back({ "resumes", std::string_view(aCaller.mResumes) });
+    inputs.push_back({ "resume_after", std::string_view(aCaller.mAfterEvent) });
+  }
   if (mNotKept > 0) {
     inputs.push_back({ "steps_not_kept", mNotKept });
   }
--- a/packages/daemon/src/request_trail.hpp
+++ b/packages/daemon/src/request_trail.hpp
@@ -83,6 +83,7 @@
     TrailStep mStep = TrailStep::Waiting;
     std::int64_t mTimeMicros = 0;
     TargetName mTarget;
+    SoftwareVersion mSoftware;
     SendEnd mEnd = SendEnd::Whole;
     BodyFraming mFraming = BodyFraming::None;
     bool mMayRepeat = false;
--- a/packages/fleet/include/carobtide/fleet/target.hpp
+++ b/packages/fleet/include/carobtide/fleet/target.hpp
@@ -78,6 +78,8 @@
   /** Grows with each heartbeat of one incarnation. */
   std::uint64_t mSequence = 0;
   ServiceName mService;
+  /** Empty if the target does not state it. */
+  SoftwareVersion mSoftware;
   Endpoint mAddress;
   FailureDomain mFailureDomain;
   std::uint32_t mSlots = 1;
@@ -92,7 +94,7 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mTarget, mIncarnation, mSequence, mService, mAddress,
+    aArchive(mTarget, mIncarnation, mSequence, mService, mSoftware, mAddress,
              mFailureDomain, mSlots, mPhase, mEngine, mModels, mInHostMemory,
              mOnDisk);
   }
--- a/packages/fleet/src/target_directory.cpp
+++ b/packages/fleet/src/target_directory.cpp
@@ -10,7 +10,8 @@
 bool RoutesTheSame(const Heartbeat& aOne, const Heartbeat& aOther)
 {
   return aOne.mPhase == aOther.mPhase && aOne.mAddress == aOther.mAddress &&
-         aOne.mService == aOther.mService && aOne.mSlots == aOther.mSlots;
+         aOne.mService == aOther.mService &&
+         aOne.mSoftware == aOther.mSoftware && aOne.mSlots == aOther.mSlots;
 }
 
 bool SaysTheSame(const Heartbeat& aOne, const Heartbeat& aOther)
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -93,6 +93,7 @@
   TargetName mTarget;
   Incarnation mIncarnation;
   Endpoint mAddress;
+  SoftwareVersion mSoftware;
   /** Priority passed to the engine; 0 is the most urgent. */
   std::uint32_t mUrgency = 0;
   TargetSnapshot mSnapshot;
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -212,6 +212,7 @@
   send.mTarget = last.mTarget;
   send.mIncarnation = last.mIncarnation;
   send.mAddress = last.mAddress;
+  send.mSoftware = last.mSoftware;
   send.mUrgency = kUrgency;
   send.mSnapshot = { LoadOf(target, aSearch.mLoad),
                      target.mInFlight,
