A stream goes on within its answer at targets of the same software version only

What callers would see: an answer whose first events are of one version of the target's software and whose later ones are of another (rule ORDER). Reported on systems of the kind.

The dispatcher chose any target of the service for the rest of a stream. Class of fault: a choice among peers that are taken for equal.

Change: the software that brought the first event is part of the request's state and only targets that state the same version are candidates. If none takes work the stream ends at once, instead of waiting for a load.

--- a/packages/daemon/src/edge_request_answer.cpp
+++ b/packages/daemon/src/edge_request_answer.cpp
@@ -195,6 +195,7 @@
     // A part of an event waits for its rest: what was passed on stays between
     // two events.
     if (!events.empty()) {
+      mState.mSoftware = aSend.mSoftware;
       auto passing = PassOn(aHead, events);
       const bool isPassed = co_await std::move(passing);
       if (!isPassed) {
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -62,6 +62,8 @@
   std::uint32_t mConnectFailures = 0;
   /** Targets that were tried already; they are not chosen again. */
   std::vector<TargetName> mTried;
+  /** What began the stream: no other software may go on with it. */
+  std::optional<SoftwareVersion> mSoftware;
   bool mAdapterRequested = false;
   /** Identifies the request as unplaced demand; 0 if it is not counted. */
   std::uint64_t mUnplaced = 0;
@@ -332,6 +334,8 @@
     double mScore = 0;
     TargetLoad mLoad;
     std::uint32_t mHolders = 0;
+    /** A target that takes work runs the software that the stream needs. */
+    bool mSoftwareServes = false;
     bool mModelHeld = false;
     /** When a target that is loading the model should serve it, if any is. */
     std::optional<Instant> mReadyAt;
--- a/packages/routing/src/dispatcher_choice.cpp
+++ b/packages/routing/src/dispatcher_choice.cpp
@@ -205,9 +205,12 @@
   search.mLeastModelLoad = std::numeric_limits<double>::max();
   for (const TargetName& name : aPool.mTargets) {
     Target& target = mTargets.at(name);
-    if (!target.mState.TakesWork()) {
+    if (!target.mState.TakesWork() ||
+        (aState.mSoftware &&
+         target.mState.mLast.mSoftware != *aState.mSoftware)) {
       continue;
     }
+    search.mSoftwareServes = true;
     if (!facts.mModel.IsEmpty()) {
       const HeldModel* held = FindHeld(target.mState, facts.mModel);
       if (held == nullptr) {
--- a/packages/routing/src/dispatcher_refusal.cpp
+++ b/packages/routing/src/dispatcher_refusal.cpp
@@ -119,8 +119,12 @@
                                     const Search& aSearch, const Pool& aPool)
 {
   const DispatchFacts& facts = aState.mFacts;
-  RecordUnplaced(aNow, aPool, aState);
-  if (const Instant until = WaitLimit(aNow, aState, aSearch); aNow < until) {
+  const bool isSoftwareGone = aState.mSoftware && !aSearch.mSoftwareServes;
+  if (!isSoftwareGone) {
+    RecordUnplaced(aNow, aPool, aState);
+  }
+  if (const Instant until = WaitLimit(aNow, aState, aSearch);
+      !isSoftwareGone && aNow < until) {
     if (const auto it = mUnplaced.find(aState.mUnplaced);
         it != mUnplaced.end()) {
       it->second.mUntil = until + RunTime(aPool, facts);
@@ -128,7 +132,9 @@
     return WaitForCapacity{ until };
   }
   Rejection rejection;
-  rejection.mReason = aSearch.mAdapterHeld     ? "no target has room"
+  rejection.mReason = isSoftwareGone
+                        ? "no target runs the software that began the stream"
+                      : aSearch.mAdapterHeld   ? "no target has room"
                       : aSearch.mModelHeld     ? "no target holds the adapter"
                       : facts.mModel.IsEmpty() ? "no target is known"
                       : aSearch.mReadyAt       ? "the model is being loaded"
--- /dev/null
+++ b/packages/routing/tests/software_version_test.cpp
@@ -0,0 +1,96 @@
+#include "carobtide/routing.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <variant>
+
+namespace carobtide {
+
+namespace {
+
+const Instant kNow{ 1000s };
+const ServiceName kService("lm");
+const ModelName kModel("m");
+const SoftwareVersion kOld("v1");
+const SoftwareVersion kNew("v2");
+
+RoutedTarget MakeTarget(const std::string& aName, SoftwareVersion aSoftware)
+{
+  RoutedTarget target;
+  target.mLast.mTarget = TargetName(aName);
+  target.mLast.mIncarnation = Incarnation(1);
+  target.mLast.mSequence = 1;
+  target.mLast.mService = kService;
+  target.mLast.mSoftware = std::move(aSoftware);
+  target.mLast.mAddress = Endpoint{ "10.0.0.1", 80 };
+  target.mLast.mSlots = 4;
+  target.mLast.mEngine = true;
+  target.mModels.push_back({ kModel, 1, {} });
+  return target;
+}
+
+DispatchState MakeStream(Duration aObjective = 400ms)
+{
+  DispatchState state;
+  state.mFacts.mService = kService;
+  state.mFacts.mKind = RequestKind::ResumableStream;
+  state.mFacts.mMaxAttempts = 2;
+  state.mFacts.mObjective = aObjective;
+  state.mFacts.mModel = kModel;
+  state.mFacts.mArrived = kNow;
+  state.mFacts.mDeadline = kNow + 10s;
+  return state;
+}
+
+} // namespace
+
+// Load pattern: half of a service's targets run a newer version, and streams
+// break off at both.
+TEST_CASE("a begun stream goes to targets of its software version only")
+{
+  Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
+  for (int n = 0; n < 8; ++n) {
+    dispatcher.OnTarget(
+      kNow, MakeTarget("t" + std::to_string(n), n % 2 == 0 ? kOld : kNew));
+  }
+  for (int n = 0; n < 50; ++n) {
+    DispatchState state = MakeStream();
+    state.mSoftware = n % 2 == 0 ? kOld : kNew;
+    const auto decision = dispatcher.Choose(kNow, state);
+    REQUIRE(std::holds_alternative<SendTo>(decision));
+    const SendTo& send = std::get<SendTo>(decision);
+    CHECK(send.mSoftware == state.mSoftware);
+    dispatcher.OnEnd(kNow, send.mSend, SendEnd::Whole, state);
+  }
+}
+
+TEST_CASE("a begun stream is rejected at once when its software is gone")
+{
+  Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
+  dispatcher.OnTarget(kNow, MakeTarget("t0", kNew));
+  // A tolerant request would wait for a load otherwise.
+  DispatchState state = MakeStream(5s);
+  state.mSoftware = kOld;
+  const auto decision = dispatcher.Choose(kNow, state);
+  REQUIRE(std::holds_alternative<Rejection>(decision));
+  CHECK(std::get<Rejection>(decision).mReason ==
+        "no target runs the software that began the stream");
+}
+
+TEST_CASE("a begun stream waits for a target of its software that is full")
+{
+  Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
+  dispatcher.OnTarget(kNow, MakeTarget("t0", kOld));
+  dispatcher.OnTarget(kNow, MakeTarget("t1", kNew));
+  bool hasWaited = false;
+  for (int n = 0; n < 40 && !hasWaited; ++n) {
+    DispatchState state = MakeStream(5s);
+    state.mSoftware = kOld;
+    hasWaited =
+      std::holds_alternative<WaitForCapacity>(dispatcher.Choose(kNow, state));
+  }
+  CHECK(hasWaited);
+}
+
+} // namespace carobtide
