Callers take streams up at the software version that began them

No daemon knew what began a stream that came from another one; the headers with which callers name it were passed on unread.

Change: while several versions of a service serve, edges tell their home and the next one what began their streams; an edge where a stream is taken up asks the control daemons. Unknown, with several versions seen: 503, not run. Nothing is sent or asked while one version serves.

Taken-up streams wait for the answers of control daemons, 250 ms at most, unless this edge began them or has seen one version alone.

--- a/packages/catalog/include/carobtide/catalog/catalog.hpp
+++ b/packages/catalog/include/carobtide/catalog/catalog.hpp
@@ -136,6 +136,13 @@
   const CatalogService* FindService(const ServiceName& aName) const;
 };
 
+/**
+ * How long a resumable stream may be open, taken up again at its end.
+ *
+ * Thread safety: any thread.
+ */
+Duration LongestStream(const Catalog& aCatalog);
+
 /**
  * Checks what the types cannot express: every route names known services, no
  * two share host and prefix, weights add up to more than 0, timeouts are
--- a/packages/catalog/src/catalog.cpp
+++ b/packages/catalog/src/catalog.cpp
@@ -57,6 +57,18 @@
   return it == mServices.end() ? nullptr : &*it;
 }
 
+Duration LongestStream(const Catalog& aCatalog)
+{
+  constexpr int kTimesOpen = 2;
+  Duration longest{ 0 };
+  for (const Route& route : aCatalog.mRoutes) {
+    if (route.mKind == RequestKind::ResumableStream) {
+      longest = std::max(longest, route.mTimeout);
+    }
+  }
+  return kTimesOpen * longest;
+}
+
 Result<Unit> CheckCatalog(const Catalog& aCatalog)
 {
   std::set<ServiceName> services;
--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -279,6 +279,7 @@
         return now - aEdge.second.mAskedAt > kEdgeTimeout;
       });
       mContents.Expire(now);
+      UpdateSoftware(now);
       if (now >= mNextBlocks && mContents.Blocks().Size() > 0) {
         mNextBlocks = now + kBlockInterval;
         SendToPeers(FleetMessageType::CrashNotice, mContents.AllBlocks(now));
@@ -296,6 +297,17 @@
   }
 }
 
+void ControlNode::UpdateSoftware(Instant aNow)
+{
+  mSoftware.OnContact(aNow);
+  for (const FleetRecord* record : mTargets.All()) {
+    if (!record->mSilent) {
+      mSoftware.Observe(aNow, record->mLast);
+    }
+  }
+  mStreams.Expire(aNow - mSoftware.Window());
+}
+
 void ControlNode::RunMembership(Instant aNow)
 {
   std::vector<ReplicaCandidate> candidates;
@@ -340,6 +352,7 @@
            { "edges", static_cast<double>(mEdges.size()) },
            { "orders_under_way",
              mPlanner ? static_cast<double>(mPlanner->OrdersUnderWay()) : 0.0 },
+           { "streams_known", static_cast<double>(mStreams.Size()) },
            { "watches_waiting", static_cast<double>(mNews.Waiting()) },
            { "log_lines_dropped", static_cast<double>(DroppedLogLines()) },
          });
--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -58,6 +58,7 @@
   void SendLoads(Duration aInterval);
   boost::asio::awaitable<void> StopWhenAsked();
   void RunMembership(Instant aNow);
+  void UpdateSoftware(Instant aNow);
 
   // control_node_calls.cpp: operators, targets and other daemons.
   boost::asio::awaitable<void> HandleCall(HttpExchange& aExchange);
@@ -82,6 +83,7 @@
   void RequestResidency();
   void OnResidencyRequest(const ResidencyRequest& aRequest);
   void OnCrashNotice(const CrashNotice& aNotice);
+  StreamReply OnStreamQuery(const StreamQuery& aQuery) const;
   /** Number of routing daemons that this daemon relays to. */
   std::size_t CountHomeWatchers() const;
   bool HasNews(const WatchRequest& aRequest) const;
@@ -121,6 +123,9 @@
   std::uint64_t mPlannerTerm = 0;
   ResidencyBoard mResidency;
   ContentBoard mContents;
+  SoftwareHistory mSoftware;
+  /** Streams that routing daemons told of. */
+  StreamOrigins mStreams;
   /** When the blocks are next sent to the other control daemons. */
   Instant mNextBlocks;
   Instant mNextPublish;
--- a/packages/daemon/src/control_node_calls.cpp
+++ b/packages/daemon/src/control_node_calls.cpp
@@ -249,6 +249,15 @@
       }
       break;
     }
+    case FleetMessageType::StreamQuery: {
+      const auto query = Decode<StreamQuery>(aPayload, aPeer);
+      if (query) {
+        std::string reply = Encode(OnStreamQuery(*query));
+        co_return reply;
+      }
+      LogError(query.GetError());
+      break;
+    }
     case FleetMessageType::Propose: {
       auto executing = ExecuteHere(std::move(aPayload));
       const auto reply = co_await std::move(executing);
@@ -326,6 +335,10 @@
       take(CrashNotice{},
            [&](const CrashNotice& aNotice) { OnCrashNotice(aNotice); });
       break;
+    case FleetMessageType::StreamNotice:
+      take(StreamNotice{},
+           [&](const StreamNotice& aNotice) { mStreams.Put(now, aNotice); });
+      break;
     case FleetMessageType::Demand:
       take(DemandReport{}, [&](const DemandReport& aReport) {
         if (mPlanner) {
@@ -373,6 +386,12 @@
   }
 }
 
+StreamReply ControlNode::OnStreamQuery(const StreamQuery& aQuery) const
+{
+  return { mStreams.Find(aQuery.mStream),
+           mSoftware.Seen(SteadyNow(), aQuery.mService) };
+}
+
 bool ControlNode::HasNews(const WatchRequest& aRequest) const
 {
   return aRequest.mEpoch != mEpoch ||
--- a/packages/daemon/src/control_node_leader.cpp
+++ b/packages/daemon/src/control_node_leader.cpp
@@ -59,6 +59,7 @@
     return;
   }
   mCatalog = std::make_shared<const Catalog>(std::move(*catalog));
+  mSoftware.SetWindow(LongestStream(*mCatalog));
   if (mPlanner) {
     mPlanner->SetCatalog(mCatalog);
   }
--- a/packages/daemon/src/edge_context.hpp
+++ b/packages/daemon/src/edge_context.hpp
@@ -17,6 +17,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
+#include <optional>
 
 namespace carobtide {
 
@@ -39,6 +40,12 @@
   std::function<boost::asio::awaitable<void>(TargetProcess, Endpoint)> mProbe;
   /** Sends and logs what the guard found. */
   std::function<void()> mReportCrashes;
+  /** Finds what began a stream that a caller takes up. */
+  std::function<boost::asio::awaitable<std::optional<StreamOrigin>>(
+    StreamQuery)>
+    mFindOrigin;
+  /** Takes note of what began a stream. */
+  std::function<void(StreamKey, const StreamOrigin&)> mStreamBegun;
   RequestMetrics& mMetrics;
   /** Requests left out of the log since the last one that was written. */
   std::uint64_t mLeftOut = 0;
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -71,6 +71,10 @@
                 return ProbeTarget(std::move(aProcess), std::move(aAddress));
               },
               [this] { ReportCrashes(); },
+              [this](StreamQuery aQuery) { return FindOrigin(aQuery); },
+              [this](StreamKey aStream, const StreamOrigin& aOrigin) {
+                OnStreamBegun(aStream, aOrigin);
+              },
               mMetrics,
               0,
               &mStop }
--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -34,6 +34,19 @@
   void Reload(NodeSettings aSettings) override;
 
 private:
+  /** Control daemons are asked what began a stream. */
+  struct OpenQuery
+  {
+    explicit OpenQuery(OriginSearch aSearch)
+      : mSearch(std::move(aSearch))
+    {
+    }
+
+    OriginSearch mSearch;
+    std::size_t mUnanswered = 0;
+    WatchBoard mReplied;
+  };
+
   // edge_node.cpp: callers, start and stop.
   boost::asio::awaitable<void> Handle(HttpExchange& aExchange);
   boost::asio::awaitable<void> HandleReadiness(HttpExchange& aExchange);
@@ -64,6 +77,16 @@
   void ReportCrashes();
   /** Repeats a notice until a home has confirmed it. */
   boost::asio::awaitable<void> SendCrashNotice(CrashNotice aNotice);
+  // edge_node_streams.cpp: what began the streams that callers take up.
+  void OnStreamBegun(StreamKey aStream, const StreamOrigin& aOrigin);
+  boost::asio::awaitable<std::optional<StreamOrigin>> FindOrigin(
+    StreamQuery aQuery);
+  boost::asio::awaitable<void> QueryOrigin(Endpoint aCore, std::string aQuery,
+                                           std::shared_ptr<OpenQuery> aOpen);
+  void UpdateStreams();
+  /** Sends soon what control daemons have to be told. */
+  void ReportStreams();
+  boost::asio::awaitable<void> SendStreams();
   boost::asio::awaitable<void> StopWhenDone();
   std::string RenderMetrics() const;
   bool IsReady() const { return mRoutes != nullptr && !mStop.IsStopping(); }
@@ -77,6 +100,9 @@
   FleetView mFleet;
   Dispatcher mDispatcher;
   ContentGuard mGuard;
+  SoftwareHistory mSoftware;
+  StreamReporter mStreams;
+  bool mSendsStreams = false;
   std::shared_ptr<const RouteMap> mRoutes;
   std::uint64_t mCatalogVersion = 0;
   bool mFetching = false;
--- a/packages/daemon/src/edge_node_fleet.cpp
+++ b/packages/daemon/src/edge_node_fleet.cpp
@@ -120,7 +120,12 @@
 void EdgeNode::OnWatchReply(const Endpoint& aCore, const WatchReply& aReply)
 {
   mHomes.OnReply(SteadyNow(), aCore, aReply.mFailureDomain);
-  if (mFleet.EpochOf(aCore) != aReply.mEpoch && mGuard.Blocks() > 0) {
+  mSoftware.OnContact(SteadyNow());
+  const bool isOtherProcess = mFleet.EpochOf(aCore) != aReply.mEpoch;
+  if (isOtherProcess) {
+    mStreams.Repeat();
+  }
+  if (isOtherProcess && mGuard.Blocks() > 0) {
     CrashNotice blocks = mGuard.AllBlocks(SteadyNow());
     blocks.mIsRelayed = true;
     mNetwork.Send(aCore,
@@ -148,6 +153,7 @@
   for (const TargetName& name : aChanged) {
     if (const auto state = mFleet.Find(name)) {
       mGuard.OnTarget(now, *state);
+      mSoftware.Observe(now, state->mLast);
       const TargetTransition news = mDispatcher.OnTarget(now, *state);
       if (news != TargetTransition::None) {
         LogNews(news, state->mLast);
@@ -268,6 +274,7 @@
   const auto shared = std::make_shared<const Catalog>(std::move(*catalog));
   mRoutes = std::make_shared<const RouteMap>(shared);
   mDispatcher.SetCatalog(shared);
+  mSoftware.SetWindow(LongestStream(*shared));
   LogFields fields;
   fields.mStep = "catalog.in-force";
   const std::string message = "version " + std::to_string(mCatalogVersion);
@@ -361,6 +368,7 @@
     report.mModels = mDispatcher.TakeDemand(SteadyNow());
     mGuard.Expire(SteadyNow());
     ReportCrashes();
+    UpdateStreams();
     const Endpoint leader = mFleet.Leader();
     if (!leader.mHost.empty()) {
       mNetwork.Send(leader,
--- /dev/null
+++ b/packages/daemon/src/edge_node_streams.cpp
@@ -0,0 +1,110 @@
+// What began the streams that callers take up at this daemon.
+#include "carobtide/base/codec.hpp"
+#include "carobtide/daemon/logging.hpp"
+#include "clock.hpp"
+#include "edge_node.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace carobtide {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+/** Streams that begin within this time share one notice. */
+constexpr Duration kNoticeDelay = std::chrono::milliseconds(20);
+/** A caller waits for its stream meanwhile. */
+constexpr Duration kQueryTimeout = std::chrono::milliseconds(250);
+
+} // namespace
+
+void EdgeNode::OnStreamBegun(StreamKey aStream, const StreamOrigin& aOrigin)
+{
+  mStreams.OnBegun(SteadyNow(), aStream, aOrigin, mSoftware);
+  ReportStreams();
+}
+
+void EdgeNode::UpdateStreams()
+{
+  const Instant now = SteadyNow();
+  mFleet.AddSoftware(now, mSoftware);
+  mStreams.Update(now, mSoftware);
+  ReportStreams();
+}
+
+void EdgeNode::ReportStreams()
+{
+  if (mStreams.HasNotice() && !std::exchange(mSendsStreams, true)) {
+    asio::co_spawn(
+      mExecutor, [this] { return SendStreams(); }, asio::detached);
+  }
+}
+
+awaitable<void> EdgeNode::SendStreams()
+{
+  asio::steady_timer timer(mExecutor, kNoticeDelay);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  mSendsStreams = false;
+  const Instant now = SteadyNow();
+  const std::string notice = Encode(mStreams.TakeNotice());
+  for (const auto& core : { mHomes.Select(now), mHomes.SelectBackup(now) }) {
+    if (core) {
+      mNetwork.Send(*core,
+                    static_cast<std::uint16_t>(FleetMessageType::StreamNotice),
+                    notice);
+    }
+  }
+}
+
+awaitable<void> EdgeNode::QueryOrigin(Endpoint aCore, std::string aQuery,
+                                      std::shared_ptr<OpenQuery> aOpen)
+{
+  auto calling = mNetwork.Call(
+    aCore, static_cast<std::uint16_t>(FleetMessageType::StreamQuery),
+    std::move(aQuery), kQueryTimeout);
+  const auto answer = co_await std::move(calling);
+  const auto reply = answer ? Decode<StreamReply>(*answer, aCore.ToString())
+                            : Result<StreamReply>(answer.GetError());
+  if (reply) {
+    aOpen->mSearch.OnReply(*reply);
+  } else {
+    LogError(reply.GetError());
+  }
+  --aOpen->mUnanswered;
+  aOpen->mReplied.Notify();
+}
+
+awaitable<std::optional<StreamOrigin>> EdgeNode::FindOrigin(StreamQuery aQuery)
+{
+  if (auto known = mStreams.Find(aQuery.mStream)) {
+    co_return known;
+  }
+  const Instant now = SteadyNow();
+  const auto open = std::make_shared<OpenQuery>(
+    OriginSearch(aQuery.mService, mSoftware.Seen(now, aQuery.mService)));
+  if (!open->mSearch.IsDecided()) {
+    // The daemon that began it may have had another home, or lost its home.
+    open->mUnanswered = mCores.size();
+    for (const Endpoint& core : mCores) {
+      asio::co_spawn(mExecutor, QueryOrigin(core, Encode(aQuery), open),
+                     asio::detached);
+    }
+  }
+  while (!open->mSearch.IsDecided() && open->mUnanswered > 0) {
+    auto waiting = open->mReplied.Wait(kQueryTimeout);
+    co_await std::move(waiting);
+  }
+  auto origin = open->mSearch.Result();
+  co_return origin;
+}
+
+} // namespace carobtide
--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -81,6 +81,15 @@
 {
   const auto self = shared_from_this();
   mExchange.OnClientGone([self] { self->OnCallerGone(); });
+  if (IsTakenUp()) {
+    auto finding = FindOrigin();
+    const bool isFound = co_await std::move(finding);
+    if (!isFound) {
+      auto refusing = Refuse(MakeRejection("what began the stream is unknown"));
+      co_await std::move(refusing);
+      co_return;
+    }
+  }
   mContext.mDispatcher.OnArrival(SteadyNow(), mState.mFacts);
   while (!mIsGone) {
     if (SteadyNow() >= mDeadline) {
@@ -107,7 +116,7 @@
     if (const auto* wait = std::get_if<WaitForCapacity>(&decision)) {
       const Instant limit = WaitLimit();
       if (SteadyNow() >= limit) {
-        auto refusing = Refuse(MakeStopRejection());
+        auto refusing = Refuse(MakeRejection("stopping"));
         co_await std::move(refusing);
         co_return;
       }
@@ -163,15 +172,43 @@
   return std::min(stop, mDeadline);
 }
 
-Rejection EdgeRequest::MakeStopRejection()
+Rejection EdgeRequest::MakeRejection(std::string aReason)
 {
   constexpr Duration kPause = std::chrono::milliseconds(300);
   Rejection rejection;
   rejection.mRetryAfter = kPause;
-  rejection.mReason = "stopping";
+  rejection.mReason = std::move(aReason);
   return rejection;
 }
 
+bool EdgeRequest::IsTakenUp() const
+{
+  return mRoute.mKind == RequestKind::ResumableStream &&
+         !mCaller.mAfterEvent.empty();
+}
+
+StreamKey EdgeRequest::Stream() const
+{
+  return MakeStreamKey(IsTakenUp() ? mCaller.mResumes : mCaller.mId);
+}
+
+awaitable<bool> EdgeRequest::FindOrigin()
+{
+  ServiceName& service = mState.mFacts.mService;
+  auto finding = mContext.mFindOrigin({ Stream(), service });
+  const auto origin = co_await std::move(finding);
+  // A route that changed may not lead to the service any more.
+  if (!origin ||
+      std::ranges::find(mRoute.mServices, origin->mService,
+                        &ServiceShare::mService) == mRoute.mServices.end()) {
+    co_return false;
+  }
+  service = origin->mService;
+  mState.mSoftware = origin->mSoftware;
+  mTrail.OnOriginFound(*origin);
+  co_return true;
+}
+
 std::optional<Rejection> EdgeRequest::FindBlock() const
 {
   const Instant now = SteadyNow();
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -71,7 +71,13 @@
   boost::asio::awaitable<void> Wait(Instant aUntil);
   /** Until when the request may wait for a target. */
   Instant WaitLimit() const;
-  static Rejection MakeStopRejection();
+  /** A short pause, since the request may do better at another daemon. */
+  static Rejection MakeRejection(std::string aReason);
+  /** True if the caller has a part of the stream already. */
+  bool IsTakenUp() const;
+  StreamKey Stream() const;
+  /** False if it is not certain what began the stream. */
+  boost::asio::awaitable<bool> FindOrigin();
   /** Why the request must not be sent, if its content is blocked. */
   std::optional<Rejection> FindBlock() const;
   /** Tells the guard what the end of a send shows of content and target. */
@@ -87,6 +93,8 @@
   void OnCallerGone();
   void OnFirstByte(const SendTo& aSend);
   void NoteEvent();
+  /** Takes note of what began the stream; call before an event is passed on. */
+  void NoteOrigin(const SendTo& aSend);
   void End(RequestOutcome aOutcome, std::string_view aReason);
 
   EdgeContext& mContext;
--- a/packages/daemon/src/edge_request_answer.cpp
+++ b/packages/daemon/src/edge_request_answer.cpp
@@ -195,7 +195,7 @@
     // A part of an event waits for its rest: what was passed on stays between
     // two events.
     if (!events.empty()) {
-      mState.mSoftware = aSend.mSoftware;
+      NoteOrigin(aSend);
       auto passing = PassOn(aHead, events);
       const bool isPassed = co_await std::move(passing);
       if (!isPassed) {
@@ -224,6 +224,16 @@
   co_return Attempt{ SendEnd::Whole, true, true };
 }
 
+void EdgeRequest::NoteOrigin(const SendTo& aSend)
+{
+  const bool isFirst = mEventAt == Instant();
+  if (isFirst && mRoute.mKind == RequestKind::ResumableStream) {
+    mState.mSoftware = aSend.mSoftware;
+    mContext.mStreamBegun(Stream(),
+                          { mState.mFacts.mService, aSend.mSoftware });
+  }
+}
+
 awaitable<bool> EdgeRequest::PassOn(const HttpResponseHead& aHead,
                                     std::string_view aEvents)
 {
--- a/packages/daemon/src/request_trail.cpp
+++ b/packages/daemon/src/request_trail.cpp
@@ -31,6 +31,13 @@
   return entry;
 }
 
+void RequestTrail::OnOriginFound(const StreamOrigin& aOrigin)
+{
+  Entry& entry = Add(TrailStep::OriginFound);
+  entry.mDetail = aOrigin.mService.Text();
+  entry.mSoftware = aOrigin.mSoftware;
+}
+
 void RequestTrail::OnWait(Instant aUntil, Instant aNow)
 {
   // Woken and told to wait again: one step.
@@ -80,6 +87,11 @@
 {
   std::vector<LogInput> inputs;
   switch (aEntry.mStep) {
+    case TrailStep::OriginFound:
+      inputs.push_back({ "service", std::string_view(aEntry.mDetail) });
+      inputs.push_back(
+        { "software", std::string_view(aEntry.mSoftware.Text()) });
+      break;
     case TrailStep::Waiting:
       inputs.push_back({ "patience_ms", Millis(aEntry.mPause) });
       break;
--- a/packages/daemon/src/request_trail.hpp
+++ b/packages/daemon/src/request_trail.hpp
@@ -21,6 +21,7 @@
 /** A decision that touched a request, or what became of one. */
 enum class TrailStep : std::uint8_t
 {
+  OriginFound,
   Waiting,
   AdapterAsked,
   Routed,
@@ -29,7 +30,8 @@
   Refused,
 };
 
-inline constexpr EnumTable<TrailStep, 6> kTrailSteps{ { {
+inline constexpr EnumTable<TrailStep, 7> kTrailSteps{ { {
+  { TrailStep::OriginFound, "request.origin-found" },
   { TrailStep::Waiting, "request.waiting" },
   { TrailStep::AdapterAsked, "request.adapter-asked" },
   { TrailStep::Routed, "request.routed" },
@@ -64,6 +66,8 @@
   /** Steps kept; later ones are counted only. */
   static constexpr std::size_t kMostSteps = 24;
 
+  /** It is known what began the stream that the caller takes up. */
+  void OnOriginFound(const StreamOrigin& aOrigin);
   void OnWait(Instant aUntil, Instant aNow);
   void OnAdapterAsked();
   /** `aAfterEvent` is not empty if an answer goes on after that event. */
--- a/packages/fleet/include/carobtide/fleet.hpp
+++ b/packages/fleet/include/carobtide/fleet.hpp
@@ -17,5 +17,8 @@
 #include "carobtide/fleet/messages.hpp"
 #include "carobtide/fleet/peer_directory.hpp"
 #include "carobtide/fleet/residency_board.hpp"
+#include "carobtide/fleet/software_history.hpp"
+#include "carobtide/fleet/stream_messages.hpp"
+#include "carobtide/fleet/stream_origins.hpp"
 #include "carobtide/fleet/target.hpp"
 #include "carobtide/fleet/target_directory.hpp"
--- a/packages/fleet/include/carobtide/fleet/home_selector.hpp
+++ b/packages/fleet/include/carobtide/fleet/home_selector.hpp
@@ -39,6 +39,9 @@
   /** The home to use now; nothing while no control daemon answers. */
   std::optional<Endpoint> Select(Instant aNow);
 
+  /** The control daemon that would be the home if the home were lost. */
+  std::optional<Endpoint> SelectBackup(Instant aNow) const;
+
 private:
   struct Core
   {
@@ -48,6 +51,7 @@
     Instant mExcludedUntil;
   };
 
+  bool IsCandidate(Instant aNow, const Core& aCore) const;
   /** Lower is better. */
   std::pair<int, std::uint64_t> RankOf(const Endpoint& aAddress,
                                        const Core& aCore) const;
--- a/packages/fleet/include/carobtide/fleet/messages.hpp
+++ b/packages/fleet/include/carobtide/fleet/messages.hpp
@@ -29,11 +29,13 @@
   Residency = 108,
   ResidencyRequest = 109,
   CrashNotice = 110,
+  StreamNotice = 111,
   /** Calls. */
   Watch = 121,
   GetCatalog = 122,
   EnsureAdapter = 123,
   Propose = 124,
+  StreamQuery = 125,
 };
 
 /** Sent between daemons with control duties, several times a second. */
--- /dev/null
+++ b/packages/fleet/include/carobtide/fleet/stream_origins.hpp
@@ -0,0 +1,150 @@
+#pragma once
+
+/**
+ * @file
+ * What began the streams that are open.
+ */
+
+#include "carobtide/fleet/software_history.hpp"
+#include "carobtide/fleet/stream_messages.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace carobtide {
+
+/**
+ * Streams and their origins, the newest up to a bound.
+ *
+ * Thread safety: none; the owner synchronizes access.
+ */
+class StreamOrigins
+{
+public:
+  static constexpr std::size_t kMaxStreams = 500'000;
+
+  explicit StreamOrigins(std::size_t aMaxStreams = kMaxStreams)
+    : mMaxStreams(aMaxStreams)
+  {
+  }
+
+  /** A stream has begun or goes on. */
+  void Put(Instant aNow, StreamKey aStream, const StreamOrigin& aOrigin);
+  void Put(Instant aNow, const StreamNotice& aNotice);
+
+  std::optional<StreamOrigin> Find(StreamKey aStream) const;
+
+  /** Forgets the streams that were last put before a time. */
+  void Expire(Instant aBefore);
+
+  /** The streams of the services in a set. */
+  std::map<StreamOrigin, std::vector<StreamKey>> OfServices(
+    const std::set<ServiceName>& aServices) const;
+
+  std::size_t Size() const { return mStreams.size(); }
+
+private:
+  using OriginSet = std::set<StreamOrigin>;
+
+  struct Entry
+  {
+    Instant mPutAt;
+    OriginSet::const_iterator mOrigin;
+  };
+
+  struct Use
+  {
+    Instant mAt;
+    StreamKey mStream = 0;
+  };
+
+  void DropOldest();
+
+  std::size_t mMaxStreams;
+  /** One copy of each origin. */
+  OriginSet mOrigins;
+  std::unordered_map<StreamKey, Entry> mStreams;
+  /** In the order of time. A stream that was put again is in it twice. */
+  std::deque<Use> mUses;
+};
+
+/**
+ * The streams of one routing daemon, and which of them control daemons have to
+ * be told of: those of services whose targets run several software versions.
+ *
+ * Answers: a daemon dies, and callers take its streams up at others. While all
+ * targets of a service run one version, nothing is sent.
+ *
+ * Thread safety: none; the owner synchronizes access.
+ */
+class StreamReporter
+{
+public:
+  /** A stream brought its first event at this daemon. */
+  void OnBegun(Instant aNow, StreamKey aStream, const StreamOrigin& aOrigin,
+               const SoftwareHistory& aHistory);
+
+  /**
+   * Forgets streams that are over. The streams of a service that got a second
+   * version become due.
+   */
+  void Update(Instant aNow, const SoftwareHistory& aHistory);
+
+  /** A control daemon lost what it was told. */
+  void Repeat();
+
+  /** What is due since the last call; no groups if nothing is. */
+  StreamNotice TakeNotice();
+  bool HasNotice() const { return !mDue.empty(); }
+
+  std::optional<StreamOrigin> Find(StreamKey aStream) const
+  {
+    return mStreams.Find(aStream);
+  }
+
+private:
+  StreamOrigins mStreams;
+  std::map<StreamOrigin, std::vector<StreamKey>> mDue;
+  std::set<ServiceName> mServices;
+  /** Those of them that run several versions. */
+  std::set<ServiceName> mMixed;
+};
+
+/**
+ * Finds what began a stream that a caller takes up, from the answers of several
+ * daemons. Where none was told of the stream, it is certain only if they have
+ * seen one and the same software version.
+ *
+ * Answers: daemons that restarted, were cut off, or see a new version later
+ * than others; no daemon answers.
+ *
+ * Thread safety: none; the owner synchronizes access.
+ */
+class OriginSearch
+{
+public:
+  /** Precondition: aSeen is what this daemon itself has seen of the service. */
+  OriginSearch(ServiceName aService, const SoftwareSeen& aSeen);
+
+  void OnReply(const StreamReply& aReply);
+
+  /** True if no further reply changes the result. */
+  bool IsDecided() const;
+
+  /** Nothing if it is not certain. */
+  std::optional<StreamOrigin> Result() const;
+
+private:
+  ServiceName mService;
+  std::optional<StreamOrigin> mOrigin;
+  std::set<SoftwareVersion> mVersions;
+  /** This daemon has watched for as long as a stream lasts. */
+  bool mIsComplete = false;
+  bool mHasReply = false;
+};
+
+} // namespace carobtide
--- a/packages/fleet/src/home_selector.cpp
+++ b/packages/fleet/src/home_selector.cpp
@@ -48,6 +48,24 @@
            ComputeChecksum(mSelf.ToString() + aAddress.ToString()) };
 }
 
+bool HomeSelector::IsCandidate(Instant aNow, const Core& aCore) const
+{
+  return aNow - aCore.mHeardAt < kCandidateTimeout &&
+         aNow >= aCore.mExcludedUntil;
+}
+
+std::optional<Endpoint> HomeSelector::SelectBackup(Instant aNow) const
+{
+  std::optional<Endpoint> best;
+  for (const auto& [address, core] : mCores) {
+    if (address != mHome && IsCandidate(aNow, core) &&
+        (!best || RankOf(address, core) < RankOf(*best, mCores.at(*best)))) {
+      best = address;
+    }
+  }
+  return best;
+}
+
 std::optional<Endpoint> HomeSelector::Select(Instant aNow)
 {
   if (mHome) {
@@ -64,9 +82,7 @@
   }
   std::optional<Endpoint> best;
   for (const auto& [address, core] : mCores) {
-    const bool isEligible =
-      address == mHome ||
-      (aNow - core.mHeardAt < kCandidateTimeout && aNow >= core.mExcludedUntil);
+    const bool isEligible = address == mHome || IsCandidate(aNow, core);
     if (isEligible &&
         (!best || RankOf(address, core) < RankOf(*best, mCores.at(*best)))) {
       best = address;
--- a/packages/fleet/tests/home_selector_test.cpp
+++ b/packages/fleet/tests/home_selector_test.cpp
@@ -46,6 +46,16 @@
   CHECK(at(5000ms, true) == kNear);
 }
 
+TEST_CASE("the backup is what would be the home if the home were lost")
+{
+  HomeSelector homes(kSelf, FailureDomain("a"));
+  homes.OnReply(kStart, kNear, FailureDomain("a"));
+  REQUIRE(homes.Select(kStart) == kNear);
+  CHECK_FALSE(homes.SelectBackup(kStart));
+  homes.OnReply(kStart, kFar, FailureDomain("b"));
+  CHECK(homes.SelectBackup(kStart) == kFar);
+}
+
 TEST_CASE("without a control daemon nearby, routing daemons spread")
 {
   std::set<Endpoint> used;
--- /dev/null
+++ b/packages/fleet/tests/stream_origins_test.cpp
@@ -0,0 +1,177 @@
+#include "carobtide/base/codec.hpp"
+#include "carobtide/fleet.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace carobtide {
+
+namespace {
+
+const Instant kStart{ 1000s };
+const ServiceName kService("lm");
+const StreamOrigin kOld{ kService, SoftwareVersion("v1") };
+const StreamOrigin kNew{ kService, SoftwareVersion("v2") };
+
+/** A daemon that has watched targets of these versions for some time. */
+SoftwareHistory Watch(const std::vector<StreamOrigin>& aServing, Duration aTime)
+{
+  SoftwareHistory history;
+  for (Duration at = Duration::zero(); at <= aTime; at += 1s) {
+    history.OnContact(kStart + at);
+    for (const StreamOrigin& origin : aServing) {
+      history.Observe(kStart + at, origin.mService, origin.mSoftware);
+    }
+  }
+  return history;
+}
+
+SoftwareSeen Seen(const std::vector<StreamOrigin>& aServing, Duration aTime)
+{
+  return Watch(aServing, aTime).Seen(kStart + aTime, kService);
+}
+
+} // namespace
+
+TEST_CASE("a version counts for as long as its streams may be open")
+{
+  SoftwareHistory history;
+  history.SetWindow(10s);
+  history.Observe(kStart, kService, kOld.mSoftware);
+  history.Observe(kStart + 1s, kService, kNew.mSoftware);
+  CHECK(history.IsMixed(kStart + 9s, kService));
+  history.Observe(kStart + 11s, kService, kNew.mSoftware);
+  CHECK_FALSE(history.IsMixed(kStart + 11s, kService));
+}
+
+TEST_CASE("a history with a gap is not complete")
+{
+  SoftwareHistory history = Watch({ kOld }, 120s);
+  CHECK(history.Seen(kStart + 121s, kService).mIsComplete);
+  // Paused or cut off: versions may have come and gone.
+  CHECK_FALSE(history.Seen(kStart + 130s, kService).mIsComplete);
+  history.OnContact(kStart + 130s);
+  CHECK_FALSE(history.Seen(kStart + 131s, kService).mIsComplete);
+}
+
+TEST_CASE("streams are reported only while several versions serve")
+{
+  StreamReporter reporter;
+  const SoftwareHistory one = Watch({ kOld }, 10s);
+  reporter.OnBegun(kStart + 10s, 1, kOld, one);
+  reporter.Update(kStart + 10s, one);
+  CHECK_FALSE(reporter.HasNotice());
+  // The stream that is open becomes due with the second version.
+  const SoftwareHistory two = Watch({ kOld, kNew }, 11s);
+  reporter.Update(kStart + 11s, two);
+  StreamNotice notice = reporter.TakeNotice();
+  REQUIRE(notice.mGroups.size() == 1);
+  CHECK(notice.mGroups[0].mOrigin == kOld);
+  CHECK(notice.mGroups[0].mStreams == std::vector<StreamKey>{ 1 });
+  reporter.OnBegun(kStart + 11s, 2, kNew, two);
+  reporter.Update(kStart + 11s, two);
+  notice = reporter.TakeNotice();
+  REQUIRE(notice.mGroups.size() == 1);
+  CHECK(notice.mGroups[0].mOrigin == kNew);
+  CHECK_FALSE(reporter.HasNotice());
+  // A control daemon restarted.
+  reporter.Repeat();
+  CHECK(reporter.TakeNotice().mGroups.size() == 2);
+}
+
+TEST_CASE("the origin of a stream is known where it was reported")
+{
+  StreamOrigins origins(3);
+  origins.Put(kStart, StreamNotice{ { { kOld, { 1, 2 } }, { kNew, { 3 } } } });
+  CHECK(origins.Find(1) == kOld);
+  CHECK(origins.Find(3) == kNew);
+  CHECK_FALSE(origins.Find(4));
+  SECTION("until it is over")
+  {
+    origins.Put(kStart + 5s, 2, kOld);
+    origins.Expire(kStart + 1s);
+    CHECK_FALSE(origins.Find(1));
+    CHECK(origins.Find(2) == kOld);
+  }
+  SECTION("or too many are newer")
+  {
+    for (StreamKey stream = 10; stream < 100; ++stream) {
+      origins.Put(kStart + 1s, stream, kOld);
+    }
+    CHECK(origins.Size() <= 3);
+    CHECK_FALSE(origins.Find(1));
+    CHECK(origins.Find(99) == kOld);
+  }
+}
+
+// Fault: the daemon that knew the stream is gone, or nobody can be asked.
+TEST_CASE("a stream of unknown origin goes on only if it can have one alone")
+{
+  SECTION("one version for as long as a stream lasts: nobody need be asked")
+  {
+    const OriginSearch search(kService, Seen({ kOld }, 120s));
+    CHECK(search.IsDecided());
+    CHECK(search.Result() == kOld);
+  }
+  SECTION("several versions, and no daemon was told")
+  {
+    OriginSearch search(kService, Seen({ kOld, kNew }, 120s));
+    search.OnReply({ std::nullopt, Seen({ kOld, kNew }, 120s) });
+    CHECK_FALSE(search.Result());
+  }
+  SECTION("a daemon was told")
+  {
+    OriginSearch search(kService, Seen({ kOld, kNew }, 120s));
+    search.OnReply({ std::nullopt, Seen({ kOld, kNew }, 120s) });
+    search.OnReply({ kNew, Seen({ kOld, kNew }, 120s) });
+    CHECK(search.IsDecided());
+    CHECK(search.Result() == kNew);
+  }
+  SECTION("this daemon just started and another one saw two versions")
+  {
+    OriginSearch search(kService, Seen({ kNew }, 1s));
+    CHECK_FALSE(search.IsDecided());
+    CHECK_FALSE(search.Result());
+    search.OnReply({ std::nullopt, Seen({ kOld, kNew }, 120s) });
+    CHECK_FALSE(search.Result());
+  }
+  SECTION("all daemons just started and one version serves")
+  {
+    OriginSearch search(kService, Seen({ kOld }, 1s));
+    search.OnReply({ std::nullopt, Seen({ kOld }, 1s) });
+    CHECK(search.Result() == kOld);
+  }
+  SECTION("no daemon answers after a cut")
+  {
+    SoftwareHistory history = Watch({ kOld }, 120s);
+    OriginSearch search(kService, history.Seen(kStart + 125s, kService));
+    CHECK_FALSE(search.Result());
+  }
+}
+
+// 48 resumable streams a second at each of 2,100 daemons while all services
+// change versions; the control of a daemon may take 16 KB a second.
+TEST_CASE("reports of streams stay within the control traffic of a daemon")
+{
+  constexpr std::size_t kStreamsPerSecond = 48;
+  constexpr std::size_t kNoticesPerSecond = 20;
+  constexpr std::size_t kCopies = 2;
+  constexpr std::size_t kMaxBytesPerSecond = 16'000;
+  StreamReporter reporter;
+  const SoftwareHistory mixed = Watch({ kOld, kNew }, 1s);
+  std::size_t bytes = 0;
+  StreamKey stream = 0;
+  for (std::size_t n = 0; n < kNoticesPerSecond; ++n) {
+    while (stream * kNoticesPerSecond < kStreamsPerSecond * (n + 1)) {
+      ++stream;
+      reporter.OnBegun(kStart + 1s, stream, stream % 2 == 0 ? kOld : kNew,
+                       mixed);
+    }
+    bytes += kCopies * Encode(reporter.TakeNotice()).size();
+  }
+  CHECK(stream == kStreamsPerSecond);
+  CHECK(bytes < kMaxBytesPerSecond);
+}
+
+} // namespace carobtide
