A request id is sent once over a connection

Reported by operators of similar systems: a target wrote an earlier refusal once more on a kept connection.

Cause: an answer is recognized by its request's id, and a caller that comes back with the same id may get the connection on which that id was refused before, so that the earlier refusal, or the earlier answer of an idempotent request, passes for the new one. The look for unread bytes at release does not help: they come later. Class of fault: an identity that is not unique where it is compared.

Change: pooled connections remember the ids that they carried, 256 at most, and are not used twice for one.

--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -270,7 +270,8 @@
 EdgeRequest::AwaitAttempt EdgeRequest::Send(SendTo aSend)
 {
   auto acquiring =
-    mContext.mPool.Acquire(aSend.mAddress, std::min(kConnectTimeout, Left()));
+    mContext.mPool.Acquire(aSend.mAddress, std::min(kConnectTimeout, Left()),
+                           ComputeChecksum(mCaller.mId));
   auto connection = co_await std::move(acquiring);
   if (!connection) {
     LogError(connection.GetError());
--- a/packages/transport/include/carobtide/transport/http_client.hpp
+++ b/packages/transport/include/carobtide/transport/http_client.hpp
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace carobtide {
@@ -133,10 +134,14 @@
    * An idle connection made on the same executor if there is one, else a new
    * one. Connections that the peer has closed are dropped first; one may
    * still break before Send, which then fails with ConnectionLost.
-   * Non-idempotent requests use ConnectHttp instead.
+   *
+   * aRequestHash is of the id by which the peer's answer is recognized. A
+   * connection is used once for each: a peer may write an earlier answer to the
+   * same id once more.
    */
   boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>>> Acquire(
-    Endpoint aAddress, Duration aTimeout);
+    Endpoint aAddress, Duration aTimeout,
+    std::optional<std::uint64_t> aRequestHash = std::nullopt);
 
   /** Takes a connection back; closes it unless it is reusable. */
   void Release(const Endpoint& aAddress,
--- a/packages/transport/src/http_pool.cpp
+++ b/packages/transport/src/http_pool.cpp
@@ -7,6 +7,9 @@
 #include <iterator>
 #include <map>
 #include <mutex>
+#include <optional>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace carobtide {
@@ -22,15 +25,6 @@
  */
 constexpr Duration kIdleMargin = std::chrono::milliseconds(1000);
 
-/** An idle connection and the executor that it is bound to. */
-struct IdleConnection
-{
-  asio::any_io_executor mExecutor;
-  std::unique_ptr<HttpConnection> mConnection;
-  /** Not used again from then on. */
-  std::chrono::steady_clock::time_point mExpiresAt;
-};
-
 /** A connection in use remembers its executor until it is released. */
 class PooledConnection final : public HttpConnection
 {
@@ -62,15 +56,39 @@
     return mInner->ReadAll(aLimit, aTimeout);
   }
   BodyFraming Framing() const override { return mInner->Framing(); }
-  bool IsReusable() const override { return mInner->IsReusable(); }
+  bool IsReusable() const override
+  {
+    return mRequests.size() < kMaxRequests && mInner->IsReusable();
+  }
   Duration StatedIdleTime() const override { return mInner->StatedIdleTime(); }
   void Cancel() override { mInner->Cancel(); }
 
   const asio::any_io_executor& Executor() const { return mExecutor; }
 
+  bool HasCarried(std::uint64_t aRequestHash) const
+  {
+    return std::ranges::find(mRequests, aRequestHash) != mRequests.end();
+  }
+  void OnRequest(std::uint64_t aRequestHash)
+  {
+    mRequests.push_back(aRequestHash);
+  }
+
 private:
+  /** Bounds the look-up for a connection that carried a request before. */
+  static constexpr std::size_t kMaxRequests = 256;
+
   asio::any_io_executor mExecutor;
   std::unique_ptr<HttpConnection> mInner;
+  std::vector<std::uint64_t> mRequests;
+};
+
+/** A connection that is not in use. */
+struct IdleConnection
+{
+  std::unique_ptr<PooledConnection> mConnection;
+  /** Not used again from then on. */
+  std::chrono::steady_clock::time_point mExpiresAt;
 };
 
 } // namespace
@@ -83,8 +101,9 @@
   {
   }
 
-  std::unique_ptr<HttpConnection> Take(const Endpoint& aAddress,
-                                       const asio::any_io_executor& aExecutor);
+  std::unique_ptr<PooledConnection> Take(
+    const Endpoint& aAddress, const asio::any_io_executor& aExecutor,
+    std::optional<std::uint64_t> aRequestHash);
   void Put(const Endpoint& aAddress, IdleConnection aIdle);
 
 private:
@@ -94,8 +113,9 @@
   std::map<Endpoint, std::vector<IdleConnection>> mIdle;
 };
 
-std::unique_ptr<HttpConnection> HttpPool::Impl::Take(
-  const Endpoint& aAddress, const asio::any_io_executor& aExecutor)
+std::unique_ptr<PooledConnection> HttpPool::Impl::Take(
+  const Endpoint& aAddress, const asio::any_io_executor& aExecutor,
+  std::optional<std::uint64_t> aRequestHash)
 {
   const std::lock_guard lock(mMutex);
   auto& idle = mIdle[aAddress];
@@ -105,7 +125,9 @@
   while (true) {
     const auto last =
       std::find_if(idle.rbegin(), idle.rend(), [&](const auto& aIdle) {
-        return aIdle.mExecutor == aExecutor;
+        const PooledConnection& connection = *aIdle.mConnection;
+        return connection.Executor() == aExecutor &&
+               !(aRequestHash && connection.HasCarried(*aRequestHash));
       });
     if (last == idle.rend()) {
       return nullptr;
@@ -142,30 +164,34 @@
 HttpPool::~HttpPool() = default;
 
 awaitable<Result<std::unique_ptr<HttpConnection>>> HttpPool::Acquire(
-  Endpoint aAddress, Duration aTimeout)
+  Endpoint aAddress, Duration aTimeout,
+  std::optional<std::uint64_t> aRequestHash)
 {
   const auto executor = co_await asio::this_coro::executor;
-  auto idle = mImpl->Take(aAddress, executor);
-  if (idle) {
-    co_return idle;
+  auto pooled = mImpl->Take(aAddress, executor, aRequestHash);
+  if (!pooled) {
+    auto connected = co_await ConnectHttp(aAddress, aTimeout);
+    if (!connected) {
+      co_return connected.GetError();
+    }
+    pooled =
+      std::make_unique<PooledConnection>(executor, std::move(*connected));
   }
-  auto connected = co_await ConnectHttp(aAddress, aTimeout);
-  if (!connected) {
-    co_return connected.GetError();
+  if (aRequestHash) {
+    pooled->OnRequest(*aRequestHash);
   }
-  std::unique_ptr<HttpConnection> connection =
-    std::make_unique<PooledConnection>(executor, std::move(*connected));
+  std::unique_ptr<HttpConnection> connection = std::move(pooled);
   co_return connection;
 }
 
 void HttpPool::Release(const Endpoint& aAddress,
                        std::unique_ptr<HttpConnection> aConnection)
 {
-  const auto* pooled = dynamic_cast<PooledConnection*>(aConnection.get());
+  auto* pooled = dynamic_cast<PooledConnection*>(aConnection.get());
   if (pooled != nullptr && pooled->IsReusable()) {
-    const auto executor = pooled->Executor();
+    std::ignore = aConnection.release();
     mImpl->Put(aAddress,
-               IdleConnection{ executor, std::move(aConnection), {} });
+               IdleConnection{ std::unique_ptr<PooledConnection>(pooled), {} });
   }
 }
 
