A stream goes on only with an event stream

Reported by operators of similar systems for errors of the next target.

Cause: errors never got into a stream here, but any success did: a body of another type whose text held an empty line was passed on as an event, and an empty success ended the stream as whole. Class of fault: a status is taken for the meaning of an answer.

Change: an answer that goes on with a stream must be an event stream, else the attempt is broken.

--- a/packages/daemon/src/edge_request_answer.cpp
+++ b/packages/daemon/src/edge_request_answer.cpp
@@ -4,7 +4,10 @@
 #include "answer_end.hpp"
 #include "carobtide/daemon/logging.hpp"
 
+#include <boost/algorithm/string/predicate.hpp>
+
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace carobtide {
@@ -31,6 +34,13 @@
          aStatus == kRequestTimeout || aStatus == kMisdirected;
 }
 
+bool IsEventStream(const HttpResponseHead& aHead)
+{
+  constexpr std::string_view kType = "text/event-stream";
+  const std::string_view type = aHead.mHeaders.Get("Content-Type");
+  return boost::algorithm::istarts_with(type, kType);
+}
+
 bool IsSuccess(std::uint16_t aStatus)
 {
   constexpr std::uint16_t kFirst = 200;
@@ -171,6 +181,12 @@
                                                    HttpConnection& aConnection,
                                                    HttpResponseHead aHead)
 {
+  if (mHasBegun && !IsEventStream(aHead)) {
+    LogError(MakeError(ErrorCode::Malformed, "edge.resume-stream", mLastTarget,
+                       "the answer is no event stream"));
+    aConnection.Cancel();
+    co_return Attempt{ SendEnd::Broken, false };
+  }
   std::string bytes;
   bool isFirst = true;
   mFrames.DropRest();
