A daemon survives an engine that refuses to go on with a stream

What callers would see: all requests of the daemon cut off.

Cause: the answer of an attempt that goes on with a stream was relayed as one that begins.

Change: an answer that is not a successful event stream is a failed attempt once the stream has begun; the router tries elsewhere, or the stream is cut. Both paths use one IsEventStream.

Evidence: "e2e: error in stream" failed before: the daemon was gone after the first (connection refused) or second of five answers.

--- a/packages/daemon/src/attempt.cpp
+++ b/packages/daemon/src/attempt.cpp
@@ -171,11 +171,6 @@
   }
 }
 
-bool IsEventStream(const HttpResponseHead& aHead)
-{
-  return aHead.mHeaders.Get("Content-Type").starts_with("text/event-stream");
-}
-
 Duration TimeLeft(const RequestFacts& aFacts)
 {
   if (aFacts.mDeadline == Instant::max()) {
--- a/packages/daemon/src/attempt.hpp
+++ b/packages/daemon/src/attempt.hpp
@@ -55,9 +55,6 @@
   DaemonContext& aContext, std::shared_ptr<const ForwardPlan> aPlan,
   std::shared_ptr<Attempt> aAttempt, std::shared_ptr<RequestMailbox> aMailbox);
 
-/** True if the answer is a stream of server-sent events. */
-bool IsEventStream(const HttpResponseHead& aHead);
-
 /** Time left until the request's deadline, at least a millisecond. */
 Duration TimeLeft(const RequestFacts& aFacts);
 
--- a/packages/daemon/src/edge_request_answer.cpp
+++ b/packages/daemon/src/edge_request_answer.cpp
@@ -4,10 +4,7 @@
 #include "answer_end.hpp"
 #include "carobtide/daemon/logging.hpp"
 
-#include <boost/algorithm/string/predicate.hpp>
-
 #include <algorithm>
-#include <string_view>
 #include <utility>
 
 namespace carobtide {
@@ -34,13 +31,6 @@
          aStatus == kRequestTimeout || aStatus == kMisdirected;
 }
 
-bool IsEventStream(const HttpResponseHead& aHead)
-{
-  constexpr std::string_view kType = "text/event-stream";
-  const std::string_view type = aHead.mHeaders.Get("Content-Type");
-  return boost::algorithm::istarts_with(type, kType);
-}
-
 bool IsSuccess(std::uint16_t aStatus)
 {
   constexpr std::uint16_t kFirst = 200;
--- a/packages/daemon/src/request_runner.cpp
+++ b/packages/daemon/src/request_runner.cpp
@@ -145,6 +145,17 @@
   if (it == mAttempts.end() || it->second->mCancelled) {
     co_return;
   }
+  if (mStreamBegun && !CanGoOn(aAnswer.mHead)) {
+    AttemptFailed failed;
+    failed.mAttempt = aAnswer.mAttempt;
+    failed.mEnd = AttemptEnd::Rejected;
+    failed.mError = MakeError(ErrorCode::Malformed, "attempt.resume-stream",
+                              it->second->mDispatch.mTarget.Text(),
+                              std::to_string(aAnswer.mHead.mStatus));
+    auto failing = Handle(std::move(failed));
+    co_await std::move(failing);
+    co_return;
+  }
   mDone = true;
   mRelaying = it->second;
   CancelOthers(aAnswer.mAttempt);
@@ -156,6 +167,12 @@
   co_await std::move(relay);
 }
 
+bool RequestRunner::CanGoOn(const HttpResponseHead& aHead)
+{
+  constexpr std::uint16_t kOk = 200;
+  return aHead.mStatus == kOk && IsEventStream(aHead);
+}
+
 HttpResponseHead RequestRunner::CallerHead(const HttpResponseHead& aHead) const
 {
   HttpResponseHead head;
--- a/packages/daemon/src/request_runner.hpp
+++ b/packages/daemon/src/request_runner.hpp
@@ -53,6 +53,8 @@
   boost::asio::awaitable<void> EndWithError(const Error& aError,
                                             Duration aRetryAfter);
   bool MayResume(AttemptEnd aEnd) const;
+  /** True if an answer with this head can be the rest of a begun stream. */
+  static bool CanGoOn(const HttpResponseHead& aHead);
   HttpResponseHead CallerHead(const HttpResponseHead& aHead) const;
   void FinishRelay(Attempt& aAttempt, AttemptEnd aEnd);
   void WatchCaller();
--- a/packages/transport/include/carobtide/transport/http_types.hpp
+++ b/packages/transport/include/carobtide/transport/http_types.hpp
@@ -61,6 +61,9 @@
   std::string mBody;
 };
 
+/** True if the body is of server-sent events. Thread safety: any thread. */
+bool IsEventStream(const HttpResponseHead& aHead);
+
 /** Makes a response with a body of the given type. */
 HttpResponse MakeResponse(std::uint16_t aStatus, std::string aContentType,
                           std::string aBody);
--- a/packages/transport/src/http_types.cpp
+++ b/packages/transport/src/http_types.cpp
@@ -63,6 +63,13 @@
   return {};
 }
 
+bool IsEventStream(const HttpResponseHead& aHead)
+{
+  constexpr std::string_view kType = "text/event-stream";
+  const std::string_view type = aHead.mHeaders.Get("Content-Type");
+  return EqualsWithoutCase(type.substr(0, kType.size()), kType);
+}
+
 HttpResponse MakeResponse(std::uint16_t aStatus, std::string aContentType,
                           std::string aBody)
 {
