A model is loaded on the software that waiting streams need

Cause: the planner counts copies whatever runs them.

Change: edges report streams that wait for a version with their demand; the leader loads the model on an engine of that version, and once more if the one copy does not serve for half a second. Such streams wait for up to half of their caller's time, since they can go on nowhere else.

Evidence: "a model is loaded on the software that streams wait for" and "a begun stream waits for a copy on its software, and asks for one"; the first fails with the new step of the planner left out.

--- a/packages/daemon/src/edge_node_fleet.cpp
+++ b/packages/daemon/src/edge_node_fleet.cpp
@@ -366,6 +366,7 @@
     DemandReport report;
     report.mFrom = mSettings.mPeerAddress;
     report.mModels = mDispatcher.TakeDemand(SteadyNow());
+    report.mStreams = mDispatcher.WaitingStreams();
     mGuard.Expire(SteadyNow());
     ReportCrashes();
     UpdateStreams();
--- a/packages/fleet/include/carobtide/fleet/messages.hpp
+++ b/packages/fleet/include/carobtide/fleet/messages.hpp
@@ -228,15 +228,31 @@
   }
 };
 
+/** Streams that no target of the software that began them could take. */
+struct StreamDemand
+{
+  ServiceName mService;
+  ModelName mModel;
+  SoftwareVersion mSoftware;
+  std::uint32_t mWaiting = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mService, mModel, mSoftware, mWaiting);
+  }
+};
+
 struct DemandReport
 {
   Endpoint mFrom;
   std::vector<DemandItem> mModels;
+  std::vector<StreamDemand> mStreams;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mFrom, mModels);
+    aArchive(mFrom, mModels, mStreams);
   }
 };
 
--- a/packages/placement/include/carobtide/placement/residency_planner.hpp
+++ b/packages/placement/include/carobtide/placement/residency_planner.hpp
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -144,6 +145,17 @@
     Instant mReadyAt;
   };
 
+  /** Streams that wait for a copy on an engine of their software. */
+  struct WaitingStreams
+  {
+    Instant mSince;
+    Instant mReportedAt;
+    std::uint32_t mCount = 0;
+  };
+
+  /** Service, model and software. */
+  using SoftwareKey = std::tuple<ServiceName, ModelName, SoftwareVersion>;
+
   /** An engine for an adapter, and the adapter to unload there first. */
   struct AdapterCandidate
   {
@@ -177,14 +189,21 @@
   /** Loads the models whose victims are unloaded. */
   void PlanPendingLoads(Instant aNow, ServiceSnapshot& aSnapshot,
                         std::vector<ResidencyEffect>& aEffects);
+  void NoteWaitingStreams(Instant aNow, const DemandReport& aReport);
+  /** Plans copies for streams that only one software version may go on with. */
+  void PlanForStreams(Instant aNow, ServiceSnapshot& aSnapshot,
+                      std::vector<ResidencyEffect>& aEffects);
   /** Plans the copy of a candidate. */
   void PlanCopy(Instant aNow, ServiceSnapshot& aSnapshot,
                 const CatalogModel& aModel, const LoadCandidate& aCandidate,
                 const char* aReason, std::vector<ResidencyEffect>& aEffects);
-  /** The engine on which a copy costs least, for a copy of this gain. */
+  /**
+   * The engine on which a copy costs least, for a copy of this gain; of one
+   * software version only if aSoftware is not null.
+   */
   std::optional<LoadCandidate> FindLoadCandidate(
     Instant aNow, const ServiceSnapshot& aSnapshot, const CatalogModel& aModel,
-    double aGain);
+    double aGain, const SoftwareVersion* aSoftware = nullptr);
   std::optional<LoadCandidate> EvaluateEngine(Instant aNow,
                                               const ServiceSnapshot& aSnapshot,
                                               EngineTracker& aEngine,
@@ -244,6 +263,7 @@
   std::map<ModelKey, Instant> mMissingSince;
   /** Adapters requested on one more engine, and when each request expires. */
   std::map<ModelKey, Instant> mRequestedAdapters;
+  std::map<SoftwareKey, WaitingStreams> mWaitingStreams;
   /** Models to load on a target once the evicted model is unloaded. */
   std::map<TargetName, PendingLoad> mPendingLoads;
   Instant mNextStep;
--- a/packages/placement/src/residency_candidates.cpp
+++ b/packages/placement/src/residency_candidates.cpp
@@ -144,13 +144,16 @@
 std::optional<ResidencyPlanner::LoadCandidate>
 ResidencyPlanner::FindLoadCandidate(Instant aNow,
                                     const ServiceSnapshot& aSnapshot,
-                                    const CatalogModel& aModel, double aGain)
+                                    const CatalogModel& aModel, double aGain,
+                                    const SoftwareVersion* aSoftware)
 {
   const bool mayUseStore = mStoreBudgets[aSnapshot.mService->mName].HasToken();
   std::optional<LoadCandidate> best;
   for (EngineTracker* engine : aSnapshot.mEngines) {
     const bool isEligible =
       engine->IsFree(aNow) && !engine->Holds(aModel.mName) &&
+      (aSoftware == nullptr ||
+       engine->LastHeartbeat().mSoftware == *aSoftware) &&
       !mPendingLoads.contains(engine->LastHeartbeat().mTarget) &&
       (mayUseStore || !IsStoreLoad(*engine, aModel));
     if (!isEligible) {
--- a/packages/placement/src/residency_planner.cpp
+++ b/packages/placement/src/residency_planner.cpp
@@ -91,6 +91,7 @@
     slots = std::max(slots, static_cast<double>(engine.LastHeartbeat().mSlots));
   }
   mDemand.OnReport(aNow, aReport, slots);
+  NoteWaitingStreams(aNow, aReport);
 }
 
 void ResidencyPlanner::OnReport(Instant aNow, const TargetName& aTarget,
@@ -452,6 +453,7 @@
 {
   const Service& service = *aSnapshot.mService;
   PlanPendingLoads(aNow, aSnapshot, aEffects);
+  PlanForStreams(aNow, aSnapshot, aEffects);
   const auto maxChanging = std::max<std::size_t>(
     2, static_cast<std::size_t>(
          kMaxChangingShare * static_cast<double>(aSnapshot.mEngines.size())));
--- a/packages/placement/tests/residency_planner_test.cpp
+++ b/packages/placement/tests/residency_planner_test.cpp
@@ -175,6 +175,7 @@
         }
         report.mModels.push_back(item);
       }
+      report.mStreams = mWaitingStreams;
       mPlanner.OnDemand(mNow, report);
       for (const ResidencyEffect& effect : mPlanner.Step(mNow)) {
         std::visit([this](const auto& aEffect) { Perform(aEffect); }, effect);
@@ -217,6 +218,10 @@
   Instant mNow = kStart;
   /** Share of an engine's time that each model's prompts need for prefill. */
   std::map<ModelName, double> mPrefillShare;
+  /** Streams that only one software version may go on with. */
+  std::vector<StreamDemand> mWaitingStreams;
+  /** The software of engines that state one. */
+  std::map<TargetName, SoftwareVersion> mSoftware;
   ResidencyPlanner mPlanner;
   std::map<TargetName, FakeEngine> mEngines;
 
@@ -230,6 +235,9 @@
       record.mLast.mIncarnation = Incarnation(1);
       record.mLast.mSequence = ++engine.mHeartbeats;
       record.mLast.mService = kService;
+      if (const auto it = mSoftware.find(name); it != mSoftware.end()) {
+        record.mLast.mSoftware = it->second;
+      }
       record.mLast.mEngine = true;
       record.mLast.mSlots = 16;
       record.mLast.mModels = engine.mModels;
@@ -581,4 +589,45 @@
   }
 }
 
+// Load pattern: half of the engines run a newer version, and streams of the
+// older one are taken up whose model only newer engines still hold.
+TEST_CASE("a model is loaded on the software that streams wait for")
+{
+  const SoftwareVersion older("v1");
+  Simulation simulation(6, 3, 0);
+  for (int n = 0; n < 6; ++n) {
+    simulation.mSoftware[Simulation::Target(n)] =
+      n < 3 ? older : SoftwareVersion("v2");
+  }
+  const ModelName model = Simulation::Model(0);
+  const auto olderCopies = [&] {
+    int copies = 0;
+    for (int n = 0; n < 3; ++n) {
+      copies += simulation.mEngines.at(Simulation::Target(n)).Holds(model);
+    }
+    return copies;
+  };
+  for (int n = 0; n < 3; ++n) {
+    auto& held = simulation.mEngines.at(Simulation::Target(n)).mModels;
+    std::erase_if(held,
+                  [&](const HeldModel& aHeld) { return aHeld.mName == model; });
+  }
+  const std::map<ModelName, std::uint32_t> need{ { model, 1 } };
+  SECTION("where none holds it")
+  {
+    simulation.mWaitingStreams = { { kService, model, older, 2 } };
+    simulation.Run(5s, need);
+    CHECK(olderCopies() >= 1);
+    CHECK_FALSE(simulation.HasExceededCapacity());
+  }
+  SECTION("also if the one that holds it does not serve")
+  {
+    simulation.mEngines.at(Simulation::Target(0))
+      .mModels.push_back({ model, 1, {} });
+    simulation.mWaitingStreams = { { kService, model, older, 2 } };
+    simulation.Run(5s, need);
+    CHECK(olderCopies() == 2);
+  }
+}
+
 } // namespace carobtide
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -238,6 +238,9 @@
   /** Returns and clears the demand since the last call, for the leader. */
   std::vector<DemandItem> TakeDemand(Instant aNow);
 
+  /** Streams that wait for a target of the software that began them. */
+  std::vector<StreamDemand> WaitingStreams() const;
+
   const DispatcherStats& Stats() const { return mStats; }
 
   /** Age of the known state of targets and peers. */
@@ -325,6 +328,8 @@
     DemandKey mKey;
     /** When it would have ended. */
     Instant mUntil;
+    /** What began the stream, if it is one. */
+    std::optional<SoftwareVersion> mSoftware;
   };
 
   /** The best target with capacity, or why there is none. */
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -390,4 +390,25 @@
   return demands;
 }
 
+std::vector<StreamDemand> Dispatcher::WaitingStreams() const
+{
+  std::vector<StreamDemand> demands;
+  for (const auto& [id, request] : mUnplaced) {
+    if (!request.mSoftware) {
+      continue;
+    }
+    const DemandKey& key = request.mKey;
+    const auto it = std::ranges::find_if(demands, [&](const auto& aDemand) {
+      return aDemand.mService == key.mService && aDemand.mModel == key.mModel &&
+             aDemand.mSoftware == *request.mSoftware;
+    });
+    if (it == demands.end()) {
+      demands.push_back({ key.mService, key.mModel, *request.mSoftware, 1 });
+    } else {
+      ++it->mWaiting;
+    }
+  }
+  return demands;
+}
+
 } // namespace carobtide
--- a/packages/routing/src/dispatcher_refusal.cpp
+++ b/packages/routing/src/dispatcher_refusal.cpp
@@ -40,9 +40,10 @@
     return;
   }
   aState.mUnplaced = mNextUnplaced++;
-  mUnplaced[aState.mUnplaced] = { DemandKey{ facts.mService, facts.mModel,
-                                             facts.mAdapter },
-                                  aNow + RunTime(aPool, facts) };
+  mUnplaced[aState.mUnplaced] = {
+    DemandKey{ facts.mService, facts.mModel, facts.mAdapter },
+    aNow + RunTime(aPool, facts), aState.mSoftware
+  };
 }
 
 Instant Dispatcher::WaitLimit(Instant aNow, const DispatchState& aState,
@@ -50,6 +51,12 @@
 {
   const DispatchFacts& facts = aState.mFacts;
   const bool isTolerant = facts.IsLatencyTolerant();
+  const bool hasDeadline = facts.mDeadline != Instant::max();
+  if (aState.mSoftware && !facts.mModel.IsEmpty() && hasDeadline) {
+    // The stream can go on nowhere else, and a copy is loaded for it.
+    return facts.mArrived +
+           (facts.mDeadline - facts.mArrived) / kTolerantLoadWaitDivisor;
+  }
   const Instant limit =
     facts.mArrived + facts.mObjective / (isTolerant ? kTolerantWaitDivisor
                                                     : kInteractiveWaitDivisor);
@@ -62,7 +69,7 @@
   // A copy is being loaded: wait for it if it serves in time.
   const Instant readyAt = std::max(*aSearch.mReadyAt, aNow) + kResidencyDelay;
   const Instant latest =
-    isTolerant && facts.mDeadline != Instant::max()
+    isTolerant && hasDeadline
       ? facts.mArrived +
           (facts.mDeadline - facts.mArrived) / kTolerantLoadWaitDivisor
       : limit;
--- a/packages/routing/tests/software_version_test.cpp
+++ b/packages/routing/tests/software_version_test.cpp
@@ -93,4 +93,27 @@
   CHECK(hasWaited);
 }
 
+// Fault: the one target of the stream's software that holds the model crashed.
+TEST_CASE("a begun stream waits for a copy on its software, and asks for one")
+{
+  Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
+  RoutedTarget empty = MakeTarget("t0", kOld);
+  empty.mModels.clear();
+  dispatcher.OnTarget(kNow, empty);
+  dispatcher.OnTarget(kNow, MakeTarget("t1", kNew));
+  DispatchState state = MakeStream(2500ms);
+  state.mSoftware = kOld;
+  const auto decision = dispatcher.Choose(kNow, state);
+  REQUIRE(std::holds_alternative<WaitForCapacity>(decision));
+  CHECK(std::get<WaitForCapacity>(decision).mUntil == kNow + 5s);
+  const auto waiting = dispatcher.WaitingStreams();
+  REQUIRE(waiting.size() == 1);
+  CHECK(waiting[0].mModel == kModel);
+  CHECK(waiting[0].mSoftware == kOld);
+  CHECK(waiting[0].mWaiting == 1);
+  dispatcher.OnTarget(kNow, MakeTarget("t2", kOld));
+  CHECK(std::holds_alternative<SendTo>(dispatcher.Choose(kNow, state)));
+  CHECK(dispatcher.WaitingStreams().empty());
+}
+
 } // namespace carobtide
