What a target says in its answers holds for what it is sent

Cause: the head of a target's answer was read for the request's id, the signature and not-run alone.

Change: a process that says that it leaves is sent nothing new by the daemon that heard it, which tells its home; a 503 with a number of seconds takes the target out of this daemon's choice for so long. Both are looked at again between connecting and sending. Callers are rejected at once, with the time until the first pause ends, while all targets want one.

Not done: pauses for orders and reports, the bundle path, stand-ins.

--- a/packages/daemon/include/carobtide/daemon/dialect.hpp
+++ b/packages/daemon/include/carobtide/daemon/dialect.hpp
@@ -66,6 +66,10 @@
   bool mNotRun = false;
   /** It bears the target's signature, and its body is unaltered. */
   bool mIsSigned = false;
+  /** The target leaves: it wants nothing new. */
+  bool mLeaves = false;
+  /** The target has no room and wants nothing from this daemon for so long. */
+  std::optional<Duration> mPause;
 };
 
 /** Calls to a control daemon. */
--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -83,6 +83,7 @@
   void RequestResidency();
   void OnResidencyRequest(const ResidencyRequest& aRequest);
   void OnCrashNotice(const CrashNotice& aNotice);
+  void OnDrainNotice(DrainNotice aNotice);
   StreamReply OnStreamQuery(const StreamQuery& aQuery) const;
   /** Number of routing daemons that this daemon relays to. */
   std::size_t CountHomeWatchers() const;
@@ -98,6 +99,9 @@
   void StepPlanner();
   void Perform(const RequestEngineReport& aEffect);
   void Perform(const IssueOrder& aEffect);
+  /** Takes note if a target's answer says that it leaves. */
+  void NoteLeaving(const HttpResponseHead& aHead, const TargetName& aTarget,
+                   Incarnation aIncarnation);
   boost::asio::awaitable<void> FetchReport(RequestEngineReport aAsk);
   boost::asio::awaitable<void> SendOrder(ResidencyOrder aOrder);
   void PublishResidency();
--- a/packages/daemon/src/control_node_calls.cpp
+++ b/packages/daemon/src/control_node_calls.cpp
@@ -53,6 +53,7 @@
 template void ControlNode::SendToPeers(FleetMessageType, const Greeting&);
 template void ControlNode::SendToPeers(FleetMessageType, const ResidencyMap&);
 template void ControlNode::SendToPeers(FleetMessageType, const CrashNotice&);
+template void ControlNode::SendToPeers(FleetMessageType, const DrainNotice&);
 
 awaitable<void> ControlNode::HandleCall(HttpExchange& aExchange)
 {
@@ -339,6 +340,10 @@
       take(StreamNotice{},
            [&](const StreamNotice& aNotice) { mStreams.Put(now, aNotice); });
       break;
+    case FleetMessageType::DrainNotice:
+      take(DrainNotice{},
+           [&](const DrainNotice& aNotice) { OnDrainNotice(aNotice); });
+      break;
     case FleetMessageType::Demand:
       take(DemandReport{}, [&](const DemandReport& aReport) {
         if (mPlanner) {
@@ -386,6 +391,22 @@
   }
 }
 
+void ControlNode::OnDrainNotice(DrainNotice aNotice)
+{
+  if (!mTargets.OnDraining(aNotice.mTarget, aNotice.mIncarnation)) {
+    return;
+  }
+  Log(LogLevel::Info, { "target.draining",
+                        aNotice.mTarget.Text(),
+                        {},
+                        {},
+                        "it said so in an answer" });
+  if (!std::exchange(aNotice.mIsRelayed, true)) {
+    SendToPeers(FleetMessageType::DrainNotice, aNotice);
+  }
+  OnDirectoryChange(aNotice.mTarget);
+}
+
 StreamReply ControlNode::OnStreamQuery(const StreamQuery& aQuery) const
 {
   return { mStreams.Find(aQuery.mStream),
--- a/packages/daemon/src/control_node_leader.cpp
+++ b/packages/daemon/src/control_node_leader.cpp
@@ -178,6 +178,15 @@
     asio::detached);
 }
 
+void ControlNode::NoteLeaving(const HttpResponseHead& aHead,
+                              const TargetName& aTarget,
+                              Incarnation aIncarnation)
+{
+  if (mDialect->ReadTargetHead(aHead, CallerRequest{}).mLeaves) {
+    OnDrainNotice({ aTarget, aIncarnation });
+  }
+}
+
 awaitable<void> ControlNode::FetchReport(RequestEngineReport aAsk)
 {
   const Instant askedAt = SteadyNow();
@@ -188,6 +197,9 @@
     const HttpRequest request = mDialect->MakeReportRequest(aAsk.mTarget);
     auto sending = (*connection)->Send(request, kTargetTimeout);
     const auto head = co_await std::move(sending);
+    if (head) {
+      NoteLeaving(*head, aAsk.mTarget, aAsk.mIncarnation);
+    }
     if (head && head->mStatus == kOk) {
       auto reading = (*connection)->ReadAll(kMaxAnswerBytes, kTargetTimeout);
       const auto body = co_await std::move(reading);
--- a/packages/daemon/src/edge_context.hpp
+++ b/packages/daemon/src/edge_context.hpp
@@ -40,6 +40,8 @@
   std::function<boost::asio::awaitable<void>(TargetProcess, Endpoint)> mProbe;
   /** Sends and logs what the guard found. */
   std::function<void()> mReportCrashes;
+  /** Tells others that a target leaves. */
+  std::function<void(const TargetProcess&)> mTargetLeaves;
   /** Finds what began a stream that a caller takes up. */
   std::function<boost::asio::awaitable<std::optional<StreamOrigin>>(
     StreamQuery)>
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -71,6 +71,9 @@
                 return ProbeTarget(std::move(aProcess), std::move(aAddress));
               },
               [this] { ReportCrashes(); },
+              [this](const TargetProcess& aProcess) {
+                OnTargetLeaves(aProcess);
+              },
               [this](StreamQuery aQuery) { return FindOrigin(aQuery); },
               [this](StreamKey aStream, const StreamOrigin& aOrigin) {
                 OnStreamBegun(aStream, aOrigin);
@@ -177,6 +180,8 @@
            { "crash_reports_dropped",
              static_cast<double>(mGuard.Stats().mReportsDropped) },
            { "targets", static_cast<double>(ages.mTargets) },
+           { "targets_leaving", static_cast<double>(ages.mLeaving) },
+           { "targets_paused", static_cast<double>(ages.mPaused) },
            { "targets_silent", static_cast<double>(ages.mSilent) },
            { "oldest_target_belief_seconds", seconds(ages.mOldestTarget) },
            { "oldest_peer_load_seconds", seconds(ages.mPeerLoads) },
--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -73,6 +73,7 @@
   /** True if it is still open whether the target crashed. */
   boost::asio::awaitable<bool> ProbeOnce(TargetProcess aProcess,
                                          Endpoint aAddress);
+  void OnTargetLeaves(const TargetProcess& aProcess);
   /** Logs what the guard found and sends it to the home. */
   void ReportCrashes();
   /** Repeats a notice until a home has confirmed it. */
--- a/packages/daemon/src/edge_node_fleet.cpp
+++ b/packages/daemon/src/edge_node_fleet.cpp
@@ -165,6 +165,23 @@
   }
 }
 
+void EdgeNode::OnTargetLeaves(const TargetProcess& aProcess)
+{
+  const std::array inputs{ LogInput{
+    "incarnation", static_cast<std::int64_t>(aProcess.mIncarnation.Value()) } };
+  LogFields fields;
+  fields.mStep = "target.leaving";
+  fields.mPeer = aProcess.mTarget.Text();
+  fields.mInputs = inputs;
+  fields.mMessage = "it said so in an answer";
+  Log(LogLevel::Info, fields);
+  if (const auto home = mHomes.Select(SteadyNow())) {
+    mNetwork.Send(
+      *home, static_cast<std::uint16_t>(FleetMessageType::DrainNotice),
+      Encode(DrainNotice{ aProcess.mTarget, aProcess.mIncarnation }));
+  }
+}
+
 awaitable<bool> EdgeNode::ProbeOnce(TargetProcess aProcess, Endpoint aAddress)
 {
   auto probing = ProbeAddress(aAddress, kProbeTimeout);
--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -282,6 +282,11 @@
     mContext.mPool.Release(aSend.mAddress, std::move(*connection));
     co_return Attempt{ SendEnd::CallerGone, false };
   }
+  // Connecting takes time, in which the target may have said more.
+  if (!mContext.mDispatcher.MaySend(SteadyNow(), aSend)) {
+    mContext.mPool.Release(aSend.mAddress, std::move(*connection));
+    co_return Attempt{ SendEnd::Withheld, false };
+  }
   mConnection = connection->get();
   auto exchanging = Exchange(aSend, **connection);
   Attempt attempt = co_await std::move(exchanging);
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -92,6 +92,8 @@
   Duration Left() const;
   void OnCallerGone();
   void OnFirstByte(const SendTo& aSend);
+  /** Takes note of what an answer's head says of the target. */
+  void NoteTarget(const SendTo& aSend, const TargetHead& aSaid);
   void NoteEvent();
   /** Takes note of what began the stream; call before an event is passed on. */
   void NoteOrigin(const SendTo& aSend);
--- a/packages/daemon/src/edge_request_answer.cpp
+++ b/packages/daemon/src/edge_request_answer.cpp
@@ -3,8 +3,11 @@
 
 #include "answer_end.hpp"
 #include "carobtide/daemon/logging.hpp"
+#include "clock.hpp"
 
 #include <algorithm>
+#include <array>
+#include <chrono>
 #include <utility>
 
 namespace carobtide {
@@ -70,6 +73,7 @@
 {
   const TargetHead said = mContext.mDialect.ReadTargetHead(aHead, mCaller);
   const bool isSuccess = IsSuccess(aHead.mStatus);
+  NoteTarget(aSend, said);
   if (said.mNotRun) {
     auto draining = aConnection.ReadAll(kMaxAnswerBytes, Left());
     const auto drained = co_await std::move(draining);
@@ -230,6 +234,28 @@
   co_return Attempt{ SendEnd::Whole, true, true };
 }
 
+void EdgeRequest::NoteTarget(const SendTo& aSend, const TargetHead& aSaid)
+{
+  if (aSaid.mLeaves &&
+      mContext.mDispatcher.OnLeaving(aSend.mTarget, aSend.mIncarnation)) {
+    mContext.mTargetLeaves({ aSend.mTarget, aSend.mIncarnation });
+  }
+  if (aSaid.mPause) {
+    mContext.mDispatcher.OnPause(SteadyNow(), aSend.mTarget, aSend.mIncarnation,
+                                 *aSaid.mPause);
+    const std::array inputs{ LogInput{
+      "pause_ms",
+      std::chrono::duration_cast<std::chrono::milliseconds>(*aSaid.mPause)
+        .count() } };
+    LogFields fields;
+    fields.mStep = "target.paused";
+    fields.mPeer = aSend.mTarget.Text();
+    fields.mCall = mCaller.mId;
+    fields.mInputs = inputs;
+    Log(LogLevel::Info, fields);
+  }
+}
+
 void EdgeRequest::NoteOrigin(const SendTo& aSend)
 {
   const bool isFirst = mEventAt == Instant();
--- a/packages/fleet/include/carobtide/fleet/messages.hpp
+++ b/packages/fleet/include/carobtide/fleet/messages.hpp
@@ -30,6 +30,7 @@
   ResidencyRequest = 109,
   CrashNotice = 110,
   StreamNotice = 111,
+  DrainNotice = 112,
   /** Calls. */
   Watch = 121,
   GetCatalog = 122,
@@ -64,6 +65,21 @@
   }
 };
 
+/** A target said in an answer that it leaves. */
+struct DrainNotice
+{
+  TargetName mTarget;
+  Incarnation mIncarnation;
+  /** Already sent to all control daemons. */
+  bool mIsRelayed = false;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mTarget, mIncarnation, mIsRelayed);
+  }
+};
+
 /** What one engine holds as the leader's orders left it. */
 struct Residency
 {
--- a/packages/fleet/include/carobtide/fleet/target_directory.hpp
+++ b/packages/fleet/include/carobtide/fleet/target_directory.hpp
@@ -56,6 +56,9 @@
   /** Takes a heartbeat that came directly or through another daemon. */
   HeartbeatEffect OnHeartbeat(Instant aNow, const Heartbeat& aHeartbeat);
 
+  /** A process of a target said that it will leave. True if this was news. */
+  bool OnDraining(const TargetName& aTarget, Incarnation aIncarnation);
+
   /**
    * A target said that it leaves for good. A zero incarnation stands for the
    * one known. True if this was news.
--- a/packages/fleet/src/target_directory.cpp
+++ b/packages/fleet/src/target_directory.cpp
@@ -100,6 +100,22 @@
   return HeartbeatEffect::Changed;
 }
 
+bool TargetDirectory::OnDraining(const TargetName& aTarget,
+                                 Incarnation aIncarnation)
+{
+  const auto it = mEntries.find(aTarget);
+  if (it == mEntries.end()) {
+    return false;
+  }
+  Heartbeat& last = it->second.mRecord.mLast;
+  if (last.mIncarnation != aIncarnation || last.mPhase != TargetPhase::Ready) {
+    return false;
+  }
+  last.mPhase = TargetPhase::Draining;
+  MarkRoutingChanged(it->second);
+  return true;
+}
+
 bool TargetDirectory::OnLeave(Instant aNow, const TargetName& aTarget,
                               Incarnation aIncarnation)
 {
--- a/packages/fleet/tests/target_directory_test.cpp
+++ b/packages/fleet/tests/target_directory_test.cpp
@@ -206,4 +206,29 @@
   }
 }
 
+TEST_CASE("a target that said in an answer that it leaves stays draining")
+{
+  TargetDirectory targets;
+  const Instant now{ 1000s };
+  Heartbeat beat;
+  beat.mTarget = TargetName("t");
+  beat.mIncarnation = Incarnation(5);
+  beat.mSequence = 1;
+  beat.mAddress = Endpoint{ "10.0.0.1", 80 };
+  targets.OnHeartbeat(now, beat);
+  const std::uint64_t before = targets.RoutingChange();
+  CHECK_FALSE(targets.OnDraining(TargetName("u"), Incarnation(5)));
+  CHECK_FALSE(targets.OnDraining(beat.mTarget, Incarnation(4)));
+  CHECK(targets.OnDraining(beat.mTarget, Incarnation(5)));
+  CHECK_FALSE(targets.OnDraining(beat.mTarget, Incarnation(5)));
+  CHECK(targets.RoutingChange() > before);
+  // A heartbeat that was on its way says that it is ready.
+  beat.mSequence = 2;
+  targets.OnHeartbeat(now, beat);
+  CHECK(targets.Find(beat.mTarget)->mLast.mPhase == TargetPhase::Draining);
+  beat.mIncarnation = Incarnation(6);
+  targets.OnHeartbeat(now, beat);
+  CHECK(targets.Find(beat.mTarget)->mLast.mPhase == TargetPhase::Ready);
+}
+
 } // namespace carobtide
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -178,6 +178,9 @@
 {
   std::size_t mTargets = 0;
   std::size_t mSilent = 0;
+  /** Targets that said that they leave, and those that want a pause. */
+  std::size_t mLeaving = 0;
+  std::size_t mPaused = 0;
   /** Time since the last update of a target; updates are sent on change. */
   Duration mOldestTarget{ 0 };
   /** Age of the other daemons' loads; zero if they expired. */
@@ -220,6 +223,19 @@
   /** Decides what to do with a request now. A SendTo counts as sent. */
   DispatchDecision Choose(Instant aNow, DispatchState& aState);
 
+  /**
+   * Records that a process of a target said that it leaves, for the rest of its
+   * life. True if that is new.
+   */
+  bool OnLeaving(const TargetName& aTarget, Incarnation aIncarnation);
+
+  /** Records that it turned this daemon away and wants nothing for so long. */
+  void OnPause(Instant aNow, const TargetName& aTarget,
+               Incarnation aIncarnation, Duration aPause);
+
+  /** False if what the target said since Choose forbids to send to it. */
+  bool MaySend(Instant aNow, const SendTo& aSend) const;
+
   /** Records the first byte of an attempt; an unknown attempt is ignored. */
   void OnFirstByte(Instant aNow, SendId aSend);
 
@@ -263,6 +279,8 @@
     /** Estimated prefill time of the requests still without a first byte. */
     Duration mPrefillTime{ 0 };
     Instant mUpdatedAt;
+    bool mLeaves = false;
+    Instant mPausedUntil;
     TargetKey mKey = 0;
     /** Shared prompt prefixes sent here recently, with the time. */
     std::unordered_map<std::uint64_t, Instant> mPrefixes;
@@ -339,6 +357,12 @@
     double mScore = 0;
     TargetLoad mLoad;
     std::uint32_t mHolders = 0;
+    /** Those of them that want a pause. */
+    std::uint32_t mPausedHolders = 0;
+    /** When the first of them may be sent requests again. */
+    std::optional<Instant> mPauseEnds;
+    /** The same of those that the request was not sent to yet. */
+    std::optional<Instant> mUntriedPauseEnds;
     /** A target that takes work runs the software that the stream needs. */
     bool mSoftwareServes = false;
     bool mModelHeld = false;
@@ -349,8 +373,15 @@
     double mLeastLoad = 0;
     /** Least load among targets with the model, whatever their adapters. */
     double mLeastModelLoad = 0;
+
+    bool AreAllPaused() const
+    {
+      return mHolders > 0 && mHolders == mPausedHolders;
+    }
   };
 
+  /** Null if this process is not known. */
+  Target* FindProcess(const TargetName& aTarget, Incarnation aIncarnation);
   Pool& PoolOf(const ServiceName& aService);
   /** Known load of all daemons on a target. */
   TargetLoad LoadAt(Instant aNow, const Target& aTarget) const;
--- a/packages/routing/include/carobtide/routing/target_health.hpp
+++ b/packages/routing/include/carobtide/routing/target_health.hpp
@@ -31,9 +31,11 @@
   TimedOut,
   /** The caller disconnected. */
   CallerGone,
+  /** Not sent: the target left, or wanted a pause, since it was chosen. */
+  Withheld,
 };
 
-inline constexpr EnumTable<SendEnd, 8> kSendEnds{ { {
+inline constexpr EnumTable<SendEnd, 9> kSendEnds{ { {
   { SendEnd::Whole, "whole" },
   { SendEnd::TargetFailed, "target-failed" },
   { SendEnd::NotRun, "not-run" },
@@ -42,6 +44,7 @@
   { SendEnd::Broken, "broken" },
   { SendEnd::TimedOut, "timed-out" },
   { SendEnd::CallerGone, "caller-gone" },
+  { SendEnd::Withheld, "withheld" },
 } } };
 
 /** Identifies one attempt within a process. */
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -30,6 +30,10 @@
  */
 constexpr double kOverloadMargin = 0.35;
 
+/** Bounds of what a daemon adds to a pause that a target wants. */
+constexpr double kMaxPauseJitter = 0.25;
+constexpr Duration kMaxPauseSpread = std::chrono::seconds(1);
+
 /** Shared prefixes remembered for one target. */
 constexpr std::size_t kMaxPrefixes = 512;
 
@@ -266,6 +270,45 @@
   return Refuse(aNow, aState, search, pool);
 }
 
+Dispatcher::Target* Dispatcher::FindProcess(const TargetName& aTarget,
+                                            Incarnation aIncarnation)
+{
+  const auto it = mTargets.find(aTarget);
+  return it == mTargets.end() ||
+             it->second.mState.mLast.mIncarnation != aIncarnation
+           ? nullptr
+           : &it->second;
+}
+
+bool Dispatcher::OnLeaving(const TargetName& aTarget, Incarnation aIncarnation)
+{
+  Target* target = FindProcess(aTarget, aIncarnation);
+  return target != nullptr && !std::exchange(target->mLeaves, true);
+}
+
+void Dispatcher::OnPause(Instant aNow, const TargetName& aTarget,
+                         Incarnation aIncarnation, Duration aPause)
+{
+  if (Target* target = FindProcess(aTarget, aIncarnation)) {
+    // Daemons that were told at the same time come back one after the other.
+    const double jitter =
+      std::uniform_real_distribution<>(0, kMaxPauseJitter)(mRandom);
+    const auto spread = std::min(
+      std::chrono::duration_cast<Duration>(jitter * aPause), kMaxPauseSpread);
+    target->mPausedUntil =
+      std::max(target->mPausedUntil, aNow + aPause + spread);
+  }
+}
+
+bool Dispatcher::MaySend(Instant aNow, const SendTo& aSend) const
+{
+  const auto it = mTargets.find(aSend.mTarget);
+  return it != mTargets.end() &&
+         it->second.mState.mLast.mIncarnation == aSend.mIncarnation &&
+         it->second.mState.TakesWork() && !it->second.mLeaves &&
+         aNow >= it->second.mPausedUntil;
+}
+
 void Dispatcher::OnFirstByte(Instant aNow, SendId aSend)
 {
   const auto it = mOpen.find(aSend);
@@ -293,6 +336,8 @@
     case SendEnd::Whole:
     case SendEnd::CallerGone:
       return false;
+    case SendEnd::Withheld:
+      return aNow < facts.mDeadline;
     case SendEnd::ConnectFailed:
       return ++aState.mConnectFailures < kMaxConnectFailures;
     case SendEnd::NotRun:
@@ -354,6 +399,8 @@
   ages.mTargets = mTargets.size();
   for (const auto& [name, target] : mTargets) {
     ages.mSilent += target.mState.mSilent ? 1 : 0;
+    ages.mLeaving += target.mLeaves ? 1 : 0;
+    ages.mPaused += aNow < target.mPausedUntil ? 1 : 0;
     ages.mOldestTarget = std::max(ages.mOldestTarget, aNow - target.mUpdatedAt);
   }
   if (aNow - mPeerLoadsAt < kPeerLoadLifetime) {
--- a/packages/routing/src/dispatcher_choice.cpp
+++ b/packages/routing/src/dispatcher_choice.cpp
@@ -63,6 +63,11 @@
 constexpr Duration kEngineRunTime = std::chrono::milliseconds(1500);
 constexpr Duration kServiceRunTime = std::chrono::milliseconds(50);
 
+void KeepEarliest(std::optional<Instant>& aKept, Instant aTime)
+{
+  aKept = std::min(aKept.value_or(Instant::max()), aTime);
+}
+
 const HeldModel* FindHeld(const RoutedTarget& aState, const ModelName& aModel)
 {
   const auto it = std::ranges::find(aState.mModels, aModel, &HeldModel::mName);
@@ -205,25 +210,25 @@
   search.mLeastModelLoad = std::numeric_limits<double>::max();
   for (const TargetName& name : aPool.mTargets) {
     Target& target = mTargets.at(name);
-    if (!target.mState.TakesWork() ||
+    if (!target.mState.TakesWork() || target.mLeaves ||
         (aState.mSoftware &&
          target.mState.mLast.mSoftware != *aState.mSoftware)) {
       continue;
     }
     search.mSoftwareServes = true;
+    const bool isPaused = aNow < target.mPausedUntil;
     if (!facts.mModel.IsEmpty()) {
       const HeldModel* held = FindHeld(target.mState, facts.mModel);
       if (held == nullptr) {
         const auto loading = std::ranges::find(
           target.mState.mLoading, facts.mModel, &LoadingModel::mName);
         if (loading != target.mState.mLoading.end()) {
-          search.mReadyAt = std::min(search.mReadyAt.value_or(Instant::max()),
-                                     loading->ReadyAt());
+          KeepEarliest(search.mReadyAt, loading->ReadyAt());
         }
         continue;
       }
       search.mModelHeld = true;
-      if (target.mHealth.IsReachable(aNow)) {
+      if (target.mHealth.IsReachable(aNow) && !isPaused) {
         search.mLeastModelLoad = std::min(search.mLeastModelLoad,
                                           LoadOf(target, LoadAt(aNow, target)));
       }
@@ -237,8 +242,16 @@
     }
     search.mAdapterHeld = true;
     ++search.mHolders;
-    if (!target.mHealth.IsReachable(aNow) ||
-        std::ranges::find(aState.mTried, name) != aState.mTried.end()) {
+    const bool isTried =
+      std::ranges::find(aState.mTried, name) != aState.mTried.end();
+    if (isPaused) {
+      ++search.mPausedHolders;
+      KeepEarliest(search.mPauseEnds, target.mPausedUntil);
+      if (!isTried) {
+        KeepEarliest(search.mUntriedPauseEnds, target.mPausedUntil);
+      }
+    }
+    if (isPaused || isTried || !target.mHealth.IsReachable(aNow)) {
       continue;
     }
     const TargetLoad total = LoadAt(aNow, target);
--- a/packages/routing/src/dispatcher_refusal.cpp
+++ b/packages/routing/src/dispatcher_refusal.cpp
@@ -21,6 +21,8 @@
 /** Bound for the retry delay while a model is loaded, and its jitter. */
 constexpr Duration kMaxLoadRetryAfter = std::chrono::seconds(6);
 constexpr Duration kLoadRetrySpread = std::chrono::milliseconds(800);
+/** Over which callers return to targets that want a pause. */
+constexpr Duration kPauseSpread = std::chrono::milliseconds(800);
 /** Time until the leader has a load started for a model. */
 constexpr Duration kPlanningTime = std::chrono::milliseconds(500);
 /** Time until the end of a load is known here. */
@@ -60,8 +62,13 @@
   const Instant limit =
     facts.mArrived + facts.mObjective / (isTolerant ? kTolerantWaitDivisor
                                                     : kInteractiveWaitDivisor);
+  if (aSearch.AreAllPaused()) {
+    return aSearch.mUntriedPauseEnds && *aSearch.mUntriedPauseEnds <= limit
+             ? *aSearch.mUntriedPauseEnds
+             : Instant();
+  }
   if (aSearch.mModelHeld || aSearch.mAdapterHeld) {
-    return limit;
+    return std::min(limit, aSearch.mUntriedPauseEnds.value_or(limit));
   }
   if (!aSearch.mReadyAt || *aSearch.mReadyAt + kMaxLoadDelay < aNow) {
     return isTolerant && !facts.mModel.IsEmpty() ? limit : Instant();
@@ -99,6 +106,10 @@
   const double jitter =
     std::uniform_real_distribution<>(0, kMaxJitter)(mRandom);
   const DispatchFacts& facts = aState.mFacts;
+  if (aSearch.AreAllPaused()) {
+    return std::max(*aSearch.mPauseEnds - aNow, kMinRetryAfter) +
+           std::chrono::duration_cast<Duration>(jitter * kPauseSpread);
+  }
   if (!facts.mModel.IsEmpty() && !aSearch.mModelHeld) {
     const bool isLoading =
       aSearch.mReadyAt && *aSearch.mReadyAt + kMaxLoadDelay >= aNow;
@@ -141,6 +152,7 @@
   Rejection rejection;
   rejection.mReason = isSoftwareGone
                         ? "no target runs the software that began the stream"
+                      : aSearch.AreAllPaused() ? "all targets want a pause"
                       : aSearch.mAdapterHeld   ? "no target has room"
                       : aSearch.mModelHeld     ? "no target holds the adapter"
                       : facts.mModel.IsEmpty() ? "no target is known"
--- a/packages/routing/src/target_health.cpp
+++ b/packages/routing/src/target_health.cpp
@@ -60,7 +60,7 @@
 {
   mWaiting.erase(aSend);
   if (aEnd == SendEnd::CallerGone || aEnd == SendEnd::Full ||
-      aEnd == SendEnd::NotRun) {
+      aEnd == SendEnd::NotRun || aEnd == SendEnd::Withheld) {
     return;
   }
   const double outcome = IsFailure(aEnd) ? 1.0 : 0.0;
