Which software serves is observed once a second

A daemon walked all targets four to five times a second, and an edge asked each control daemon's view for each: some 500,000 look-ups a second at 7,000 targets and 19 control daemons (worked out, not measured), well over what control may take of a core.

Change: once a second, from the dispatcher's own state, which knows silent targets: 7,000 steps a second. A stream that waits for its software and a target that wants a pause wait for the earlier of the two.

--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -300,6 +300,10 @@
 void ControlNode::UpdateSoftware(Instant aNow)
 {
   mSoftware.OnContact(aNow);
+  if (aNow < mNextSoftware) {
+    return;
+  }
+  mNextSoftware = aNow + SoftwareHistory::kObserveInterval;
   for (const FleetRecord* record : mTargets.All()) {
     if (!record->mSilent) {
       mSoftware.Observe(aNow, record->mLast);
--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -128,6 +128,8 @@
   ResidencyBoard mResidency;
   ContentBoard mContents;
   SoftwareHistory mSoftware;
+  /** When the software of all targets is next observed. */
+  Instant mNextSoftware;
   /** Streams that routing daemons told of. */
   StreamOrigins mStreams;
   /** When the blocks are next sent to the other control daemons. */
--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -102,6 +102,8 @@
   Dispatcher mDispatcher;
   ContentGuard mGuard;
   SoftwareHistory mSoftware;
+  /** When the software of all targets is next observed. */
+  Instant mNextSoftware;
   StreamReporter mStreams;
   bool mSendsStreams = false;
   std::shared_ptr<const RouteMap> mRoutes;
--- a/packages/daemon/src/edge_node_streams.cpp
+++ b/packages/daemon/src/edge_node_streams.cpp
@@ -36,7 +36,10 @@
 void EdgeNode::UpdateStreams()
 {
   const Instant now = SteadyNow();
-  mFleet.AddSoftware(now, mSoftware);
+  if (now >= mNextSoftware) {
+    mNextSoftware = now + SoftwareHistory::kObserveInterval;
+    mDispatcher.AddSoftware(now, mSoftware);
+  }
   mStreams.Update(now, mSoftware);
   ReportStreams();
 }
--- a/packages/fleet/include/carobtide/fleet/fleet_view.hpp
+++ b/packages/fleet/include/carobtide/fleet/fleet_view.hpp
@@ -6,7 +6,6 @@
  */
 
 #include "carobtide/fleet/messages.hpp"
-#include "carobtide/fleet/software_history.hpp"
 #include "carobtide/fleet/target_directory.hpp"
 
 #include <map>
@@ -65,9 +64,6 @@
   /** Nothing if unknown. */
   std::optional<RoutedTarget> Find(const TargetName& aTarget) const;
 
-  /** Adds the software of the targets that serve to a history. */
-  void AddSoftware(Instant aNow, SoftwareHistory& aHistory) const;
-
   /** The leader that was named last; empty host if none was. */
   const Endpoint& Leader() const { return mLeader; }
 
--- a/packages/fleet/include/carobtide/fleet/software_history.hpp
+++ b/packages/fleet/include/carobtide/fleet/software_history.hpp
@@ -23,6 +23,9 @@
 class SoftwareHistory
 {
 public:
+  /** How often the targets that serve are observed; far below any window. */
+  static constexpr Duration kObserveInterval = std::chrono::seconds(1);
+
   /** The owner is up to date now. Longer gaps start the history anew. */
   void OnContact(Instant aNow);
 
--- a/packages/fleet/src/fleet_view.cpp
+++ b/packages/fleet/src/fleet_view.cpp
@@ -127,15 +127,6 @@
   return it == mSources.end() ? 0 : it->second.mEpoch;
 }
 
-void FleetView::AddSoftware(Instant aNow, SoftwareHistory& aHistory) const
-{
-  for (const FleetRecord* record : mTargets.All()) {
-    if (!IsSilent(record->mLast.mTarget)) {
-      aHistory.Observe(aNow, record->mLast);
-    }
-  }
-}
-
 void FleetView::DropSource(const Endpoint& aSource)
 {
   mSources.erase(aSource);
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -254,6 +254,9 @@
   /** Returns and clears the demand since the last call, for the leader. */
   std::vector<DemandItem> TakeDemand(Instant aNow);
 
+  /** Adds the software of the targets that serve to a history. */
+  void AddSoftware(Instant aNow, SoftwareHistory& aHistory) const;
+
   /** Streams that wait for a target of the software that began them. */
   std::vector<StreamDemand> WaitingStreams() const;
 
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 #include <numeric>
 #include <random>
+#include <tuple>
 #include <utility>
 
 namespace carobtide {
@@ -437,24 +438,31 @@
   return demands;
 }
 
+void Dispatcher::AddSoftware(Instant aNow, SoftwareHistory& aHistory) const
+{
+  for (const auto& [name, target] : mTargets) {
+    if (!target.mState.mSilent) {
+      aHistory.Observe(aNow, target.mState.mLast);
+    }
+  }
+}
+
 std::vector<StreamDemand> Dispatcher::WaitingStreams() const
 {
-  std::vector<StreamDemand> demands;
+  using Key = std::tuple<ServiceName, ModelName, SoftwareVersion>;
+  std::map<Key, std::uint32_t> counts;
   for (const auto& [id, request] : mUnplaced) {
-    if (!request.mSoftware) {
-      continue;
-    }
-    const DemandKey& key = request.mKey;
-    const auto it = std::ranges::find_if(demands, [&](const auto& aDemand) {
-      return aDemand.mService == key.mService && aDemand.mModel == key.mModel &&
-             aDemand.mSoftware == *request.mSoftware;
-    });
-    if (it == demands.end()) {
-      demands.push_back({ key.mService, key.mModel, *request.mSoftware, 1 });
-    } else {
-      ++it->mWaiting;
+    if (request.mSoftware) {
+      ++counts[{ request.mKey.mService, request.mKey.mModel,
+                 *request.mSoftware }];
     }
   }
+  std::vector<StreamDemand> demands;
+  std::ranges::transform(
+    counts, std::back_inserter(demands), [](const auto& aItem) {
+      const auto& [service, model, software] = aItem.first;
+      return StreamDemand{ service, model, software, aItem.second };
+    });
   return demands;
 }
 
--- a/packages/routing/src/dispatcher_refusal.cpp
+++ b/packages/routing/src/dispatcher_refusal.cpp
@@ -56,8 +56,9 @@
   const bool hasDeadline = facts.mDeadline != Instant::max();
   if (aState.mSoftware && !facts.mModel.IsEmpty() && hasDeadline) {
     // The stream can go on nowhere else, and a copy is loaded for it.
-    return facts.mArrived +
-           (facts.mDeadline - facts.mArrived) / kTolerantLoadWaitDivisor;
+    const Instant latest = facts.mArrived + (facts.mDeadline - facts.mArrived) /
+                                              kTolerantLoadWaitDivisor;
+    return std::min(latest, aSearch.mUntriedPauseEnds.value_or(latest));
   }
   const Instant limit =
     facts.mArrived + facts.mObjective / (isTolerant ? kTolerantWaitDivisor
