--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -59,28 +59,28 @@
       [this](std::uint16_t aType, const std::string& aPayload,
              const std::string& aPeer) { OnDatagram(aType, aPayload, aPeer); })
   , mPool(HttpPoolOptions{ kMostIdlePerTarget, kMaxIdleTime })
-  , mContext{ *mDialect,
-              mDispatcher,
-              mGuard,
-              mPool,
-              mRoom,
-              [this](EnsureAdapter aWanted) {
-                return EnsureAdapterAt(std::move(aWanted));
-              },
-              [this](TargetProcess aProcess, Endpoint aAddress) {
-                return ProbeTarget(std::move(aProcess), std::move(aAddress));
-              },
-              [this] { ReportCrashes(); },
-              [this](const TargetProcess& aProcess) {
-                OnTargetLeaves(aProcess);
-              },
-              [this](StreamQuery aQuery) { return FindOrigin(aQuery); },
-              [this](StreamKey aStream, const StreamOrigin& aOrigin) {
-                OnStreamBegun(aStream, aOrigin);
-              },
-              mMetrics,
-              0,
-              &mStop }
+  , mContext{
+    *mDialect,
+    mDispatcher,
+    mGuard,
+    mPool,
+    mRoom,
+    [this](EnsureAdapter aWanted) {
+      return EnsureAdapterAt(std::move(aWanted));
+    },
+    [this](TargetProcess aProcess, Endpoint aAddress) {
+      return ProbeTarget(std::move(aProcess), std::move(aAddress));
+    },
+    [this] { ReportCrashes(); },
+    [this](const TargetProcess& aProcess) { OnTargetLeaves(aProcess); },
+    [this](StreamQuery aQuery) { return FindOrigin(std::move(aQuery)); },
+    [this](StreamKey aStream, const StreamOrigin& aOrigin) {
+      OnStreamBegun(aStream, aOrigin);
+    },
+    mMetrics,
+    0,
+    &mStop
+  }
   , mCallers(mWorkers, HttpLimits{},
              [this](HttpExchange& aExchange) { return Handle(aExchange); })
   , mReadiness(
