After a pause a target is tried with one request first

Callers' requests were spent on targets that turn everything away: at the end of each pause all requests that arrived until the first refusal went there, each at the cost of an attempt and of the retry budget.

Cause: the end of a pause made the target a candidate like any other at once.

Change: TargetPause: one request at a time until the target begins to answer one, a second at most for each.

Evidence: "a target that turns everything away is sent one request a pause" and "after a pause one request goes to the target before the others" fail before: 31 requests in ten pauses at 143 requests a second and answers after 49 ms, bound 17; after it they pass.

--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include "carobtide/fleet.hpp"
 #include "carobtide/routing/retry_allowance.hpp"
 #include "carobtide/routing/target_health.hpp"
+#include "carobtide/routing/target_pause.hpp"
 
 #include <cstdint>
 #include <map>
@@ -283,7 +284,7 @@
     Duration mPrefillTime{ 0 };
     Instant mUpdatedAt;
     bool mLeaves = false;
-    Instant mPausedUntil;
+    TargetPause mPause;
     TargetKey mKey = 0;
     /** Shared prompt prefixes sent here recently, with the time. */
     std::unordered_map<std::uint64_t, Instant> mPrefixes;
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -240,6 +240,7 @@
   mUnplaced.erase(std::exchange(aState.mUnplaced, 0));
   ++target.mInFlight;
   target.mHealth.OnSent(aNow, send.mSend);
+  target.mPause.OnSent(aNow, send.mSend);
   if (facts.mSharedPrefix != 0) {
     if (target.mPrefixes.size() >= kMaxPrefixes) {
       target.mPrefixes.erase(
@@ -296,8 +297,7 @@
       std::uniform_real_distribution<>(0, kMaxPauseJitter)(mRandom);
     const auto spread = std::min(
       std::chrono::duration_cast<Duration>(jitter * aPause), kMaxPauseSpread);
-    target->mPausedUntil =
-      std::max(target->mPausedUntil, aNow + aPause + spread);
+    target->mPause.Begin(aNow + aPause + spread);
   }
 }
 
@@ -307,7 +307,7 @@
   return it != mTargets.end() &&
          it->second.mState.mLast.mIncarnation == aSend.mIncarnation &&
          it->second.mState.TakesWork() && !it->second.mLeaves &&
-         aNow >= it->second.mPausedUntil;
+         it->second.mPause.IsOver(aNow);
 }
 
 void Dispatcher::OnFirstByte(Instant aNow, SendId aSend)
@@ -324,6 +324,7 @@
   if (const auto target = mTargets.find(it->second.mTarget);
       target != mTargets.end()) {
     target->second.mHealth.OnFirstByte(aNow, aSend, took);
+    target->second.mPause.OnFirstByte(aSend);
     target->second.mPrefillTime -=
       std::min(target->second.mPrefillTime, it->second.mPrefillTime);
   }
@@ -389,6 +390,7 @@
         std::min(target->second.mPrefillTime, open.mPrefillTime);
     }
     target->second.mHealth.OnEnd(aNow, aSend, aEnd);
+    target->second.mPause.OnEnd(aSend);
   }
   aState.mTried.push_back(open.mTarget);
   return MayRetry(aNow, aEnd, aState);
@@ -401,7 +403,7 @@
   for (const auto& [name, target] : mTargets) {
     ages.mSilent += target.mState.mSilent ? 1 : 0;
     ages.mLeaving += target.mLeaves ? 1 : 0;
-    ages.mPaused += aNow < target.mPausedUntil ? 1 : 0;
+    ages.mPaused += target.mPause.IsOver(aNow) ? 0 : 1;
     ages.mOldestTarget = std::max(ages.mOldestTarget, aNow - target.mUpdatedAt);
   }
   if (aNow - mPeerLoadsAt < kPeerLoadLifetime) {
--- a/packages/routing/src/dispatcher_choice.cpp
+++ b/packages/routing/src/dispatcher_choice.cpp
@@ -216,7 +216,7 @@
       continue;
     }
     search.mSoftwareServes = true;
-    const bool isPaused = aNow < target.mPausedUntil;
+    const bool isPaused = !target.mPause.IsOver(aNow);
     if (!facts.mModel.IsEmpty()) {
       const HeldModel* held = FindHeld(target.mState, facts.mModel);
       if (held == nullptr) {
@@ -246,9 +246,9 @@
       std::ranges::find(aState.mTried, name) != aState.mTried.end();
     if (isPaused) {
       ++search.mPausedHolders;
-      KeepEarliest(search.mPauseEnds, target.mPausedUntil);
+      KeepEarliest(search.mPauseEnds, target.mPause.Until());
       if (!isTried) {
-        KeepEarliest(search.mUntriedPauseEnds, target.mPausedUntil);
+        KeepEarliest(search.mUntriedPauseEnds, target.mPause.Until());
       }
     }
     if (isPaused || isTried || !target.mHealth.IsReachable(aNow)) {
@@ -257,7 +257,8 @@
     const TargetLoad total = LoadAt(aNow, target);
     const double load = LoadOf(target, total);
     search.mLeastLoad = std::min(search.mLeastLoad, load);
-    if (load >= limit || ExceedsPrefillLimit(aPool, facts, total)) {
+    if (load >= limit || ExceedsPrefillLimit(aPool, facts, total) ||
+        !target.mPause.MayTry(aNow)) {
       continue;
     }
     const double score = ScoreOf(aNow, target, aPool, facts, total);
--- a/packages/routing/tests/leaving_and_pauses_test.cpp
+++ b/packages/routing/tests/leaving_and_pauses_test.cpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace carobtide {
 
@@ -61,6 +62,7 @@
     if (send == nullptr) {
       return {};
     }
+    mDispatcher.OnFirstByte(aNow, send->mSend);
     mDispatcher.OnEnd(aNow, send->mSend, SendEnd::Whole, state);
     return send->mTarget;
   }
@@ -157,6 +159,80 @@
   CHECK(returned.size() >= 10);
 }
 
+TEST_CASE("after a pause one request goes to the target before the others")
+{
+  Daemon daemon(1);
+  daemon.mDispatcher.OnPause(kStart, kFirst, Incarnation(1), 2s);
+  const Instant after = kStart + 3s;
+  DispatchState first = Daemon::Arrive(after);
+  const auto decision = daemon.mDispatcher.Choose(after, first);
+  const auto* send = std::get_if<SendTo>(&decision);
+  REQUIRE(send != nullptr);
+  CHECK(daemon.Send(after).IsEmpty());
+  SECTION("the target begins to answer")
+  {
+    daemon.mDispatcher.OnFirstByte(after + 50ms, send->mSend);
+    CHECK(daemon.Send(after + 50ms) == kFirst);
+    CHECK(daemon.Send(after + 50ms) == kFirst);
+  }
+  SECTION("the request breaks off")
+  {
+    daemon.mDispatcher.OnEnd(after + 50ms, send->mSend, SendEnd::Broken, first);
+    CHECK(daemon.Send(after + 50ms) == kFirst);
+  }
+  SECTION("the target says nothing")
+  {
+    CHECK(daemon.Send(after + 999ms).IsEmpty());
+    CHECK(daemon.Send(after + 1s) == kFirst);
+  }
+}
+
+// Load pattern: a steady load, and a target that turns everything away, though
+// it is empty, 50 ms after a request reached it.
+TEST_CASE("a target that turns everything away is sent one request a pause")
+{
+  constexpr auto kPause = 1s;
+  constexpr auto kInterval = 7ms;
+  constexpr auto kAnswerTime = 49ms;
+  constexpr int kPauses = 10;
+  Daemon daemon(2);
+  struct Open
+  {
+    Instant mAnswerAt;
+    SendTo mSend;
+    DispatchState mState;
+  };
+  std::vector<Open> open;
+  int refused = 0;
+  for (Instant now = kStart; now < kStart + kPauses * kPause;
+       now += kInterval) {
+    std::erase_if(open, [&](Open& aOpen) {
+      if (aOpen.mAnswerAt > now) {
+        return false;
+      }
+      const bool isRefused = aOpen.mSend.mTarget == kFirst;
+      if (isRefused) {
+        daemon.mDispatcher.OnPause(now, kFirst, Incarnation(1), kPause);
+      } else {
+        daemon.mDispatcher.OnFirstByte(now, aOpen.mSend.mSend);
+      }
+      daemon.mDispatcher.OnEnd(now, aOpen.mSend.mSend,
+                               isRefused ? SendEnd::Full : SendEnd::Whole,
+                               aOpen.mState);
+      return true;
+    });
+    DispatchState state = Daemon::Arrive(now);
+    const auto decision = daemon.mDispatcher.Choose(now, state);
+    const auto* send = std::get_if<SendTo>(&decision);
+    REQUIRE(send != nullptr);
+    refused += send->mTarget == kFirst ? 1 : 0;
+    open.push_back({ now + kAnswerTime, *send, state });
+  }
+  // What was sent before the first refusal, then one a pause.
+  constexpr int kBeforeRefusal = kAnswerTime / kInterval;
+  CHECK(refused <= kBeforeRefusal + kPauses);
+}
+
 // Load pattern: all targets of a service want a pause at once.
 TEST_CASE("callers are rejected at once while all targets want a pause")
 {
