The leader leaves engines alone that want a pause or leave

Cause: only callers' requests were held back, and only answers to reports were read for what engines say of themselves.

Change: the answers to orders and reports are read for both; EngineTracker holds orders, resends and report requests back until the pause ends.

--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -99,9 +99,9 @@
   void StepPlanner();
   void Perform(const RequestEngineReport& aEffect);
   void Perform(const IssueOrder& aEffect);
-  /** Takes note if a target's answer says that it leaves. */
-  void NoteLeaving(const HttpResponseHead& aHead, const TargetName& aTarget,
-                   Incarnation aIncarnation);
+  /** Takes note of what a target's answer says of the target itself. */
+  void NoteTarget(const HttpResponseHead& aHead, const TargetName& aTarget,
+                  Incarnation aIncarnation);
   boost::asio::awaitable<void> FetchReport(RequestEngineReport aAsk);
   boost::asio::awaitable<void> SendOrder(ResidencyOrder aOrder);
   void PublishResidency();
--- a/packages/daemon/src/control_node_leader.cpp
+++ b/packages/daemon/src/control_node_leader.cpp
@@ -3,6 +3,7 @@
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
 #include "control_node.hpp"
+#include "target_log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -178,13 +179,20 @@
     asio::detached);
 }
 
-void ControlNode::NoteLeaving(const HttpResponseHead& aHead,
-                              const TargetName& aTarget,
-                              Incarnation aIncarnation)
+void ControlNode::NoteTarget(const HttpResponseHead& aHead,
+                             const TargetName& aTarget,
+                             Incarnation aIncarnation)
 {
-  if (mDialect->ReadTargetHead(aHead, CallerRequest{}).mLeaves) {
+  const TargetHead said = mDialect->ReadTargetHead(aHead, CallerRequest{});
+  if (said.mLeaves) {
     OnDrainNotice({ aTarget, aIncarnation });
   }
+  if (said.mPause) {
+    if (mPlanner) {
+      mPlanner->OnPause(aTarget, aIncarnation, SteadyNow() + *said.mPause);
+    }
+    LogPause(aTarget, *said.mPause);
+  }
 }
 
 awaitable<void> ControlNode::FetchReport(RequestEngineReport aAsk)
@@ -198,7 +206,7 @@
     auto sending = (*connection)->Send(request, kTargetTimeout);
     const auto head = co_await std::move(sending);
     if (head) {
-      NoteLeaving(*head, aAsk.mTarget, aAsk.mIncarnation);
+      NoteTarget(*head, aAsk.mTarget, aAsk.mIncarnation);
     }
     if (head && head->mStatus == kOk) {
       auto reading = (*connection)->ReadAll(kMaxAnswerBytes, kTargetTimeout);
@@ -234,6 +242,7 @@
     auto sending = (*connection)->Send(request, kTargetTimeout);
     const auto head = co_await std::move(sending);
     if (head) {
+      NoteTarget(*head, aOrder.mTarget, aOrder.mIncarnation);
       answer = mDialect->ReadOrderAnswer(head->mStatus);
       auto reading = (*connection)->ReadAll(kMaxAnswerBytes, kTargetTimeout);
       const auto body = co_await std::move(reading);
--- a/packages/daemon/src/edge_request_answer.cpp
+++ b/packages/daemon/src/edge_request_answer.cpp
@@ -4,10 +4,9 @@
 #include "answer_end.hpp"
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
+#include "target_log.hpp"
 
 #include <algorithm>
-#include <array>
-#include <chrono>
 #include <utility>
 
 namespace carobtide {
@@ -243,16 +242,7 @@
   if (aSaid.mPause) {
     mContext.mDispatcher.OnPause(SteadyNow(), aSend.mTarget, aSend.mIncarnation,
                                  *aSaid.mPause);
-    const std::array inputs{ LogInput{
-      "pause_ms",
-      std::chrono::duration_cast<std::chrono::milliseconds>(*aSaid.mPause)
-        .count() } };
-    LogFields fields;
-    fields.mStep = "target.paused";
-    fields.mPeer = aSend.mTarget.Text();
-    fields.mCall = mCaller.mId;
-    fields.mInputs = inputs;
-    Log(LogLevel::Info, fields);
+    LogPause(aSend.mTarget, *aSaid.mPause, mCaller.mId);
   }
 }
 
--- /dev/null
+++ b/packages/daemon/src/target_log.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+/**
+ * @file
+ * Log lines of what targets say of themselves in their answers.
+ */
+
+#include "carobtide/base.hpp"
+
+#include <string_view>
+
+namespace carobtide {
+
+/**
+ * Writes that a target wants nothing from this daemon for so long. aCall is the
+ * id of the request that it turned away; empty for a call of this daemon's own.
+ * Thread safety: any thread.
+ */
+void LogPause(const TargetName& aTarget, Duration aPause,
+              std::string_view aCall = {});
+
+} // namespace carobtide
--- a/packages/placement/include/carobtide/placement/engine_tracker.hpp
+++ b/packages/placement/include/carobtide/placement/engine_tracker.hpp
@@ -32,6 +32,7 @@
 {
   OrderId mId;
   TargetName mTarget;
+  Incarnation mIncarnation;
   Endpoint mAddress;
   ResidencyAction mAction = ResidencyAction::Load;
   ModelName mModel;
@@ -117,6 +118,9 @@
   /** Returns the order to resend now, if any, and records it as sent. */
   std::optional<ResidencyOrder> TakeResend(Instant aNow);
 
+  /** Requests no report and sends no order before a time. */
+  void OnPause(Instant aUntil);
+
   /** Handles an answer; ignored unless it is for the unanswered order. */
   void OnAnswer(Instant aNow, OrderId aOrder, ResidencyAnswer aAnswer);
 
@@ -176,6 +180,7 @@
   bool mIsReportPending = false;
   Instant mReportRequestedAt;
   Instant mChangedAt;
+  Instant mPausedUntil;
 };
 
 } // namespace carobtide
--- a/packages/placement/include/carobtide/placement/residency_planner.hpp
+++ b/packages/placement/include/carobtide/placement/residency_planner.hpp
@@ -75,6 +75,10 @@
                 Incarnation aIncarnation, Instant aRequestedAt,
                 const std::optional<EngineReport>& aReport);
 
+  /** Leaves a process of an engine alone until a time, as it asked for. */
+  void OnPause(const TargetName& aTarget, Incarnation aIncarnation,
+               Instant aUntil);
+
   /** Handles the answer to an order. */
   void OnAnswer(Instant aNow, const TargetName& aTarget, OrderId aOrder,
                 ResidencyAnswer aAnswer);
--- a/packages/placement/src/engine_tracker.cpp
+++ b/packages/placement/src/engine_tracker.cpp
@@ -71,7 +71,7 @@
   const bool hasTimedOut =
     mIsReportPending && aNow - mReportRequestedAt > kReportTimeout;
   if ((mIsReportPending && !hasTimedOut) || aNow < mNextReportAt ||
-      !IsUsable()) {
+      aNow < mPausedUntil || !IsUsable()) {
     return false;
   }
   const bool isWanted = !mIsCountKnown || mBusy || mRunning;
@@ -100,9 +100,15 @@
   }
 }
 
-bool EngineTracker::IsFree(Instant) const
+bool EngineTracker::IsFree(Instant aNow) const
 {
-  return mIsCountKnown && !mBusy && !mUnanswered && !mRunning && IsUsable();
+  return mIsCountKnown && !mBusy && !mUnanswered && !mRunning &&
+         aNow >= mPausedUntil && IsUsable();
+}
+
+void EngineTracker::OnPause(Instant aUntil)
+{
+  mPausedUntil = std::max(mPausedUntil, aUntil);
 }
 
 void EngineTracker::OnSent(Instant aNow, const ResidencyOrder& aOrder,
@@ -117,7 +123,8 @@
 
 std::optional<ResidencyOrder> EngineTracker::TakeResend(Instant aNow)
 {
-  if (!mUnanswered || !mMustResend || aNow - mSentAt < kResendDelay) {
+  if (!mUnanswered || !mMustResend || aNow - mSentAt < kResendDelay ||
+      aNow < mPausedUntil) {
     return std::nullopt;
   }
   mMustResend = false;
--- a/packages/placement/src/residency_planner.cpp
+++ b/packages/placement/src/residency_planner.cpp
@@ -105,6 +105,16 @@
   }
 }
 
+void ResidencyPlanner::OnPause(const TargetName& aTarget,
+                               Incarnation aIncarnation, Instant aUntil)
+{
+  const auto it = mEngines.find(aTarget);
+  if (it != mEngines.end() &&
+      it->second.LastHeartbeat().mIncarnation == aIncarnation) {
+    it->second.OnPause(aUntil);
+  }
+}
+
 void ResidencyPlanner::OnAnswer(Instant aNow, const TargetName& aTarget,
                                 OrderId aOrder, ResidencyAnswer aAnswer)
 {
@@ -300,6 +310,7 @@
   ResidencyOrder order;
   order.mId = OrderId(mNextOrder++);
   order.mTarget = aEngine.LastHeartbeat().mTarget;
+  order.mIncarnation = aEngine.LastHeartbeat().mIncarnation;
   order.mAddress = aEngine.LastHeartbeat().mAddress;
   order.mAction = aAction;
   order.mModel = aModel;
--- a/packages/placement/tests/engine_tracker_test.cpp
+++ b/packages/placement/tests/engine_tracker_test.cpp
@@ -78,6 +78,30 @@
   CHECK(tracker.ModelsUsingMemory() == std::vector{ kModel });
 }
 
+TEST_CASE(
+  "an engine that wants a pause gets no order, resend or report request")
+{
+  EngineTracker tracker = MakeTrackerWithCount(3);
+  tracker.OnPause(kStart + 2s);
+  tracker.OnPause(kStart + 1s);
+  CHECK_FALSE(tracker.IsFree(kStart + 1999ms));
+  CHECK(tracker.IsFree(kStart + 2s));
+  SECTION("an order without an answer")
+  {
+    tracker.OnSent(kStart, MakeOrder(1, tracker), 3s);
+    tracker.OnAnswer(kStart, OrderId(1), ResidencyAnswer::Unknown);
+    CHECK_FALSE(tracker.TakeResend(kStart + 1999ms));
+    CHECK(tracker.TakeResend(kStart + 2s));
+  }
+  SECTION("an order count that is not known")
+  {
+    tracker.OnSent(kStart, MakeOrder(1, tracker), 3s);
+    tracker.OnAnswer(kStart, OrderId(1), ResidencyAnswer::Refused);
+    CHECK_FALSE(tracker.ShouldRequestReport(kStart + 1999ms));
+    CHECK(tracker.ShouldRequestReport(kStart + 2s));
+  }
+}
+
 TEST_CASE("after a conflict the order count is unknown until the next report")
 {
   EngineTracker tracker = MakeTrackerWithCount(3);
