An order that is given up is not delivered later

The kernel goes on to deliver what was written; after a cut it sends again a second or more later, when the next leader may have given orders.

Change: while an order is unanswered, closing its connection drops what the peer has not taken (SO_LINGER 0); a connection whose order was answered is kept and closed as before.

Evidence: "a request that was given up is not delivered when its peer is back" shows both ends: with a plain close the peer reads on to the end, with the change it gets a reset.

--- a/packages/daemon/src/control_node_leader.cpp
+++ b/packages/daemon/src/control_node_leader.cpp
@@ -239,6 +239,11 @@
   if (connection && mReplica.IsLeading() && mPlannerTerm == term) {
     const HttpRequest request =
       mDialect->MakeOrder(aOrder, mSettings.mName, FencingToken(term));
+    // An order that is given up must not arrive after those of the next leader.
+    const auto dropping = (*connection)->SetDropsUnsent(true);
+    if (!dropping) {
+      LogError(dropping.GetError());
+    }
     auto sending = (*connection)->Send(request, kTargetTimeout);
     const auto head = co_await std::move(sending);
     if (head) {
@@ -246,7 +251,7 @@
       answer = mDialect->ReadOrderAnswer(head->mStatus);
       auto reading = (*connection)->ReadAll(kMaxAnswerBytes, kTargetTimeout);
       const auto body = co_await std::move(reading);
-      if (body) {
+      if (body && (*connection)->SetDropsUnsent(false)) {
         mPool.Release(aOrder.mAddress, std::move(*connection));
       }
     } else {
--- a/packages/transport/include/carobtide/transport/http_client.hpp
+++ b/packages/transport/include/carobtide/transport/http_client.hpp
@@ -81,6 +81,14 @@
   /** How long the peer said that it keeps an idle connection; 0: unsaid. */
   virtual Duration StatedIdleTime() const = 0;
 
+  /**
+   * Whether closing the connection drops the bytes that the peer has not taken
+   * yet. Otherwise the kernel goes on to deliver them after the close, seconds
+   * later where the way to the peer was cut. Off at first. ConnectionLost if
+   * the socket has failed.
+   */
+  virtual Result<Unit> SetDropsUnsent(bool aDrops) = 0;
+
   /** Ends whatever is under way with ErrorCode::Cancelled. */
   virtual void Cancel() = 0;
 };
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -52,6 +52,7 @@
   BodyFraming Framing() const override { return mFraming; }
   bool IsReusable() const override;
   Duration StatedIdleTime() const override;
+  Result<Unit> SetDropsUnsent(bool aDrops) override;
   void Cancel() override;
 
 private:
@@ -217,6 +218,16 @@
   return std::chrono::seconds(seconds);
 }
 
+Result<Unit> BeastConnection::SetDropsUnsent(bool aDrops)
+{
+  beast::error_code ec;
+  mStream.socket().set_option(asio::socket_base::linger(aDrops, 0), ec);
+  if (ec) {
+    return LibraryError(ec, "http.set-linger");
+  }
+  return Success();
+}
+
 void BeastConnection::Cancel()
 {
   mCancelled = true;
--- a/packages/transport/src/http_pool.cpp
+++ b/packages/transport/src/http_pool.cpp
@@ -61,6 +61,10 @@
     return mRequests.size() < kMaxRequests && mInner->IsReusable();
   }
   Duration StatedIdleTime() const override { return mInner->StatedIdleTime(); }
+  Result<Unit> SetDropsUnsent(bool aDrops) override
+  {
+    return mInner->SetDropsUnsent(aDrops);
+  }
   void Cancel() override { mInner->Cancel(); }
 
   const asio::any_io_executor& Executor() const { return mExecutor; }
