--- a/packages/routing/tests/leaving_and_pauses_test.cpp
+++ b/packages/routing/tests/leaving_and_pauses_test.cpp
@@ -2,8 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <deque>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -281,4 +283,58 @@
   CHECK(sent >= 16);
 }
 
+// Load pattern: traffic doubles while half of the targets are replaced, which
+// say that they leave in their answers only.
+TEST_CASE("a crest in a release goes to the targets that stay")
+{
+  constexpr int kTargets = 6;
+  constexpr auto kRunTime = 100ms;
+  Daemon daemon(kTargets);
+  std::deque<std::pair<SendTo, DispatchState>> open;
+  std::set<TargetName> left;
+  int refused = 0;
+  Instant now = kStart;
+  const auto arrive = [&] {
+    while (!open.empty() &&
+           open.front().second.mFacts.mArrived < now - Duration(kRunTime)) {
+      auto& [send, state] = open.front();
+      daemon.mDispatcher.OnFirstByte(now, send.mSend);
+      daemon.mDispatcher.OnEnd(now, send.mSend, SendEnd::Whole, state);
+      open.pop_front();
+    }
+    DispatchState state = Daemon::Arrive(now);
+    const auto decision = daemon.mDispatcher.Choose(now, state);
+    if (const auto* send = std::get_if<SendTo>(&decision)) {
+      CHECK_FALSE(left.contains(send->mTarget));
+      open.emplace_back(*send, state);
+    } else {
+      ++refused;
+    }
+  };
+  for (int n = 0; n < kTargets; n += 2) {
+    for (int arrivals = 0; arrivals < 100; ++arrivals, now += 10ms) {
+      arrive();
+    }
+    const TargetName leaving("t" + std::to_string(n));
+    left.insert(leaving);
+    CHECK(daemon.mDispatcher.OnLeaving(leaving, Incarnation(1)));
+  }
+  CHECK(refused == 0);
+  // 20 of the 24 places that are left.
+  for (int arrivals = 0; arrivals < 200; ++arrivals, now += 5ms) {
+    arrive();
+  }
+  CHECK(refused == 0);
+  // The new ones take their share at once.
+  for (int n = 0; n < kTargets; n += 2) {
+    daemon.mDispatcher.OnTarget(now, MakeTarget("n" + std::to_string(n)));
+  }
+  std::set<TargetName> used;
+  for (int arrivals = 0; arrivals < 100; ++arrivals, now += 5ms) {
+    arrive();
+    used.insert(open.back().first.mTarget);
+  }
+  CHECK(used.size() == kTargets);
+}
+
 } // namespace carobtide
