Times that other daemons state are bounded when they are read

Cause: a time from the wire was used in arithmetic as it came.

Change: BoundClock limits them to a range in which differences cannot overflow.

--- a/packages/daemon/src/control_node_calls.cpp
+++ b/packages/daemon/src/control_node_calls.cpp
@@ -21,6 +21,7 @@
 
 /** Operators move on to another daemon after a second without an answer. */
 constexpr Duration kCommitTimeout = std::chrono::milliseconds(900);
+
 HttpResponse MakeAnswer(std::uint16_t aStatus, std::string aBody = "{}")
 {
   return MakeResponse(aStatus, "application/json", std::move(aBody));
--- a/packages/fleet/include/carobtide/fleet/messages.hpp
+++ b/packages/fleet/include/carobtide/fleet/messages.hpp
@@ -116,6 +116,7 @@
   void serialize(Archive& aArchive)
   {
     aArchive(mTerm, mVersion, mEngines, mSince, mClockMicros);
+    mClockMicros = BoundClock(mClockMicros);
   }
 };
 
--- a/packages/fleet/include/carobtide/fleet/target.hpp
+++ b/packages/fleet/include/carobtide/fleet/target.hpp
@@ -10,6 +10,7 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -19,6 +20,16 @@
 /** Identifies one process of a target. Thread safety: any thread. */
 std::uint64_t ProcessHash(const TargetName& aTarget, Incarnation aIncarnation);
 
+/**
+ * Bounds a time in microseconds that another daemon states: differences of two
+ * do not overflow. Thread safety: any thread.
+ */
+inline std::int64_t BoundClock(std::int64_t aMicros)
+{
+  constexpr std::int64_t kMaxMicros = std::int64_t{ 1 } << 60U;
+  return std::clamp(aMicros, -kMaxMicros, kMaxMicros);
+}
+
 /** A model in a target's memory, with its adapters. */
 struct HeldModel
 {
@@ -50,6 +61,7 @@
   void serialize(Archive& aArchive)
   {
     aArchive(mName, mReadyMicros);
+    mReadyMicros = BoundClock(mReadyMicros);
   }
 };
 
--- a/packages/fleet/tests/residency_board_test.cpp
+++ b/packages/fleet/tests/residency_board_test.cpp
@@ -1,7 +1,11 @@
+#include "carobtide/base/codec.hpp"
 #include "carobtide/fleet.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <cstdint>
+#include <cstdlib>
+#include <limits>
 #include <string>
 
 namespace carobtide {
@@ -72,6 +76,25 @@
   CHECK(relay.Since(kStart, 1, 1).mEngines.size() == 2);
 }
 
+// Differences of such clocks overflowed in the receiver.
+TEST_CASE("a map whose clock cannot be is bounded when it is read")
+{
+  constexpr auto kFirst = std::numeric_limits<std::int64_t>::min();
+  constexpr auto kLast = std::numeric_limits<std::int64_t>::max();
+  for (const std::int64_t clock : { kFirst, kLast }) {
+    ResidencyMap sent{ 1, 1, MakeFleet(1), 0, clock };
+    sent.mEngines[0].mLoading.push_back({ ModelName("m"), clock });
+    const auto read = Decode<ResidencyMap>(Encode(sent));
+    REQUIRE(read);
+    ResidencyBoard board;
+    CHECK(board.OnMap(kStart, *read));
+    const ResidencyMap passed = board.Since(kStart, 1, 0);
+    CHECK((passed.mClockMicros < 0) == (clock < 0));
+    CHECK(std::abs(passed.mClockMicros) <= kLast / 2);
+    CHECK(std::abs(passed.mEngines[0].mLoading[0].mReadyMicros) <= kLast / 2);
+  }
+}
+
 TEST_CASE("a deposed leader's map does not replace its successor's")
 {
   ResidencyBoard former;
