Empty lists of numbers are read without a null pointer; new messages are fuzzed

"fuzz peer_message", extended to the messages of streams, drains and demand, found that an empty vector of numbers was copied to a null pointer (undefined, without effect in practice). Change: std::copy_n, which allows it.

--- a/packages/base/include/carobtide/base/codec.hpp
+++ b/packages/base/include/carobtide/base/codec.hpp
@@ -69,7 +69,8 @@
   void Copy(void* aData, std::size_t aSize)
   {
     CheckLeft(aSize);
-    std::memcpy(aData, mRest.data(), aSize);
+    // An empty vector has no address, which memcpy must not be given.
+    std::copy_n(mRest.begin(), aSize, static_cast<char*>(aData));
     mRest.remove_prefix(aSize);
   }
 
--- a/packages/daemon/fuzz/peer_message.cpp
+++ b/packages/daemon/fuzz/peer_message.cpp
@@ -44,6 +44,22 @@
   }
 }
 
+/** Streams of any content leave the receiver in a sound state. */
+void TakeStreamMessages(std::string_view aBytes)
+{
+  constexpr Instant kNow{ Duration(1'000'000) };
+  if (const auto notice = Decode<StreamNotice>(aBytes)) {
+    StreamOrigins streams;
+    streams.Put(kNow, *notice);
+    streams.Expire(kNow);
+  }
+  if (const auto reply = Decode<StreamReply>(aBytes)) {
+    OriginSearch search(ServiceName("s"), {});
+    search.OnReply(*reply);
+    search.Result();
+  }
+}
+
 /** What decodes must encode and decode again. */
 template<class Message>
 void DecodeAs(std::string_view aBytes)
@@ -77,6 +93,12 @@
   DecodeAs<ResidencyRequest>(bytes);
   DecodeAs<WatchRequest>(bytes);
   DecodeAs<WatchReply>(bytes);
+  DecodeAs<DrainNotice>(bytes);
+  DecodeAs<DemandReport>(bytes);
+  DecodeAs<StreamNotice>(bytes);
+  DecodeAs<StreamQuery>(bytes);
+  DecodeAs<StreamReply>(bytes);
   TakeFleetMessages(bytes);
+  TakeStreamMessages(bytes);
   return 0;
 }
