Adapters are placed by the load that the last step worked out

Cause: each request for an adapter and each answer to an order worked out the load of all engines and models again, hundreds of times a second at 294 routing daemons.

--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -356,6 +356,9 @@
            { "edges", static_cast<double>(mEdges.size()) },
            { "orders_under_way",
              mPlanner ? static_cast<double>(mPlanner->OrdersUnderWay()) : 0.0 },
+           { "load_evaluations",
+             mPlanner ? static_cast<double>(mPlanner->LoadEvaluations())
+                      : 0.0 },
            { "streams_known", static_cast<double>(mStreams.Size()) },
            { "watches_waiting", static_cast<double>(mNews.Waiting()) },
            { "log_lines_dropped", static_cast<double>(DroppedLogLines()) },
--- a/packages/placement/include/carobtide/placement/residency_planner.hpp
+++ b/packages/placement/include/carobtide/placement/residency_planner.hpp
@@ -98,6 +98,9 @@
   /** Number of engines with an order that is not completed. */
   std::size_t OrdersUnderWay() const;
 
+  /** How often the load of all engines was worked out, the dearest part. */
+  std::uint64_t LoadEvaluations() const { return mLoadEvaluations; }
+
 private:
   using Service = CatalogService;
 
@@ -177,12 +180,12 @@
   void DistributeLoad(ServiceSnapshot& aSnapshot) const;
   void PlanReports(Instant aNow, std::vector<ResidencyEffect>& aEffects);
   void PlanResends(Instant aNow, std::vector<ResidencyEffect>& aEffects);
-  void PlanAdapters(Instant aNow, ServiceSnapshot& aSnapshot,
+  /** Plans by the loads of the last snapshot. */
+  void PlanAdapters(Instant aNow, const Service& aService,
                     std::vector<ResidencyEffect>& aEffects);
   /** The least loaded engine with the model where the adapter can be loaded. */
-  AdapterCandidate FindAdapterCandidate(Instant aNow,
-                                        ServiceSnapshot& aSnapshot,
-                                        const ModelKey& aKey) const;
+  AdapterCandidate FindAdapterCandidate(Instant aNow, const Service& aService,
+                                        const ModelKey& aKey);
   /** The least recently requested of the unused adapters. */
   std::optional<ModelKey> FindEvictableAdapter(
     Instant aNow, const ServiceName& aService,
@@ -260,6 +263,9 @@
   /** Where the turn of the models with little demand begins. */
   std::size_t mTurn = 0;
   std::map<TargetName, EngineTracker> mEngines;
+  /** Slots that all models of an engine use, by the last snapshot. */
+  std::unordered_map<TargetName, double> mEngineLoads;
+  std::uint64_t mLoadEvaluations = 0;
   DemandEstimate mDemand;
   std::map<ServiceName, TokenBucket> mStoreBudgets;
   std::map<ServiceName, WakeupRisk> mWakeups;
--- a/packages/placement/src/residency_adapters.cpp
+++ b/packages/placement/src/residency_adapters.cpp
@@ -50,29 +50,27 @@
 }
 
 ResidencyPlanner::AdapterCandidate ResidencyPlanner::FindAdapterCandidate(
-  Instant aNow, ServiceSnapshot& aSnapshot, const ModelKey& aKey) const
+  Instant aNow, const Service& aService, const ModelKey& aKey)
 {
   AdapterCandidate best;
   double bestScore = 0;
-  for (EngineTracker* engine : aSnapshot.mEngines) {
-    const HeldModel* model = engine->Find(aKey.mModel);
-    const bool isEligible = model != nullptr && engine->IsFree(aNow) &&
+  for (auto& [name, engine] : mEngines) {
+    const HeldModel* model = engine.Find(aKey.mModel);
+    const bool isEligible = model != nullptr && engine.IsFree(aNow) &&
+                            engine.LastHeartbeat().mService == aService.mName &&
                             !HoldsAdapter(*model, aKey.mAdapter);
     if (!isEligible) {
       continue;
     }
-    const bool isFull =
-      AdaptersOn(*engine) >= aSnapshot.mService->mEngine->mAdapterSlots;
-    const auto victim = isFull
-                          ? FindEvictableAdapter(aNow, aKey.mService, *engine)
-                          : std::nullopt;
+    const bool isFull = AdaptersOn(engine) >= aService.mEngine->mAdapterSlots;
+    const auto victim =
+      isFull ? FindEvictableAdapter(aNow, aKey.mService, engine) : std::nullopt;
     if (isFull && !victim) {
       continue;
     }
-    const double score =
-      aSnapshot.mLoad[engine] + (isFull ? kEvictionPenalty : 0);
+    const double score = mEngineLoads[name] + (isFull ? kEvictionPenalty : 0);
     if (best.mEngine == nullptr || score < bestScore) {
-      best = { engine, victim };
+      best = { &engine, victim };
       bestScore = score;
     }
   }
@@ -111,7 +109,7 @@
   return count;
 }
 
-void ResidencyPlanner::PlanAdapters(Instant aNow, ServiceSnapshot& aSnapshot,
+void ResidencyPlanner::PlanAdapters(Instant aNow, const Service& aService,
                                     std::vector<ResidencyEffect>& aEffects)
 {
   std::erase_if(mRequestedAdapters,
@@ -119,9 +117,8 @@
   for (auto it = mRequestedAdapters.begin(); it != mRequestedAdapters.end();) {
     const ModelKey key = it->first;
     const AdapterCandidate candidate =
-      key.mService == aSnapshot.mService->mName
-        ? FindAdapterCandidate(aNow, aSnapshot, key)
-        : AdapterCandidate{};
+      key.mService == aService.mName ? FindAdapterCandidate(aNow, aService, key)
+                                     : AdapterCandidate{};
     if (candidate.mEngine == nullptr) {
       ++it;
       continue;
--- a/packages/placement/src/residency_planner.cpp
+++ b/packages/placement/src/residency_planner.cpp
@@ -207,6 +207,7 @@
 ResidencyPlanner::ServiceSnapshot ResidencyPlanner::MakeSnapshot(
   const Service& aService)
 {
+  ++mLoadEvaluations;
   ServiceSnapshot snapshot;
   snapshot.mService = &aService;
   for (const CatalogModel& model : aService.mEngine->mModels) {
@@ -236,6 +237,9 @@
     }
   }
   DistributeLoad(snapshot);
+  for (const auto& [engine, load] : snapshot.mLoad) {
+    mEngineLoads[engine->LastHeartbeat().mTarget] = load;
+  }
   return snapshot;
 }
 
@@ -528,6 +532,7 @@
   const bool isDue = aNow >= mNextStep;
   if (isDue) {
     mNextStep = aNow + kModelPlanInterval;
+    mEngineLoads.clear();
     mDemand.Step(aNow);
     PlanReports(aNow, effects);
     PlanResends(aNow, effects);
@@ -545,15 +550,14 @@
                          mDemand.SlotsNeeded(service.mName, model.mName));
       }
     }
-    if (!isDue && mRequestedAdapters.empty()) {
+    if (!isDue) {
+      PlanAdapters(aNow, service, effects);
       continue;
     }
     ServiceSnapshot snapshot = MakeSnapshot(service);
-    PlanAdapters(aNow, snapshot, effects);
-    if (isDue) {
-      AddModelFacts(snapshot);
-      PlanModels(aNow, snapshot, effects);
-    }
+    PlanAdapters(aNow, service, effects);
+    AddModelFacts(snapshot);
+    PlanModels(aNow, snapshot, effects);
   }
   return effects;
 }
--- a/packages/placement/tests/residency_planner_test.cpp
+++ b/packages/placement/tests/residency_planner_test.cpp
@@ -589,6 +589,26 @@
   }
 }
 
+// Load pattern: hundreds of routing daemons ask for adapters at once. Working
+// out the load of the fleet for each of them kept the leader from its other
+// work.
+TEST_CASE("adapter requests between steps do not work out the fleet's load")
+{
+  Simulation simulation(20, 20, 0);
+  simulation.Run(3s, {});
+  const auto before = simulation.mPlanner.LoadEvaluations();
+  std::size_t orders = 0;
+  Instant now = simulation.mNow;
+  for (int n = 0; n < 20; ++n) {
+    now += 1ms;
+    simulation.mPlanner.RequestAdapter(
+      now, { kService, Simulation::Model(n), AdapterName("a1") });
+    orders += simulation.mPlanner.Step(now).size();
+  }
+  CHECK(orders >= 10);
+  CHECK(simulation.mPlanner.LoadEvaluations() - before <= 1);
+}
+
 // Load pattern: half of the engines run a newer version, and streams of the
 // older one are taken up whose model only newer engines still hold.
 TEST_CASE("a model is loaded on the software that streams wait for")
