--- a/packages/daemon/src/control_node_peers.cpp
+++ b/packages/daemon/src/control_node_peers.cpp
@@ -39,6 +39,8 @@
 }
 
 template void ControlNode::SendToPeers(FleetMessageType, const Greeting&);
+template void ControlNode::SendToPeers(FleetMessageType, const Heartbeat&);
+template void ControlNode::SendToPeers(FleetMessageType, const LeaveNotice&);
 template void ControlNode::SendToPeers(FleetMessageType, const ResidencyMap&);
 template void ControlNode::SendToPeers(FleetMessageType, const CrashNotice&);
 template void ControlNode::SendToPeers(FleetMessageType, const DrainNotice&);
