A late heartbeat does not end an order and free what was loaded since

Cause, as far as the record and the code tell: the leader takes the models of an engine from a heartbeat that was written seconds earlier. The same fault was left where an order is being executed: any heartbeat with the order's effect ended it and replaced all models and adapters, also those that were loaded after the heartbeat was written.

Change: a heartbeat ends an order only if it lacks nothing else that the tracker knows of. Otherwise a report tells.

Evidence: the new test fails before in two of its three sections (memory of two models and the place of an adapter free on the word of a late heartbeat) and passes.

--- a/packages/placement/include/carobtide/placement/engine_tracker.hpp
+++ b/packages/placement/include/carobtide/placement/engine_tracker.hpp
@@ -159,6 +159,13 @@
     Instant mDueAt;
   };
 
+  /**
+   * True if a heartbeat with these models was written after the end of the
+   * order that is being executed: it has the order's effect and lacks nothing
+   * that was loaded before.
+   */
+  bool ShowsEndOf(const ResidencyOrder& aOrder,
+                  const std::vector<HeldModel>& aModels) const;
   void ReplaceModels(Instant aNow, const std::vector<HeldModel>& aModels);
   void ApplyAdapterOrder(Instant aNow, const ResidencyOrder& aOrder);
 
--- a/packages/placement/src/engine_tracker.cpp
+++ b/packages/placement/src/engine_tracker.cpp
@@ -52,17 +52,12 @@
   const bool isNewer = aHeartbeat.mSequence > mLastHeartbeat.mSequence;
   mLastHeartbeat = aHeartbeat;
   mSilent = aSilent;
-  if (isNewer && mRunning && !mUnanswered) {
-    const ResidencyOrder& order = mRunning->mOrder;
-    const bool isHeld =
-      std::ranges::find(mLastHeartbeat.mModels, order.mModel,
-                        &HeldModel::mName) != mLastHeartbeat.mModels.end();
-    if (isHeld == (order.mAction == ResidencyAction::Load)) {
-      mRunning.reset();
-      mChangedAt = aNow;
-      ReplaceModels(aNow, mLastHeartbeat.mModels);
-      return;
-    }
+  if (isNewer && mRunning && !mUnanswered &&
+      ShowsEndOf(mRunning->mOrder, mLastHeartbeat.mModels)) {
+    mRunning.reset();
+    mChangedAt = aNow;
+    ReplaceModels(aNow, mLastHeartbeat.mModels);
+    return;
   }
   const bool isIdle =
     !mUnanswered && !mRunning && aNow - mChangedAt > kMaxHeartbeatAge;
@@ -78,6 +73,21 @@
   }
 }
 
+bool EngineTracker::ShowsEndOf(const ResidencyOrder& aOrder,
+                               const std::vector<HeldModel>& aModels) const
+{
+  const bool isLoad = aOrder.mAction == ResidencyAction::Load;
+  const bool isHeld = std::ranges::find(aModels, aOrder.mModel,
+                                        &HeldModel::mName) != aModels.end();
+  std::vector<HeldModel> kept = mModels;
+  if (!isLoad) {
+    std::erase_if(kept, [&](const HeldModel& aModel) {
+      return aModel.mName == aOrder.mModel;
+    });
+  }
+  return isHeld == isLoad && HoldsAll(aModels, kept);
+}
+
 void EngineTracker::ReplaceModels(Instant aNow,
                                   const std::vector<HeldModel>& aModels)
 {
--- a/packages/placement/tests/engine_tracker_test.cpp
+++ b/packages/placement/tests/engine_tracker_test.cpp
@@ -182,6 +182,38 @@
   }
 }
 
+TEST_CASE(
+  "a late heartbeat does not end an order and free what was loaded since")
+{
+  const ModelName other("other");
+  EngineTracker tracker = MakeTrackerWithCount(0);
+  tracker.OnReport(
+    kStart, kStart,
+    MakeReport(0, false, { { kModel, 1, {} }, { other, 1, { kAdapter } } }));
+  tracker.OnSent(kStart, MakeOrder(1, tracker, ResidencyAction::Unload), 50ms);
+  tracker.OnAnswer(kStart, OrderId(1), ResidencyAnswer::Accepted);
+  SECTION("it was written before all of them")
+  {
+    tracker.OnHeartbeat(kStart + 10ms, MakeHeartbeat(2), false);
+    CHECK(tracker.ModelsUsingMemory().size() == 2);
+    CHECK_FALSE(tracker.IsFree(kStart + 10ms));
+  }
+  SECTION("it was written before the adapter")
+  {
+    tracker.OnHeartbeat(kStart + 10ms, MakeHeartbeat(2, { { other, 1, {} } }),
+                        false);
+    REQUIRE(tracker.Find(other) != nullptr);
+    CHECK(tracker.Find(other)->mAdapters == std::vector{ kAdapter });
+  }
+  SECTION("it was written after the order")
+  {
+    tracker.OnHeartbeat(
+      kStart + 10ms, MakeHeartbeat(2, { { other, 1, { kAdapter } } }), false);
+    CHECK(tracker.ModelsUsingMemory() == std::vector{ other });
+    CHECK(tracker.IsFree(kStart + 10ms));
+  }
+}
+
 TEST_CASE("an outdated heartbeat or report does not revert an order")
 {
   EngineTracker tracker = MakeTrackerWithCount(0);
