An adapter in use keeps its place until its engine has unloaded it

Cause: an engine answers 200 to the unload of an adapter that nothing uses, and accepts (202) that of one in use, which it drops once its requests have ended. The leader took both for done and loaded the next adapter into the same place. It unloads only adapters that its demand reports show unused, so this needs a routing daemon whose reports do not arrive (cut off, restarted, or its leader new).

Change: EngineTracker keeps an adapter whose unload was only accepted as taking a place, without serving anything new, until a report that is newer than the order lacks it.

Evidence: "an adapter in use keeps its slot until the engine has unloaded it" fails before (the engine is ordered to hold more adapters than it has places) and passes.

--- a/packages/placement/include/carobtide/placement/engine_tracker.hpp
+++ b/packages/placement/include/carobtide/placement/engine_tracker.hpp
@@ -78,6 +78,15 @@
   std::vector<HeldModel> mModels;
 };
 
+/** An adapter on an engine, of one of its models. */
+struct EngineAdapter
+{
+  ModelName mModel;
+  AdapterName mAdapter;
+
+  bool operator==(const EngineAdapter&) const = default;
+};
+
 /**
  * Tracks the models of one engine and its only outstanding order. Orders are
  * sent one at a time, each bound to the count of orders accepted before it. An
@@ -136,6 +145,12 @@
 
   bool Holds(const ModelName& aModel) const;
   const HeldModel* Find(const ModelName& aModel) const;
+
+  /** Adapters that take a place: held, being loaded or being unloaded. */
+  std::size_t AdapterPlaces() const;
+  /** True if the engine unloads the adapter once nothing uses it any more. */
+  bool IsUnloading(const ModelName& aModel, const AdapterName& aAdapter) const;
+
   bool IsLoading(const ModelName& aModel) const;
   /** The model being loaded that is not held yet, if any. */
   std::optional<ModelName> Loading() const;
@@ -168,10 +183,14 @@
                   const std::vector<HeldModel>& aModels) const;
   void ReplaceModels(Instant aNow, const std::vector<HeldModel>& aModels);
   void ApplyAdapterOrder(Instant aNow, const ResidencyOrder& aOrder);
+  /** Forgets the unloads that a report shows to be done. */
+  void EndAdapterUnloads(const std::vector<HeldModel>& aModels);
 
   Heartbeat mLastHeartbeat;
   bool mSilent = false;
   std::vector<HeldModel> mModels;
+  /** Not in mModels, since they serve nothing new. */
+  std::vector<EngineAdapter> mUnloadingAdapters;
   std::map<ModelName, Instant> mHeldSince;
   std::uint64_t mAccepted = 0;
   /** False until a report states the engine's count of accepted orders. */
--- a/packages/placement/include/carobtide/placement/residency_planner.hpp
+++ b/packages/placement/include/carobtide/placement/residency_planner.hpp
@@ -190,7 +190,6 @@
   std::optional<ModelKey> FindEvictableAdapter(
     Instant aNow, const ServiceName& aService,
     const EngineTracker& aEngine) const;
-  static std::size_t AdaptersOn(const EngineTracker& aEngine);
   void PlanModels(Instant aNow, ServiceSnapshot& aSnapshot,
                   std::vector<ResidencyEffect>& aEffects);
   /** Loads the models whose victims are unloaded. */
--- a/packages/placement/src/engine_tracker.cpp
+++ b/packages/placement/src/engine_tracker.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace carobtide {
@@ -97,6 +98,21 @@
     }
   }
   mModels = aModels;
+  for (const EngineAdapter& adapter : mUnloadingAdapters) {
+    const auto model =
+      std::ranges::find(mModels, adapter.mModel, &HeldModel::mName);
+    if (model != mModels.end()) {
+      std::erase(model->mAdapters, adapter.mAdapter);
+    }
+  }
+}
+
+void EngineTracker::EndAdapterUnloads(const std::vector<HeldModel>& aModels)
+{
+  std::erase_if(mUnloadingAdapters, [&](const EngineAdapter& aAdapter) {
+    const HeldModel wanted{ aAdapter.mModel, 0, { aAdapter.mAdapter } };
+    return !HoldsAll(aModels, { wanted });
+  });
 }
 
 bool EngineTracker::ShouldRequestReport(Instant aNow)
@@ -107,7 +123,8 @@
       aNow < mPausedUntil || !IsUsable()) {
     return false;
   }
-  const bool isWanted = !mIsCountKnown || mBusy || mRunning;
+  const bool isWanted =
+    !mIsCountKnown || mBusy || mRunning || !mUnloadingAdapters.empty();
   if (isWanted) {
     mIsReportPending = true;
     mReportRequestedAt = aNow;
@@ -132,6 +149,7 @@
       mRunning.reset();
       mChangedAt = aNow;
     }
+    EndAdapterUnloads(aReport->mModels);
     ReplaceModels(aNow, aReport->mModels);
   }
 }
@@ -210,6 +228,9 @@
         mNextReportAt = aNow + mExpectedTime + kMaxReportAge;
       } else {
         ApplyAdapterOrder(aNow, order);
+        if (order.mAction == ResidencyAction::Unload) {
+          mUnloadingAdapters.push_back({ order.mModel, order.mAdapter });
+        }
       }
       break;
     case ResidencyAnswer::Done:
@@ -281,6 +302,23 @@
   return Find(aModel) != nullptr;
 }
 
+std::size_t EngineTracker::AdapterPlaces() const
+{
+  return std::accumulate(mModels.begin(), mModels.end(),
+                         mUnloadingAdapters.size(),
+                         [](std::size_t aSum, const HeldModel& aModel) {
+                           return aSum + aModel.mAdapters.size();
+                         });
+}
+
+bool EngineTracker::IsUnloading(const ModelName& aModel,
+                                const AdapterName& aAdapter) const
+{
+  return std::ranges::find(mUnloadingAdapters,
+                           EngineAdapter{ aModel, aAdapter }) !=
+         mUnloadingAdapters.end();
+}
+
 bool EngineTracker::IsLoading(const ModelName& aModel) const
 {
   const auto loads = [&](const ResidencyOrder& aOrder) {
--- a/packages/placement/src/residency_adapters.cpp
+++ b/packages/placement/src/residency_adapters.cpp
@@ -58,11 +58,13 @@
     const HeldModel* model = engine.Find(aKey.mModel);
     const bool isEligible = model != nullptr && engine.IsFree(aNow) &&
                             engine.LastHeartbeat().mService == aService.mName &&
-                            !HoldsAdapter(*model, aKey.mAdapter);
+                            !HoldsAdapter(*model, aKey.mAdapter) &&
+                            !engine.IsUnloading(aKey.mModel, aKey.mAdapter);
     if (!isEligible) {
       continue;
     }
-    const bool isFull = AdaptersOn(engine) >= aService.mEngine->mAdapterSlots;
+    const bool isFull =
+      engine.AdapterPlaces() >= aService.mEngine->mAdapterSlots;
     const auto victim =
       isFull ? FindEvictableAdapter(aNow, aKey.mService, engine) : std::nullopt;
     if (isFull && !victim) {
@@ -99,16 +101,6 @@
   return oldest;
 }
 
-std::size_t ResidencyPlanner::AdaptersOn(const EngineTracker& aEngine)
-{
-  std::size_t count = 0;
-  for (const ModelName& name : aEngine.ModelsUsingMemory()) {
-    const HeldModel* model = aEngine.Find(name);
-    count += model == nullptr ? 0 : model->mAdapters.size();
-  }
-  return count;
-}
-
 void ResidencyPlanner::PlanAdapters(Instant aNow, const Service& aService,
                                     std::vector<ResidencyEffect>& aEffects)
 {
--- a/packages/placement/tests/engine_tracker_test.cpp
+++ b/packages/placement/tests/engine_tracker_test.cpp
@@ -214,6 +214,46 @@
   }
 }
 
+TEST_CASE("an adapter in use keeps its place while it is being unloaded")
+{
+  EngineTracker tracker = MakeTrackerWithCount(0);
+  tracker.OnReport(kStart, kStart,
+                   MakeReport(0, false, { { kModel, 1, { kAdapter } } }));
+  ResidencyOrder order = MakeOrder(1, tracker, ResidencyAction::Unload);
+  order.mAdapter = kAdapter;
+  tracker.OnSent(kStart, order, 50ms);
+  SECTION("it was in use")
+  {
+    tracker.OnAnswer(kStart, OrderId(1), ResidencyAnswer::Accepted);
+    CHECK(tracker.IsFree(kStart));
+    CHECK(tracker.Serving().front().mAdapters.empty());
+    CHECK(tracker.AdapterPlaces() == 1);
+    CHECK(tracker.IsUnloading(kModel, kAdapter));
+    // Neither an older report nor a heartbeat ends that.
+    tracker.OnReport(kStart + 100ms, kStart - 10ms,
+                     MakeReport(0, false, { { kModel, 1, {} } }));
+    tracker.OnHeartbeat(kStart + 2s, MakeHeartbeat(2, { { kModel, 1, {} } }),
+                        false);
+    CHECK(tracker.AdapterPlaces() == 1);
+    const Instant later = kStart + 1s;
+    CHECK(tracker.ShouldRequestReport(later));
+    tracker.OnReport(later, later,
+                     MakeReport(1, false, { { kModel, 1, { kAdapter } } }));
+    CHECK(tracker.AdapterPlaces() == 1);
+    CHECK(tracker.Serving().front().mAdapters.empty());
+    const Instant gone = kStart + 3s;
+    CHECK(tracker.ShouldRequestReport(gone));
+    tracker.OnReport(gone, gone, MakeReport(1, false, { { kModel, 1, {} } }));
+    CHECK_FALSE(tracker.IsUnloading(kModel, kAdapter));
+  }
+  SECTION("nothing used it")
+  {
+    tracker.OnAnswer(kStart, OrderId(1), ResidencyAnswer::Done);
+  }
+  CHECK(tracker.AdapterPlaces() == 0);
+  CHECK_FALSE(tracker.ShouldRequestReport(kStart + 10s));
+}
+
 TEST_CASE("an outdated heartbeat or report does not revert an order")
 {
   EngineTracker tracker = MakeTrackerWithCount(0);
--- a/packages/placement/tests/residency_planner_test.cpp
+++ b/packages/placement/tests/residency_planner_test.cpp
@@ -42,10 +42,16 @@
       if (model == mModels.end()) {
         return ResidencyAnswer::Refused;
       }
-      std::erase(model->mAdapters, aOrder.mAdapter);
-      if (aOrder.mAction == ResidencyAction::Load) {
-        model->mAdapters.push_back(aOrder.mAdapter);
+      if (aOrder.mAction == ResidencyAction::Unload) {
+        if (aNow < mAdaptersInUseUntil) {
+          mUnloading.push_back(aOrder);
+          return ResidencyAnswer::Accepted;
+        }
+        std::erase(model->mAdapters, aOrder.mAdapter);
+        return ResidencyAnswer::Done;
       }
+      std::erase(model->mAdapters, aOrder.mAdapter);
+      model->mAdapters.push_back(aOrder.mAdapter);
       std::size_t adapters = 0;
       for (const HeldModel& held : mModels) {
         adapters += held.mAdapters.size();
@@ -68,6 +74,13 @@
 
   void Finish(Instant aNow)
   {
+    if (aNow >= mAdaptersInUseUntil) {
+      for (const ResidencyOrder& order : std::exchange(mUnloading, {})) {
+        if (const auto model = Find(order.mModel); model != mModels.end()) {
+          std::erase(model->mAdapters, order.mAdapter);
+        }
+      }
+    }
     if (!mRunning || aNow < mRunning->mAt) {
       return;
     }
@@ -97,6 +110,9 @@
   std::deque<TimedOrder> mDelayedOrders;
   std::vector<Instant> mStoreLoads;
   bool mExceededCapacity = false;
+  /** Adapters are unloaded when the requests that use them have ended. */
+  Instant mAdaptersInUseUntil;
+  std::vector<ResidencyOrder> mUnloading;
   std::uint64_t mHeartbeats = 0;
 };
 
@@ -412,6 +428,36 @@
   CHECK(held.size() == kAdapterSlots);
 }
 
+// Load pattern: requests of a routing daemon that the leader does not hear of
+// use all adapters of an engine while others are requested.
+TEST_CASE("an adapter in use keeps its slot until the engine has unloaded it")
+{
+  Simulation simulation(1, 2, 0);
+  simulation.Run(5s, {});
+  const auto want = [&](std::size_t aNumber) {
+    EnsureAdapter wanted;
+    wanted.mService = kService;
+    wanted.mModel = Simulation::Model(0);
+    wanted.mAdapter = AdapterName("a" + std::to_string(aNumber));
+    simulation.mPlanner.RequestAdapter(simulation.mNow, wanted);
+    simulation.Run(500ms, {});
+    return ModelKey{ kService, wanted.mModel, wanted.mAdapter };
+  };
+  for (std::size_t n = 1; n <= kAdapterSlots; ++n) {
+    want(n);
+  }
+  FakeEngine& engine = simulation.mEngines.begin()->second;
+  engine.mAdaptersInUseUntil = simulation.mNow + 5s;
+  std::size_t next = kAdapterSlots + 1;
+  while (simulation.mNow < engine.mAdaptersInUseUntil) {
+    CHECK(simulation.mPlanner.HoldersOf(want(next++)).empty());
+  }
+  CHECK_FALSE(engine.mExceededCapacity);
+  simulation.Run(2s, {});
+  CHECK(simulation.mPlanner.HoldersOf(want(next)).size() == 1);
+  CHECK_FALSE(engine.mExceededCapacity);
+}
+
 TEST_CASE("an adapter is loaded into a free slot before another is unloaded")
 {
   Simulation simulation(2, 2, 0);
