A limit that a target states holds for all daemons together

What callers saw: nothing.

Cause: no daemon read the limit. Class of fault: what a target says of itself in its answers is taken up one statement at a time; leaving and pauses were, this one not.

Change: TargetHead has the limit. An edge that hears another rate than it knows gives it the next version and tells its home, which tells all (RateLimit, LimitNotice; the newest version counts, wherever it comes from). TargetLimit decides when to send: each daemon counts its requests with weights that decay, the load totals carry the sums for targets with a limit (six bytes each), and a request goes while the sum of all is at most that of evenly spaced ones. So daemons share the rate by demand, without a round trip and without a split; one that has no totals keeps to an equal share. While all holders are held back requests wait, or are rejected at once with the time until one may be sent; Retry-After is spread over the time that the leader needs to load another copy.

Ways weighed: an equal split (300 daemons at 2 a second: one request in 150 s each), grants from the home (a round trip for each request), and a count in a window (all that is allowed at once, then nothing).

--- a/packages/daemon/fuzz/peer_message.cpp
+++ b/packages/daemon/fuzz/peer_message.cpp
@@ -94,6 +94,7 @@
   DecodeAs<WatchRequest>(bytes);
   DecodeAs<WatchReply>(bytes);
   DecodeAs<DrainNotice>(bytes);
+  DecodeAs<LimitNotice>(bytes);
   DecodeAs<DemandReport>(bytes);
   DecodeAs<StreamNotice>(bytes);
   DecodeAs<StreamQuery>(bytes);
--- a/packages/daemon/include/carobtide/daemon/dialect.hpp
+++ b/packages/daemon/include/carobtide/daemon/dialect.hpp
@@ -70,6 +70,11 @@
   bool mLeaves = false;
   /** The target has no room and wants nothing from this daemon for so long. */
   std::optional<Duration> mPause;
+  /**
+   * Requests a second that the target takes from all daemons together; kNone if
+   * it states no limit, nothing if what it states cannot be read.
+   */
+  std::optional<double> mLimit = RateLimit::kNone;
 };
 
 /** Calls to a control daemon. */
--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -390,7 +390,8 @@
   ++mTotalSequence;
   const auto reporters = mLoads.Reporters();
   if (!reporters.empty()) {
-    for (LoadSection& section : MakeSections(mLoads.OwnSum())) {
+    for (LoadSection& section :
+         MakeSections(mLoads.OwnSum(), mLoads.OwnSends())) {
       const std::string report = Encode(InFlightReport{
         mSettings.mPeerAddress, true, mTotalSequence, std::move(section) });
       for (const Endpoint& peer : mPeers.Addresses()) {
@@ -403,7 +404,8 @@
   total.mSequence = mTotalSequence;
   total.mIntervalMs = static_cast<std::uint32_t>(
     std::chrono::duration_cast<std::chrono::milliseconds>(aInterval).count());
-  for (LoadSection& section : MakeSections(mLoads.Total())) {
+  for (LoadSection& section :
+       MakeSections(mLoads.Total(), mLoads.TotalSends())) {
     total.mSection = std::move(section);
     for (const auto& [edge, sequence] : reporters) {
       total.mIncluded = sequence;
--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -84,6 +84,7 @@
   void OnResidencyRequest(const ResidencyRequest& aRequest);
   void OnCrashNotice(const CrashNotice& aNotice);
   void OnDrainNotice(DrainNotice aNotice);
+  void OnLimitNotice(LimitNotice aNotice);
   StreamReply OnStreamQuery(const StreamQuery& aQuery) const;
   /** Number of routing daemons that this daemon relays to. */
   std::size_t CountHomeWatchers() const;
--- a/packages/daemon/src/control_node_peers.cpp
+++ b/packages/daemon/src/control_node_peers.cpp
@@ -4,6 +4,7 @@
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
 #include "control_node.hpp"
+#include "target_log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -44,6 +45,7 @@
 template void ControlNode::SendToPeers(FleetMessageType, const ResidencyMap&);
 template void ControlNode::SendToPeers(FleetMessageType, const CrashNotice&);
 template void ControlNode::SendToPeers(FleetMessageType, const DrainNotice&);
+template void ControlNode::SendToPeers(FleetMessageType, const LimitNotice&);
 
 awaitable<std::string> ControlNode::OnPeerCall(std::uint16_t aType,
                                                std::string aPayload,
@@ -83,6 +85,15 @@
       }
       break;
     }
+    case FleetMessageType::LimitNotice: {
+      const auto notice = Decode<LimitNotice>(aPayload, aPeer);
+      if (notice) {
+        OnLimitNotice(*notice);
+      } else {
+        LogError(notice.GetError());
+      }
+      break;
+    }
     case FleetMessageType::StreamQuery: {
       const auto query = Decode<StreamQuery>(aPayload, aPeer);
       if (query) {
@@ -177,6 +188,10 @@
       take(DrainNotice{},
            [&](const DrainNotice& aNotice) { OnDrainNotice(aNotice); });
       break;
+    case FleetMessageType::LimitNotice:
+      take(LimitNotice{},
+           [&](const LimitNotice& aNotice) { OnLimitNotice(aNotice); });
+      break;
     case FleetMessageType::Demand:
       take(DemandReport{}, [&](const DemandReport& aReport) {
         if (mPlanner) {
@@ -240,6 +255,19 @@
   OnDirectoryChange(aNotice.mTarget);
 }
 
+void ControlNode::OnLimitNotice(LimitNotice aNotice)
+{
+  if (!mTargets.OnLimit(aNotice.mTarget, aNotice.mIncarnation,
+                        aNotice.mLimit)) {
+    return;
+  }
+  LogLimit(aNotice.mTarget, aNotice.mLimit);
+  if (!std::exchange(aNotice.mIsRelayed, true)) {
+    SendToPeers(FleetMessageType::LimitNotice, aNotice);
+  }
+  OnDirectoryChange(aNotice.mTarget);
+}
+
 StreamReply ControlNode::OnStreamQuery(const StreamQuery& aQuery) const
 {
   return { mStreams.Find(aQuery.mStream),
--- a/packages/daemon/src/edge_context.hpp
+++ b/packages/daemon/src/edge_context.hpp
@@ -18,6 +18,7 @@
 
 #include <functional>
 #include <optional>
+#include <string_view>
 
 namespace carobtide {
 
@@ -42,6 +43,9 @@
   std::function<void()> mReportCrashes;
   /** Tells others that a target leaves. */
   std::function<void(const TargetProcess&)> mTargetLeaves;
+  /** Tells others what limit a target states to the request of this id. */
+  std::function<void(const TargetProcess&, const RateLimit&, std::string_view)>
+    mTargetLimited;
   /** Finds what began a stream that a caller takes up. */
   std::function<boost::asio::awaitable<std::optional<StreamOrigin>>(
     StreamQuery)>
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -73,6 +73,10 @@
     },
     [this] { ReportCrashes(); },
     [this](const TargetProcess& aProcess) { OnTargetLeaves(aProcess); },
+    [this](const TargetProcess& aProcess, const RateLimit& aLimit,
+           std::string_view aCall) {
+      OnTargetLimited(aProcess, aLimit, aCall);
+    },
     [this](StreamQuery aQuery) { return FindOrigin(std::move(aQuery)); },
     [this](StreamKey aStream, const StreamOrigin& aOrigin) {
       OnStreamBegun(aStream, aOrigin);
@@ -182,6 +186,7 @@
            { "targets", static_cast<double>(ages.mTargets) },
            { "targets_leaving", static_cast<double>(ages.mLeaving) },
            { "targets_paused", static_cast<double>(ages.mPaused) },
+           { "targets_limited", static_cast<double>(ages.mLimited) },
            { "targets_silent", static_cast<double>(ages.mSilent) },
            { "oldest_target_belief_seconds", seconds(ages.mOldestTarget) },
            { "oldest_peer_load_seconds", seconds(ages.mPeerLoads) },
--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -74,10 +74,13 @@
   boost::asio::awaitable<bool> ProbeOnce(TargetProcess aProcess,
                                          Endpoint aAddress);
   void OnTargetLeaves(const TargetProcess& aProcess);
+  void OnTargetLimited(const TargetProcess& aProcess, const RateLimit& aLimit,
+                       std::string_view aCall);
   /** Logs what the guard found and sends it to the home. */
   void ReportCrashes();
-  /** Repeats a notice until a home has confirmed it. */
-  boost::asio::awaitable<void> SendCrashNotice(CrashNotice aNotice);
+  /** Repeats an encoded notice until a home has confirmed it. */
+  boost::asio::awaitable<void> SendNotice(FleetMessageType aType,
+                                          std::string aNotice);
   // edge_node_streams.cpp: what began the streams that callers take up.
   void OnStreamBegun(StreamKey aStream, const StreamOrigin& aOrigin);
   boost::asio::awaitable<std::optional<StreamOrigin>> FindOrigin(
--- a/packages/daemon/src/edge_node_fleet.cpp
+++ b/packages/daemon/src/edge_node_fleet.cpp
@@ -4,6 +4,7 @@
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
 #include "edge_node.hpp"
+#include "target_log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -182,6 +183,21 @@
   }
 }
 
+void EdgeNode::OnTargetLimited(const TargetProcess& aProcess,
+                               const RateLimit& aLimit, std::string_view aCall)
+{
+  LogLimit(aProcess.mTarget, aLimit, aCall);
+  mFleet.NoteLimit(aProcess.mTarget, aProcess.mIncarnation, aLimit);
+  std::string notice =
+    Encode(LimitNotice{ aProcess.mTarget, aProcess.mIncarnation, aLimit });
+  asio::co_spawn(
+    mExecutor,
+    [this, notice = std::move(notice)] {
+      return SendNotice(FleetMessageType::LimitNotice, notice);
+    },
+    asio::detached);
+}
+
 awaitable<bool> EdgeNode::ProbeOnce(TargetProcess aProcess, Endpoint aAddress)
 {
   auto probing = ProbeAddress(aAddress, kProbeTimeout);
@@ -231,20 +247,21 @@
   if (!notice.IsEmpty()) {
     asio::co_spawn(
       mExecutor,
-      [this, notice = std::move(notice)] { return SendCrashNotice(notice); },
+      [this, encoded = Encode(notice)] {
+        return SendNotice(FleetMessageType::CrashNotice, encoded);
+      },
       asio::detached);
   }
 }
 
-awaitable<void> EdgeNode::SendCrashNotice(CrashNotice aNotice)
+awaitable<void> EdgeNode::SendNotice(FleetMessageType aType,
+                                     std::string aNotice)
 {
-  const std::string encoded = Encode(aNotice);
   asio::steady_timer timer(mExecutor);
   for (int n = 0; n < kMaxNoticeSends; ++n) {
     if (const auto home = mHomes.Select(SteadyNow())) {
-      auto calling = mNetwork.Call(
-        *home, static_cast<std::uint16_t>(FleetMessageType::CrashNotice),
-        encoded, kNoticeTimeout);
+      auto calling = mNetwork.Call(*home, static_cast<std::uint16_t>(aType),
+                                   aNotice, kNoticeTimeout);
       const auto answer = co_await std::move(calling);
       if (answer) {
         co_return;
@@ -254,8 +271,14 @@
     timer.expires_after(kNoticePause);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  // What this daemon has blocked itself holds here all the same.
-  Log(LogLevel::Warning, { "crash.not-reported", {}, {}, {}, "no home" });
+  // What this daemon found out itself holds here all the same.
+  const bool isCrash = aType == FleetMessageType::CrashNotice;
+  Log(LogLevel::Warning,
+      { isCrash ? "crash.not-reported" : "limit.not-reported",
+        {},
+        {},
+        {},
+        "no home" });
 }
 
 awaitable<void> EdgeNode::FetchCatalog(Endpoint aCore)
@@ -344,8 +367,10 @@
 void EdgeNode::ReportLoad(const Endpoint& aHome)
 {
   const Instant now = SteadyNow();
-  const auto reports = mDispatcher.TakeInFlightReport(mSettings.mPeerAddress);
-  const bool hasLoad = !reports.front().mSection.mLoads.empty();
+  const auto reports =
+    mDispatcher.TakeInFlightReport(now, mSettings.mPeerAddress);
+  const LoadSection& first = reports.front().mSection;
+  const bool hasLoad = !first.mLoads.empty() || !first.mSends.empty();
   if (!hasLoad && !mHadLoad && now - mReportedAt < kIdleReportInterval) {
     return;
   }
--- a/packages/daemon/src/edge_request_answer.cpp
+++ b/packages/daemon/src/edge_request_answer.cpp
@@ -244,6 +244,14 @@
                                  *aSaid.mPause);
     LogPause(aSend.mTarget, *aSaid.mPause, mCaller.mId);
   }
+  if (aSaid.mLimit) {
+    const auto limit =
+      mContext.mDispatcher.OnStatedLimit(SteadyNow(), aSend, *aSaid.mLimit);
+    if (limit) {
+      mContext.mTargetLimited({ aSend.mTarget, aSend.mIncarnation }, *limit,
+                              mCaller.mId);
+    }
+  }
 }
 
 void EdgeRequest::NoteOrigin(const SendTo& aSend)
--- a/packages/daemon/src/target_log.cpp
+++ b/packages/daemon/src/target_log.cpp
@@ -21,4 +21,20 @@
   Log(LogLevel::Info, fields);
 }
 
+void LogLimit(const TargetName& aTarget, const RateLimit& aLimit,
+              std::string_view aCall)
+{
+  const bool isLimited = !aLimit.IsNone();
+  const std::array inputs{
+    LogInput{ "per_second", isLimited ? aLimit.mPerSecond : 0.0 },
+    LogInput{ "version", static_cast<std::int64_t>(aLimit.mVersion) },
+  };
+  LogFields fields;
+  fields.mStep = isLimited ? "target.limited" : "target.unlimited";
+  fields.mPeer = aTarget.Text();
+  fields.mCall = aCall;
+  fields.mInputs = inputs;
+  Log(LogLevel::Info, fields);
+}
+
 } // namespace carobtide
--- a/packages/daemon/src/target_log.hpp
+++ b/packages/daemon/src/target_log.hpp
@@ -5,7 +5,7 @@
  * Log lines of what targets say of themselves in their answers.
  */
 
-#include "carobtide/base.hpp"
+#include "carobtide/fleet.hpp"
 
 #include <string_view>
 
@@ -19,4 +19,12 @@
 void LogPause(const TargetName& aTarget, Duration aPause,
               std::string_view aCall = {});
 
+/**
+ * Writes that a target stated a limit, or none any more. aCall is the id of the
+ * request that it answered; empty if another daemon told. Thread safety: any
+ * thread.
+ */
+void LogLimit(const TargetName& aTarget, const RateLimit& aLimit,
+              std::string_view aCall = {});
+
 } // namespace carobtide
--- a/packages/fleet/include/carobtide/fleet/fleet_view.hpp
+++ b/packages/fleet/include/carobtide/fleet/fleet_view.hpp
@@ -26,6 +26,8 @@
   std::vector<HeldModel> mModels;
   /** What it is loading; times are of this daemon's clock. */
   std::vector<LoadingModel> mLoading;
+  /** As this daemon or another one heard it from the target. */
+  RateLimit mLimit;
 
   bool TakesWork() const { return mLast.mPhase == TargetPhase::Ready; }
 };
@@ -61,6 +63,10 @@
   void NoteAdapter(const TargetName& aTarget, const ModelName& aModel,
                    const AdapterName& aAdapter);
 
+  /** A limit that the target stated to this daemon. */
+  void NoteLimit(const TargetName& aTarget, Incarnation aIncarnation,
+                 const RateLimit& aLimit);
+
   /** Nothing if unknown. */
   std::optional<RoutedTarget> Find(const TargetName& aTarget) const;
 
--- a/packages/fleet/include/carobtide/fleet/load_aggregator.hpp
+++ b/packages/fleet/include/carobtide/fleet/load_aggregator.hpp
@@ -38,6 +38,10 @@
   /** Sum over all routing daemons. */
   std::vector<PackedLoad> Total() const;
 
+  /** The same two sums of recent requests to targets with a limit. */
+  std::vector<PackedSends> OwnSends() const;
+  std::vector<PackedSends> TotalSends() const;
+
   /** The routing daemons that report here, with their latest sequence. */
   std::vector<std::pair<Endpoint, std::uint64_t>> Reporters() const;
 
@@ -48,9 +52,11 @@
     std::uint64_t mSequence = 0;
     Instant mReceivedAt;
     std::map<TargetKey, TargetLoad> mLoads;
+    std::map<TargetKey, double> mSends;
   };
 
   std::vector<PackedLoad> Sum(bool aWithOthers) const;
+  std::vector<PackedSends> SumSends(bool aWithOthers) const;
 
   std::map<Endpoint, Source> mSources;
 };
--- a/packages/fleet/include/carobtide/fleet/load_messages.hpp
+++ b/packages/fleet/include/carobtide/fleet/load_messages.hpp
@@ -30,6 +30,8 @@
    * not had their first byte.
    */
   Duration mPrefillTime{ 0 };
+  /** Recent requests to it, see TargetLimit; 0 without a limit. */
+  double mRecentSends = 0;
 };
 
 /** A target's load as it is transmitted: eight bytes. */
@@ -52,28 +54,50 @@
   }
 };
 
+/** Recent requests to a target that has stated a limit: six bytes. */
+struct PackedSends
+{
+  /** Units of mRecentTicks in one request. */
+  static constexpr double kTicksPerSend = 256;
+
+  TargetKey mTarget = 0;
+  std::uint16_t mRecentTicks = 0;
+
+  static PackedSends Pack(TargetKey aTarget, double aRecent);
+  double Unpack() const { return mRecentTicks / kTicksPerSend; }
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mTarget, mRecentTicks);
+  }
+};
+
 /**
  * Loads of all targets whose keys lie in a range. A target in the range that is
- * not listed has no load.
+ * not listed has no load, and has been sent nothing lately.
  */
 struct LoadSection
 {
   TargetKey mFirst = 0;
   TargetKey mLast = std::numeric_limits<TargetKey>::max();
   std::vector<PackedLoad> mLoads;
+  /** Of targets that have stated a limit only. */
+  std::vector<PackedSends> mSends;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mFirst, mLast, mLoads);
+    aArchive(mFirst, mLast, mLoads, mSends);
   }
 };
 
-/** Largest number of loads in one section; a section fits one datagram. */
+/** Largest number of entries in one section; a section fits one datagram. */
 inline constexpr std::size_t kMaxSectionLoads = 150;
 
-/** Splits loads into sections that cover the whole range of keys. */
-std::vector<LoadSection> MakeSections(std::vector<PackedLoad> aLoads);
+/** Splits entries into sections that cover the whole range of keys. */
+std::vector<LoadSection> MakeSections(std::vector<PackedLoad> aLoads,
+                                      std::vector<PackedSends> aSends = {});
 
 /** Part of the load of a routing daemon, or of all those of one home. */
 struct InFlightReport
--- a/packages/fleet/include/carobtide/fleet/messages.hpp
+++ b/packages/fleet/include/carobtide/fleet/messages.hpp
@@ -31,6 +31,7 @@
   CrashNotice = 110,
   StreamNotice = 111,
   DrainNotice = 112,
+  LimitNotice = 113,
   /** Calls. */
   Watch = 121,
   GetCatalog = 122,
@@ -80,6 +81,22 @@
   }
 };
 
+/** A target stated in an answer how many requests it takes. */
+struct LimitNotice
+{
+  TargetName mTarget;
+  Incarnation mIncarnation;
+  RateLimit mLimit;
+  /** Already sent to all control daemons. */
+  bool mIsRelayed = false;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mTarget, mIncarnation, mLimit, mIsRelayed);
+  }
+};
+
 /** What one engine holds as the leader's orders left it. */
 struct Residency
 {
--- a/packages/fleet/include/carobtide/fleet/target.hpp
+++ b/packages/fleet/include/carobtide/fleet/target.hpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -112,17 +113,52 @@
   }
 };
 
+/**
+ * Requests a second that a process of a target takes from all daemons together,
+ * as its answers state it. A daemon that hears another rate than it knows gives
+ * it the next version.
+ */
+struct RateLimit
+{
+  static constexpr double kNone = std::numeric_limits<double>::infinity();
+
+  double mPerSecond = kNone;
+  std::uint64_t mVersion = 0;
+
+  bool IsNone() const { return mPerSecond == kNone; }
+
+  /** True if it is newer; of two with one version the lower rate holds. */
+  bool Replaces(const RateLimit& aOther) const
+  {
+    return mVersion != aOther.mVersion ? mVersion > aOther.mVersion
+                                       : mPerSecond < aOther.mPerSecond;
+  }
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mPerSecond, mVersion);
+    // Also true for what is not a number.
+    if (!(mPerSecond > 0)) {
+      mPerSecond = kNone;
+    }
+    constexpr std::uint64_t kMaxVersion = std::uint64_t{ 1 } << 60U;
+    mVersion = std::min(mVersion, kMaxVersion);
+  }
+};
+
 /** A target as a directory holds it. */
 struct FleetRecord
 {
   Heartbeat mLast;
   /** Not heard of for longer than the silence timeout. */
   bool mSilent = false;
+  RateLimit mLimit;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mLast, mSilent);
+    aArchive(mLast, mSilent, mLimit);
   }
 };
 
--- a/packages/fleet/include/carobtide/fleet/target_directory.hpp
+++ b/packages/fleet/include/carobtide/fleet/target_directory.hpp
@@ -59,6 +59,13 @@
   /** A process of a target said that it will leave. True if this was news. */
   bool OnDraining(const TargetName& aTarget, Incarnation aIncarnation);
 
+  /**
+   * A process of a target stated a limit. True if this was news. The limit
+   * holds for the rest of the incarnation, or until another one replaces it.
+   */
+  bool OnLimit(const TargetName& aTarget, Incarnation aIncarnation,
+               const RateLimit& aLimit);
+
   /**
    * A target said that it leaves for good. A zero incarnation stands for the
    * one known. True if this was news.
@@ -86,8 +93,8 @@
 
   /**
    * The number of the last change that matters for routing: a target started,
-   * left, fell silent, or changed its phase, address, service or slots. Its
-   * models do not count: routing daemons know them from the leader.
+   * left, fell silent, or changed its phase, address, service, slots or limit.
+   * Its models do not count: routing daemons know them from the leader.
    */
   std::uint64_t RoutingChange() const { return mRoutingChange; }
 
--- a/packages/fleet/src/fleet_view.cpp
+++ b/packages/fleet/src/fleet_view.cpp
@@ -35,6 +35,7 @@
     mTargets.OnLeave(aNow, last.mTarget, last.mIncarnation);
   } else {
     mTargets.OnHeartbeat(aNow, last);
+    mTargets.OnLimit(last.mTarget, last.mIncarnation, aRecord.mLimit);
   }
 }
 
@@ -147,6 +148,12 @@
   }
 }
 
+void FleetView::NoteLimit(const TargetName& aTarget, Incarnation aIncarnation,
+                          const RateLimit& aLimit)
+{
+  mTargets.OnLimit(aTarget, aIncarnation, aLimit);
+}
+
 std::optional<RoutedTarget> FleetView::Find(const TargetName& aTarget) const
 {
   const FleetRecord* record = mTargets.Find(aTarget);
@@ -155,6 +162,7 @@
   }
   RoutedTarget state;
   state.mLast = record->mLast;
+  state.mLimit = record->mLimit;
   state.mSilent = IsSilent(aTarget);
   const auto engine = mResidency.find(aTarget);
   const bool isKnown =
--- a/packages/fleet/src/load_aggregator.cpp
+++ b/packages/fleet/src/load_aggregator.cpp
@@ -33,6 +33,11 @@
   for (const PackedLoad& load : section.mLoads) {
     source.mLoads[load.mTarget] = load.Unpack();
   }
+  source.mSends.erase(source.mSends.lower_bound(section.mFirst),
+                      source.mSends.upper_bound(section.mLast));
+  for (const PackedSends& sends : section.mSends) {
+    source.mSends[sends.mTarget] = sends.Unpack();
+  }
 }
 
 void LoadAggregator::Expire(Instant aNow)
@@ -64,6 +69,36 @@
   return packed;
 }
 
+std::vector<PackedSends> LoadAggregator::SumSends(bool aWithOthers) const
+{
+  std::map<TargetKey, double> sums;
+  for (const auto& [address, source] : mSources) {
+    if (source.mIsSum && !aWithOthers) {
+      continue;
+    }
+    for (const auto& [key, recent] : source.mSends) {
+      sums[key] += recent;
+    }
+  }
+  std::vector<PackedSends> packed;
+  packed.reserve(sums.size());
+  std::ranges::transform(sums, std::back_inserter(packed),
+                         [](const auto& aItem) {
+                           return PackedSends::Pack(aItem.first, aItem.second);
+                         });
+  return packed;
+}
+
+std::vector<PackedSends> LoadAggregator::OwnSends() const
+{
+  return SumSends(false);
+}
+
+std::vector<PackedSends> LoadAggregator::TotalSends() const
+{
+  return SumSends(true);
+}
+
 std::vector<PackedLoad> LoadAggregator::OwnSum() const
 {
   return Sum(false);
--- a/packages/fleet/src/load_messages.cpp
+++ b/packages/fleet/src/load_messages.cpp
@@ -29,22 +29,48 @@
 
 TargetLoad PackedLoad::Unpack() const
 {
-  return { mInFlight, mPrefillTicks * kPrefillTick };
+  return { mInFlight, mPrefillTicks * kPrefillTick, 0 };
 }
 
-std::vector<LoadSection> MakeSections(std::vector<PackedLoad> aLoads)
+PackedSends PackedSends::Pack(TargetKey aTarget, double aRecent)
+{
+  const double ticks = std::max(aRecent, 0.0) * kTicksPerSend;
+  constexpr double kMost = std::numeric_limits<std::uint16_t>::max();
+  return { aTarget, static_cast<std::uint16_t>(std::min(ticks, kMost)) };
+}
+
+std::vector<LoadSection> MakeSections(std::vector<PackedLoad> aLoads,
+                                      std::vector<PackedSends> aSends)
 {
   std::ranges::sort(aLoads, {}, &PackedLoad::mTarget);
+  std::ranges::sort(aSends, {}, &PackedSends::mTarget);
   std::vector<LoadSection> sections(1);
-  for (const PackedLoad& load : aLoads) {
-    if (sections.back().mLoads.size() >= kMaxSectionLoads &&
-        load.mTarget != sections.back().mLoads.back().mTarget) {
-      sections.back().mLast = load.mTarget - 1;
+  // Precondition of each call: no entry of a later key was added.
+  const auto sectionOf = [&](TargetKey aKey) -> LoadSection& {
+    const LoadSection& last = sections.back();
+    const bool isFull =
+      last.mLoads.size() + last.mSends.size() >= kMaxSectionLoads;
+    const bool isNewKey =
+      (last.mLoads.empty() || last.mLoads.back().mTarget != aKey) &&
+      (last.mSends.empty() || last.mSends.back().mTarget != aKey);
+    if (isFull && isNewKey) {
+      sections.back().mLast = aKey - 1;
       sections.push_back({});
-      sections.back().mFirst = load.mTarget;
+      sections.back().mFirst = aKey;
+    }
+    return sections.back();
+  };
+  auto sends = aSends.begin();
+  const auto addSendsBefore = [&](auto aIsBefore) {
+    for (; sends != aSends.end() && aIsBefore(sends->mTarget); ++sends) {
+      sectionOf(sends->mTarget).mSends.push_back(*sends);
     }
-    sections.back().mLoads.push_back(load);
+  };
+  for (const PackedLoad& load : aLoads) {
+    addSendsBefore([&](TargetKey aKey) { return aKey < load.mTarget; });
+    sectionOf(load.mTarget).mLoads.push_back(load);
   }
+  addSendsBefore([](TargetKey) { return true; });
   return sections;
 }
 
--- a/packages/fleet/src/target_directory.cpp
+++ b/packages/fleet/src/target_directory.cpp
@@ -84,7 +84,9 @@
   Entry& entry = mEntries[aHeartbeat.mTarget];
   const Heartbeat before = std::exchange(entry.mRecord.mLast, aHeartbeat);
   Heartbeat& last = entry.mRecord.mLast;
-  if (!isNew) {
+  if (isNew) {
+    entry.mRecord.mLimit = {};
+  } else {
     last.mPhase = std::max(before.mPhase, last.mPhase);
   }
   entry.mHeardAt = aNow;
@@ -116,6 +118,20 @@
   return true;
 }
 
+bool TargetDirectory::OnLimit(const TargetName& aTarget,
+                              Incarnation aIncarnation, const RateLimit& aLimit)
+{
+  const auto it = mEntries.find(aTarget);
+  if (it == mEntries.end() ||
+      it->second.mRecord.mLast.mIncarnation != aIncarnation ||
+      !aLimit.Replaces(it->second.mRecord.mLimit)) {
+    return false;
+  }
+  it->second.mRecord.mLimit = aLimit;
+  MarkRoutingChanged(it->second);
+  return true;
+}
+
 bool TargetDirectory::OnLeave(Instant aNow, const TargetName& aTarget,
                               Incarnation aIncarnation)
 {
--- a/packages/fleet/tests/load_aggregator_test.cpp
+++ b/packages/fleet/tests/load_aggregator_test.cpp
@@ -48,6 +48,60 @@
   CHECK(keys.size() == 10);
 }
 
+TEST_CASE("a home adds up recent requests to targets with a limit")
+{
+  LoadAggregator home;
+  InFlightReport first = MakeReport(1, 1, { { 7, 2, 0 } });
+  first.mSection.mSends = { PackedSends::Pack(7, 1.5),
+                            PackedSends::Pack(8, 300) };
+  home.OnReport(kStart, first);
+  InFlightReport other = MakeReport(100, 1, {});
+  other.mIsSum = true;
+  other.mSection.mSends = { PackedSends::Pack(7, 2) };
+  home.OnReport(kStart, other);
+  REQUIRE(home.OwnSends().size() == 2);
+  CHECK(home.OwnSends()[0].Unpack() == 1.5);
+  CHECK(home.TotalSends()[0].Unpack() == 3.5);
+  // More than fits is the most that does.
+  CHECK(home.TotalSends()[1].Unpack() > 255);
+  home.OnReport(kStart, MakeReport(1, 2, {}));
+  CHECK(home.OwnSends().empty());
+}
+
+TEST_CASE("sections hold loads and recent requests of the same targets")
+{
+  std::vector<PackedLoad> loads;
+  std::vector<PackedSends> sends;
+  for (TargetKey key = 0; key < 400; ++key) {
+    if (key % 2 == 0) {
+      loads.push_back({ key, 1, 0 });
+    }
+    if (key % 3 == 0) {
+      sends.push_back(PackedSends::Pack(key, 1));
+    }
+  }
+  const auto sections = MakeSections(loads, sends);
+  REQUIRE(sections.size() >= 2);
+  std::size_t total = 0;
+  for (std::size_t n = 0; n < sections.size(); ++n) {
+    const LoadSection& section = sections[n];
+    CHECK(section.mLoads.size() + section.mSends.size() <=
+          kMaxSectionLoads + 1);
+    CHECK((n == 0 || section.mFirst == sections[n - 1].mLast + 1));
+    for (const PackedLoad& load : section.mLoads) {
+      CHECK(load.mTarget >= section.mFirst);
+      CHECK(load.mTarget <= section.mLast);
+    }
+    for (const PackedSends& item : section.mSends) {
+      CHECK(item.mTarget >= section.mFirst);
+      CHECK(item.mTarget <= section.mLast);
+    }
+    total += section.mLoads.size() + section.mSends.size();
+  }
+  CHECK(total == loads.size() + sends.size());
+  CHECK(sections.back().mLast == std::numeric_limits<TargetKey>::max());
+}
+
 TEST_CASE("a home adds up its watchers and the sums of other homes")
 {
   LoadAggregator home;
--- a/packages/fleet/tests/target_directory_test.cpp
+++ b/packages/fleet/tests/target_directory_test.cpp
@@ -231,4 +231,45 @@
   CHECK(targets.Find(beat.mTarget)->mLast.mPhase == TargetPhase::Ready);
 }
 
+TEST_CASE("a limit holds until a newer one or a new process")
+{
+  TargetDirectory targets;
+  targets.OnHeartbeat(kStart, MakeHeartbeat("1", 5, 1));
+  const TargetName name("1");
+  const std::uint64_t before = targets.RoutingChange();
+  CHECK_FALSE(targets.OnLimit(TargetName("2"), Incarnation(5), { 2, 1 }));
+  CHECK_FALSE(targets.OnLimit(name, Incarnation(4), { 2, 1 }));
+  CHECK(targets.OnLimit(name, Incarnation(5), { 2, 2 }));
+  CHECK(targets.RoutingChange() > before);
+  CHECK_FALSE(targets.OnLimit(name, Incarnation(5), { 1, 1 }));
+  // Two daemons heard different ones at the same time.
+  CHECK_FALSE(targets.OnLimit(name, Incarnation(5), { 3, 2 }));
+  CHECK(targets.OnLimit(name, Incarnation(5), { 1, 2 }));
+  targets.OnHeartbeat(kStart, MakeHeartbeat("1", 5, 2));
+  CHECK(targets.Find(name)->mLimit.mPerSecond == 1);
+  CHECK(targets.OnLimit(name, Incarnation(5), { RateLimit::kNone, 3 }));
+  CHECK(targets.OnLimit(name, Incarnation(5), { 2, 4 }));
+  targets.OnHeartbeat(kStart, MakeHeartbeat("1", 6, 1));
+  CHECK(targets.Find(name)->mLimit.IsNone());
+}
+
+TEST_CASE("a view takes the newest limit from whichever daemon tells it")
+{
+  const Endpoint one{ "10.0.1.1", 1 };
+  const Endpoint two{ "10.0.1.2", 1 };
+  WatchReply reply;
+  reply.mEpoch = 1;
+  reply.mTargets.push_back({ MakeHeartbeat("1", 5, 4), false, { 2, 7 } });
+  FleetView view;
+  view.OnReply(kStart, one, reply);
+  // A daemon that has restarted knows of no limit.
+  WatchReply restarted = reply;
+  restarted.mTargets[0] = { MakeHeartbeat("1", 5, 5), false, {} };
+  view.OnReply(kStart, two, restarted);
+  CHECK(view.Find(TargetName("1"))->mLimit.mPerSecond == 2);
+  view.NoteLimit(TargetName("1"), Incarnation(5), { RateLimit::kNone, 8 });
+  view.OnReply(kStart, one, reply);
+  CHECK(view.Find(TargetName("1"))->mLimit.IsNone());
+}
+
 } // namespace carobtide
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include "carobtide/fleet.hpp"
 #include "carobtide/routing/retry_allowance.hpp"
 #include "carobtide/routing/target_health.hpp"
+#include "carobtide/routing/target_limit.hpp"
 #include "carobtide/routing/target_pause.hpp"
 
 #include <cstdint>
@@ -182,6 +183,8 @@
   /** Targets that said that they leave, and those that want a pause. */
   std::size_t mLeaving = 0;
   std::size_t mPaused = 0;
+  /** Targets that have stated how many requests a second they take. */
+  std::size_t mLimited = 0;
   /** Time since the last update of a target; updates are sent on change. */
   Duration mOldestTarget{ 0 };
   /** Age of the other daemons' loads; zero if they expired. */
@@ -234,6 +237,14 @@
   void OnPause(Instant aNow, const TargetName& aTarget,
                Incarnation aIncarnation, Duration aPause);
 
+  /**
+   * Records the rate that an answer of a target states for all daemons
+   * together, kNone if it states none. The limit to tell the others if that is
+   * news.
+   */
+  std::optional<RateLimit> OnStatedLimit(Instant aNow, const SendTo& aSend,
+                                         double aPerSecond);
+
   /** False if what the target said since Choose forbids to send to it. */
   bool MaySend(Instant aNow, const SendTo& aSend) const;
 
@@ -250,7 +261,8 @@
    * The next report of this daemon's load on each target, in sections. The last
    * reports are kept, to be subtracted from the totals that include them.
    */
-  std::vector<InFlightReport> TakeInFlightReport(const Endpoint& aSelf);
+  std::vector<InFlightReport> TakeInFlightReport(Instant aNow,
+                                                 const Endpoint& aSelf);
 
   /** Returns and clears the demand since the last call, for the leader. */
   std::vector<DemandItem> TakeDemand(Instant aNow);
@@ -285,6 +297,7 @@
     Instant mUpdatedAt;
     bool mLeaves = false;
     TargetPause mPause;
+    TargetLimit mLimit;
     TargetKey mKey = 0;
     /** Shared prompt prefixes sent here recently, with the time. */
     std::unordered_map<std::uint64_t, Instant> mPrefixes;
@@ -361,12 +374,14 @@
     double mScore = 0;
     TargetLoad mLoad;
     std::uint32_t mHolders = 0;
-    /** Those of them that want a pause. */
-    std::uint32_t mPausedHolders = 0;
+    /** Those of them that want a pause, or fewer requests. */
+    std::uint32_t mHeldBackHolders = 0;
     /** When the first of them may be sent requests again. */
-    std::optional<Instant> mPauseEnds;
+    std::optional<Instant> mSendableAt;
     /** The same of those that the request was not sent to yet. */
-    std::optional<Instant> mUntriedPauseEnds;
+    std::optional<Instant> mUntriedSendableAt;
+    /** A holder has stated a limit. */
+    bool mIsLimited = false;
     /** A target that takes work runs the software that the stream needs. */
     bool mSoftwareServes = false;
     bool mModelHeld = false;
@@ -378,15 +393,17 @@
     /** Least load among targets with the model, whatever their adapters. */
     double mLeastModelLoad = 0;
 
-    bool AreAllPaused() const
+    bool AreAllHeldBack() const
     {
-      return mHolders > 0 && mHolders == mPausedHolders;
+      return mHolders > 0 && mHolders == mHeldBackHolders;
     }
   };
 
   /** Null if this process is not known. */
   Target* FindProcess(const TargetName& aTarget, Incarnation aIncarnation);
   Pool& PoolOf(const ServiceName& aService);
+  /** When a target's pause and limit let this daemon send; aNow if at once. */
+  Instant SendableAt(Instant aNow, const Target& aTarget) const;
   /** Known load of all daemons on a target. */
   TargetLoad LoadAt(Instant aNow, const Target& aTarget) const;
   /** Requests in flight divided by slots. */
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -120,6 +120,7 @@
       aState.TakesWork() ? TargetTransition::Ready : TargetTransition::Draining;
   }
   it->second.mState = aState;
+  it->second.mLimit.OnTold(aNow, aState.mLimit);
   it->second.mUpdatedAt = aNow;
   if (isNewHeartbeat) {
     it->second.mHealth.OnHeartbeat();
@@ -158,25 +159,44 @@
       mPeerLoads[packed.mTarget] = { others, aNow };
     }
   }
+  for (const PackedSends& packed : section.mSends) {
+    double others = packed.Unpack();
+    if (report != mReports.end()) {
+      if (const auto own = report->second.find(packed.mTarget);
+          own != report->second.end()) {
+        others = std::max(others - own->second.mRecentSends, 0.0);
+      }
+    }
+    PeerLoad& peers = mPeerLoads[packed.mTarget];
+    peers.mLoad.mRecentSends = others;
+    peers.mReceivedAt = aNow;
+  }
 }
 
 std::vector<InFlightReport> Dispatcher::TakeInFlightReport(
-  const Endpoint& aSelf)
+  Instant aNow, const Endpoint& aSelf)
 {
   Loads& loads = mReports[++mReportSequence];
   std::vector<PackedLoad> packed;
+  std::vector<PackedSends> sends;
   for (const auto& [name, target] : mTargets) {
     if (target.mInFlight > 0) {
-      const TargetLoad load{ target.mInFlight, target.mPrefillTime };
+      const TargetLoad load{ target.mInFlight, target.mPrefillTime, 0 };
       packed.push_back(PackedLoad::Pack(target.mKey, load));
       loads[target.mKey] = packed.back().Unpack();
     }
+    if (target.mLimit.IsShared(aNow)) {
+      sends.push_back(
+        PackedSends::Pack(target.mKey, target.mLimit.RecentSends(aNow)));
+      loads[target.mKey].mRecentSends = sends.back().Unpack();
+    }
   }
   while (mReports.size() > kMaxKeptReports) {
     mReports.erase(mReports.begin());
   }
   std::vector<InFlightReport> reports;
-  for (LoadSection& section : MakeSections(std::move(packed))) {
+  for (LoadSection& section :
+       MakeSections(std::move(packed), std::move(sends))) {
     reports.push_back({ aSelf, false, mReportSequence, std::move(section) });
   }
   return reports;
@@ -241,6 +261,7 @@
   ++target.mInFlight;
   target.mHealth.OnSent(aNow, send.mSend);
   target.mPause.OnSent(aNow, send.mSend);
+  target.mLimit.OnSent(aNow);
   if (facts.mSharedPrefix != 0) {
     if (target.mPrefixes.size() >= kMaxPrefixes) {
       target.mPrefixes.erase(
@@ -301,6 +322,17 @@
   }
 }
 
+std::optional<RateLimit> Dispatcher::OnStatedLimit(Instant aNow,
+                                                   const SendTo& aSend,
+                                                   double aPerSecond)
+{
+  Target* target = FindProcess(aSend.mTarget, aSend.mIncarnation);
+  const auto open = mOpen.find(aSend.mSend);
+  return target == nullptr || open == mOpen.end()
+           ? std::nullopt
+           : target->mLimit.OnStated(aNow, aPerSecond, open->second.mSentAt);
+}
+
 bool Dispatcher::MaySend(Instant aNow, const SendTo& aSend) const
 {
   const auto it = mTargets.find(aSend.mTarget);
@@ -404,6 +436,7 @@
     ages.mSilent += target.mState.mSilent ? 1 : 0;
     ages.mLeaving += target.mLeaves ? 1 : 0;
     ages.mPaused += target.mPause.IsOver(aNow) ? 0 : 1;
+    ages.mLimited += target.mLimit.Known().IsNone() ? 0 : 1;
     ages.mOldestTarget = std::max(ages.mOldestTarget, aNow - target.mUpdatedAt);
   }
   if (aNow - mPeerLoadsAt < kPeerLoadLifetime) {
--- a/packages/routing/src/dispatcher_choice.cpp
+++ b/packages/routing/src/dispatcher_choice.cpp
@@ -88,6 +88,20 @@
   return load;
 }
 
+Instant Dispatcher::SendableAt(Instant aNow, const Target& aTarget) const
+{
+  TargetLimit::Others others;
+  others.mDaemons = mDaemons;
+  if (aNow - mPeerLoadsAt < kPeerLoadLifetime) {
+    const auto it = mPeerLoads.find(aTarget.mKey);
+    const bool isKnown = it != mPeerLoads.end();
+    others.mRecentSends = isKnown ? it->second.mLoad.mRecentSends : 0;
+    others.mAt = isKnown ? it->second.mReceivedAt : aNow;
+  }
+  return std::max(aTarget.mPause.Until(),
+                  aTarget.mLimit.SendableAt(aNow, others));
+}
+
 double Dispatcher::LoadOf(const Target& aTarget, const TargetLoad& aLoad)
 {
   const auto slots = std::max<std::uint32_t>(aTarget.mState.mLast.mSlots, 1);
@@ -216,7 +230,8 @@
       continue;
     }
     search.mSoftwareServes = true;
-    const bool isPaused = !target.mPause.IsOver(aNow);
+    const Instant sendableAt = SendableAt(aNow, target);
+    const bool isHeldBack = sendableAt > aNow;
     if (!facts.mModel.IsEmpty()) {
       const HeldModel* held = FindHeld(target.mState, facts.mModel);
       if (held == nullptr) {
@@ -228,7 +243,7 @@
         continue;
       }
       search.mModelHeld = true;
-      if (target.mHealth.IsReachable(aNow) && !isPaused) {
+      if (target.mHealth.IsReachable(aNow) && !isHeldBack) {
         search.mLeastModelLoad = std::min(search.mLeastModelLoad,
                                           LoadOf(target, LoadAt(aNow, target)));
       }
@@ -244,14 +259,15 @@
     ++search.mHolders;
     const bool isTried =
       std::ranges::find(aState.mTried, name) != aState.mTried.end();
-    if (isPaused) {
-      ++search.mPausedHolders;
-      KeepEarliest(search.mPauseEnds, target.mPause.Until());
+    search.mIsLimited = search.mIsLimited || !target.mLimit.Known().IsNone();
+    if (isHeldBack) {
+      ++search.mHeldBackHolders;
+      KeepEarliest(search.mSendableAt, sendableAt);
       if (!isTried) {
-        KeepEarliest(search.mUntriedPauseEnds, target.mPause.Until());
+        KeepEarliest(search.mUntriedSendableAt, sendableAt);
       }
     }
-    if (isPaused || isTried || !target.mHealth.IsReachable(aNow)) {
+    if (isHeldBack || isTried || !target.mHealth.IsReachable(aNow)) {
       continue;
     }
     const TargetLoad total = LoadAt(aNow, target);
--- a/packages/routing/src/dispatcher_refusal.cpp
+++ b/packages/routing/src/dispatcher_refusal.cpp
@@ -58,18 +58,18 @@
     // The stream can go on nowhere else, and a copy is loaded for it.
     const Instant latest = facts.mArrived + (facts.mDeadline - facts.mArrived) /
                                               kTolerantLoadWaitDivisor;
-    return std::min(latest, aSearch.mUntriedPauseEnds.value_or(latest));
+    return std::min(latest, aSearch.mUntriedSendableAt.value_or(latest));
   }
   const Instant limit =
     facts.mArrived + facts.mObjective / (isTolerant ? kTolerantWaitDivisor
                                                     : kInteractiveWaitDivisor);
-  if (aSearch.AreAllPaused()) {
-    return aSearch.mUntriedPauseEnds && *aSearch.mUntriedPauseEnds <= limit
-             ? *aSearch.mUntriedPauseEnds
+  if (aSearch.AreAllHeldBack()) {
+    return aSearch.mUntriedSendableAt && *aSearch.mUntriedSendableAt <= limit
+             ? *aSearch.mUntriedSendableAt
              : Instant();
   }
   if (aSearch.mModelHeld || aSearch.mAdapterHeld) {
-    return std::min(limit, aSearch.mUntriedPauseEnds.value_or(limit));
+    return std::min(limit, aSearch.mUntriedSendableAt.value_or(limit));
   }
   if (!aSearch.mReadyAt || *aSearch.mReadyAt + kMaxLoadDelay < aNow) {
     return isTolerant && !facts.mModel.IsEmpty() ? limit : Instant();
@@ -107,9 +107,14 @@
   const double jitter =
     std::uniform_real_distribution<>(0, kMaxJitter)(mRandom);
   const DispatchFacts& facts = aState.mFacts;
-  if (aSearch.AreAllPaused()) {
-    return std::max(*aSearch.mPauseEnds - aNow, kMinRetryAfter) +
-           std::chrono::duration_cast<Duration>(jitter * kPauseSpread);
+  if (aSearch.AreAllHeldBack()) {
+    // Targets at their limit take few of those that return: the rest is for a
+    // further copy, which the leader has loaded by then.
+    const Duration spread = aSearch.mIsLimited
+                              ? std::max(LoadTime(facts), kPauseSpread)
+                              : kPauseSpread;
+    return std::max(*aSearch.mSendableAt - aNow, kMinRetryAfter) +
+           std::chrono::duration_cast<Duration>(jitter * spread);
   }
   if (!facts.mModel.IsEmpty() && !aSearch.mModelHeld) {
     const bool isLoading =
@@ -153,7 +158,9 @@
   Rejection rejection;
   rejection.mReason = isSoftwareGone
                         ? "no target runs the software that began the stream"
-                      : aSearch.AreAllPaused() ? "all targets want a pause"
+                      : aSearch.AreAllHeldBack()
+                        ? (aSearch.mIsLimited ? "all targets are at their limit"
+                                              : "all targets want a pause")
                       : aSearch.mAdapterHeld   ? "no target has room"
                       : aSearch.mModelHeld     ? "no target holds the adapter"
                       : facts.mModel.IsEmpty() ? "no target is known"
--- a/packages/routing/tests/dispatcher_test.cpp
+++ b/packages/routing/tests/dispatcher_test.cpp
@@ -432,7 +432,7 @@
   const Endpoint self{ "10.0.0.2", 1 };
   DispatchState first = fixture.Arrive(RequestKind::Stream);
   const TargetName busy = fixture.MustSend(first).mTarget;
-  const auto reports = fixture.mDispatcher.TakeInFlightReport(self);
+  const auto reports = fixture.mDispatcher.TakeInFlightReport(kStart, self);
   REQUIRE(reports.size() == 1);
   LoadTotal total;
   total.mFrom = Endpoint{ "10.0.0.9", 1 };
