The leader plans around engines that state a limit

A model whose only engine states a limit would have been rejected for as long as it does, since the leader took the engine for empty.

Cause: the leader knew nothing of limits.

Change: the limit is part of the fleet's records. The slots that it leaves empty count as occupied on that engine, not in the mean, so its models get copies elsewhere once they need more than it takes. It gets no orders while it states a limit; a load that waits there for an unload is planned anew.

Evidence: "a model whose engine states a limit gets a copy on another one" fails with the planner before (one copy throughout) and passes.

--- a/packages/placement/include/carobtide/placement/engine_tracker.hpp
+++ b/packages/placement/include/carobtide/placement/engine_tracker.hpp
@@ -111,6 +111,10 @@
   /** True if a report must be requested now; marks it as requested. */
   bool ShouldRequestReport(Instant aNow);
 
+  /** The rate that the engine states, which its orders wait for the end of. */
+  void OnLimit(const RateLimit& aLimit) { mLimit = aLimit; }
+  const RateLimit& Limit() const { return mLimit; }
+
   /** True if a new order may be sent. */
   bool IsFree(Instant aNow) const;
 
@@ -207,6 +211,7 @@
   Instant mReportRequestedAt;
   Instant mChangedAt;
   Instant mPausedUntil;
+  RateLimit mLimit;
 };
 
 } // namespace carobtide
--- a/packages/placement/include/carobtide/placement/residency_planner.hpp
+++ b/packages/placement/include/carobtide/placement/residency_planner.hpp
@@ -115,9 +115,11 @@
     std::unordered_map<const EngineTracker*,
                        std::unordered_map<ModelName, double>>
       mShares;
-    /** Slots that all models of an engine use. */
+    /** Slots of an engine that all its models use or its limit withholds. */
     std::unordered_map<const EngineTracker*, double> mLoad;
-    /** Mean of mLoad over the engines, in slots. */
+    /** Slots that limits withhold, over all engines. */
+    double mWithheld = 0;
+    /** Mean over the engines of the slots that models use. */
     double mMeanLoad = 0;
     /** Slots of an engine. */
     double mSlots = 1;
--- a/packages/placement/src/engine_tracker.cpp
+++ b/packages/placement/src/engine_tracker.cpp
@@ -157,7 +157,7 @@
 bool EngineTracker::IsFree(Instant aNow) const
 {
   return mIsCountKnown && !mBusy && !mUnanswered && !mRunning &&
-         aNow >= mPausedUntil && IsUsable();
+         aNow >= mPausedUntil && mLimit.IsNone() && IsUsable();
 }
 
 void EngineTracker::OnPause(Instant aUntil)
--- a/packages/placement/src/residency_planner.cpp
+++ b/packages/placement/src/residency_planner.cpp
@@ -36,6 +36,17 @@
  */
 constexpr double kStoreRateShare = 0.9;
 
+/** Slots that a request a second takes at an engine that states a limit. */
+constexpr double kSlotsPerRate = 1.0;
+
+/** Slots that an engine's limit leaves empty: they serve no demand. */
+double SlotsWithheld(const EngineTracker& aEngine)
+{
+  const double usable = aEngine.Limit().mPerSecond * kSlotsPerRate;
+  return std::max(0.0,
+                  static_cast<double>(aEngine.LastHeartbeat().mSlots) - usable);
+}
+
 double MinDifference(double aSlots)
 {
   return std::min(kMaxDifference, kDifferenceShare * aSlots);
@@ -78,10 +89,13 @@
   }
   if (isSame) {
     it->second.OnHeartbeat(aNow, last, aRecord.mSilent);
+    it->second.OnLimit(aRecord.mLimit);
     return;
   }
   mPendingLoads.erase(last.mTarget);
-  mEngines.insert_or_assign(last.mTarget, EngineTracker(last, aRecord.mSilent));
+  EngineTracker engine(last, aRecord.mSilent);
+  engine.OnLimit(aRecord.mLimit);
+  mEngines.insert_or_assign(last.mTarget, std::move(engine));
 }
 
 void ResidencyPlanner::OnDemand(Instant aNow, const DemandReport& aReport)
@@ -218,7 +232,9 @@
     if (engine.IsUsable() &&
         engine.LastHeartbeat().mService == aService.mName) {
       snapshot.mEngines.push_back(&engine);
-      snapshot.mLoad[&engine] = 0;
+      const double withheld = SlotsWithheld(engine);
+      snapshot.mLoad[&engine] = withheld;
+      snapshot.mWithheld += withheld;
       snapshot.mSlots = std::max(
         snapshot.mSlots, static_cast<double>(engine.LastHeartbeat().mSlots));
     }
@@ -277,10 +293,10 @@
   const double total = std::accumulate(
     aSnapshot.mLoad.begin(), aSnapshot.mLoad.end(), 0.0,
     [](double aSum, const auto& aItem) { return aSum + aItem.second; });
-  aSnapshot.mMeanLoad =
-    aSnapshot.mEngines.empty()
-      ? 0
-      : total / static_cast<double>(aSnapshot.mEngines.size());
+  aSnapshot.mMeanLoad = aSnapshot.mEngines.empty()
+                          ? 0
+                          : (total - aSnapshot.mWithheld) /
+                              static_cast<double>(aSnapshot.mEngines.size());
 }
 
 void ResidencyPlanner::PlanReports(Instant aNow,
@@ -414,7 +430,15 @@
   TokenBucket& store = mStoreBudgets[service.mName];
   for (EngineTracker* engine : aSnapshot.mEngines) {
     const auto next = mPendingLoads.find(engine->LastHeartbeat().mTarget);
-    if (next == mPendingLoads.end() || !engine->IsFree(aNow)) {
+    if (next == mPendingLoads.end()) {
+      continue;
+    }
+    if (!engine->Limit().IsNone()) {
+      // Another engine is found for the model.
+      mPendingLoads.erase(next);
+      continue;
+    }
+    if (!engine->IsFree(aNow)) {
       continue;
     }
     const CatalogModel* model = FindModel(service, next->second.mModel);
--- a/packages/placement/tests/residency_planner_test.cpp
+++ b/packages/placement/tests/residency_planner_test.cpp
@@ -236,6 +236,8 @@
   std::map<ModelName, double> mPrefillShare;
   /** Streams that only one software version may go on with. */
   std::vector<StreamDemand> mWaitingStreams;
+  /** The limits of engines that state one. */
+  std::map<TargetName, RateLimit> mLimits;
   /** The software of engines that state one. */
   std::map<TargetName, SoftwareVersion> mSoftware;
   ResidencyPlanner mPlanner;
@@ -254,6 +256,9 @@
       if (const auto it = mSoftware.find(name); it != mSoftware.end()) {
         record.mLast.mSoftware = it->second;
       }
+      if (const auto it = mLimits.find(name); it != mLimits.end()) {
+        record.mLimit = it->second;
+      }
       record.mLast.mEngine = true;
       record.mLast.mSlots = 16;
       record.mLast.mModels = engine.mModels;
@@ -481,6 +486,29 @@
   }
 }
 
+// Load pattern: an engine in need takes a request a second, and is the only one
+// that holds a model with ordinary demand.
+TEST_CASE("a model whose engine states a limit gets a copy on another one")
+{
+  Simulation simulation(3, 6, 0);
+  const std::map<ModelName, std::uint32_t> need{ { Simulation::Model(0), 6 },
+                                                 { Simulation::Model(2), 6 },
+                                                 { Simulation::Model(3), 6 } };
+  simulation.Run(8s, need);
+  FakeEngine& limited = simulation.mEngines.at(Simulation::Target(0));
+  REQUIRE(limited.Holds(Simulation::Model(0)));
+  const int copies = simulation.CopiesOf(Simulation::Model(0));
+  simulation.mLimits[Simulation::Target(0)] = { 1, 1 };
+  simulation.Run(2s, need);
+  const std::uint64_t orders = limited.mAccepted;
+  simulation.Run(10s, need);
+  CHECK(simulation.CopiesOf(Simulation::Model(0)) > copies);
+  // An engine in need is not ordered to load or unload.
+  CHECK(limited.mAccepted == orders);
+  CHECK(limited.Holds(Simulation::Model(0)));
+  CHECK_FALSE(simulation.HasExceededCapacity());
+}
+
 // Load pattern: hundreds of models of which a few take nearly all requests.
 // Each engine is full of models that nobody requests, and a hot model with one
 // holder refused its callers for the whole day.
