A replica whose disk was full counts again once there is room

Cause: the first batch that a disk refused ended a replica's part in quorums until its process was started again, which nobody does. After one disk after the other there was no quorum. Class of fault: a state that is entered on a fault and never left.

Change: a refused batch stays the one in flight, and the storage worker writes it again every 250 ms while the disk is full. LogStorage::Resume cuts the files to what was synced, reads them again and compares them with what the log believes, since a failed sync leaves bytes in the cache that the disk does not have. Once the batch is durable the replica counts again, as after a slow write. Other errors than a full disk stay final until a restart.

--- a/packages/consensus/include/carobtide/consensus/replicated_log.hpp
+++ b/packages/consensus/include/carobtide/consensus/replicated_log.hpp
@@ -113,7 +113,8 @@
 
   /**
    * Reports that the disk refused a batch. The replica steps down, takes no
-   * further part in quorums, and stays up as a learner until restarted.
+   * part in quorums and stays up as a learner until OnPersisted reports the
+   * same batch, or a restart. No batch is given out meanwhile.
    */
   LogEffects OnPersistFailed(Instant aNow, const Error& aError);
 
--- a/packages/consensus/include/carobtide/consensus/storage.hpp
+++ b/packages/consensus/include/carobtide/consensus/storage.hpp
@@ -60,6 +60,13 @@
 
   /** Writes a batch and returns once it is durable. */
   virtual Result<Unit> Persist(const PersistBatch& aBatch) = 0;
+
+  /**
+   * After DiskFull from Persist: makes the storage ready to be given the same
+   * batch again, before any other. DiskFull if there is still no room; any
+   * other error is final.
+   */
+  virtual Result<Unit> Resume() = 0;
 };
 
 /** Storage in checksummed segment files under one folder. */
--- a/packages/consensus/src/file_log_storage.cpp
+++ b/packages/consensus/src/file_log_storage.cpp
@@ -149,6 +149,38 @@
     result = RemoveCovered();
   }
   mFailed = !result.HasValue();
+  mMayResume = mFailed && result.Code() == ErrorCode::DiskFull;
+  return result;
+}
+
+Result<Unit> FileLogStorage::Resume()
+{
+  if (!mFailed) {
+    return Success();
+  }
+  if (!mMayResume) {
+    return Error{ ErrorCode::Io, "log.resume", mFolder,
+                  "an earlier write failed" };
+  }
+  const HardState hardState = mHardState;
+  const auto last = std::pair(mLastIndex, mLastTerm);
+  // What follows the last frame that was synced may be in the system's cache
+  // and not on the disk.
+  auto result = CutTail(true);
+  if (result) {
+    const auto found = Recover();
+    result = found ? Success() : Result<Unit>(found.GetError());
+  }
+  // A snapshot of the refused batch may have been stored whole.
+  const bool isKept = mHardState == hardState &&
+                      (std::pair(mLastIndex, mLastTerm) == last ||
+                       (!mSnapshots.empty() && mSnapshots.back() > last.first));
+  if (!isKept) {
+    result = Error{ ErrorCode::Corrupt, "log.resume", mFolder,
+                    "the files end before what was written" };
+  }
+  mFailed = !result.HasValue();
+  mMayResume = mFailed && result.Code() == ErrorCode::DiskFull;
   return result;
 }
 
--- a/packages/consensus/src/file_log_storage.hpp
+++ b/packages/consensus/src/file_log_storage.hpp
@@ -21,8 +21,8 @@
 /**
  * LogStorage in checksummed segment files. One batch is one frame and one
  * sync. A batch counts only once its frame is synced. A failed write is cut
- * off again. After any failure nothing more is accepted until Recover(),
- * because the system may have dropped written pages.
+ * off again. After any failure nothing more is accepted until Recover() or
+ * Resume(), because the system may have dropped written pages.
  *
  * Thread safety: none.
  */
@@ -35,6 +35,7 @@
   Result<RecoveredState> Recover() override;
   Result<Unit> SetReplica(ReplicaId aReplica) override;
   Result<Unit> Persist(const PersistBatch& aBatch) override;
+  Result<Unit> Resume() override;
 
 private:
   Result<Unit> CutTail(bool aTorn);
@@ -52,8 +53,10 @@
   std::string mFolder;
   FileLogStorageOptions mOptions;
   bool mReady = false;
-  /** Set by an error, until Recover() has read the files again. */
+  /** Set by an error, until the files have been read again. */
   bool mFailed = false;
+  /** The failure was a full disk, which may have room again. */
+  bool mMayResume = false;
   std::vector<SegmentInfo> mSegments;
   std::vector<std::uint64_t> mSnapshots;
   std::unique_ptr<AppendFile> mNewest;
--- a/packages/consensus/src/memory_log_storage.cpp
+++ b/packages/consensus/src/memory_log_storage.cpp
@@ -28,6 +28,8 @@
     return Success();
   }
 
+  Result<Unit> Resume() override { return Success(); }
+
 private:
   RecoveredState mState;
 };
--- a/packages/consensus/src/replica.cpp
+++ b/packages/consensus/src/replica.cpp
@@ -159,9 +159,11 @@
                                             std::uint64_t aSequence)
 {
   Advance(aNow);
-  if (mDiskFailed || !mDurability.Complete(aSequence)) {
+  if (!mDurability.Complete(aSequence)) {
     return TakeEffects();
   }
+  // The batch that was refused is durable now, as after a slow write.
+  mDiskFailed = false;
   if (mDurability.IsHardStateDurable()) {
     std::ranges::move(mHeldForHardState,
                       std::back_inserter(mEffects.mMessages));
--- a/packages/consensus/tests/cluster.cpp
+++ b/packages/consensus/tests/cluster.cpp
@@ -14,6 +14,8 @@
 const GroupId kGroup(1);
 /** Makes a snapshot several chunks long. */
 constexpr std::size_t kStateBytes = 100;
+/** Time after which a batch that a full disk refused is written again. */
+constexpr Duration kDiskRetry = 100ms;
 
 std::string EncodeState(std::uint64_t aState)
 {
@@ -146,7 +148,8 @@
 void Cluster::Crash(std::size_t aNode, CrashPoint aPoint)
 {
   Node& node = mNodes[aNode];
-  if (node.mInFlight && aPoint == CrashPoint::AfterPersist) {
+  if (node.mInFlight && aPoint == CrashPoint::AfterPersist &&
+      !node.mDiskFails) {
     NoteStored(node, *node.mInFlight);
     ApplyBatch(node.mDisk, *node.mInFlight);
   }
@@ -179,6 +182,11 @@
   mNodes[aNode].mDiskFails = true;
 }
 
+void Cluster::HealDisk(std::size_t aNode)
+{
+  mNodes[aNode].mDiskFails = false;
+}
+
 void Cluster::Block(std::size_t aFrom, std::size_t aTo)
 {
   mBlocked.emplace(aFrom, aTo);
@@ -260,12 +268,13 @@
 void Cluster::FinishPersist(std::size_t aNode)
 {
   Node& node = mNodes[aNode];
-  const PersistBatch batch = *std::exchange(node.mInFlight, std::nullopt);
   if (node.mDiskFails) {
     const Error full{ ErrorCode::DiskFull, "log.persist", "", "" };
+    ScheduleOn(aNode, kDiskRetry, [this, aNode] { FinishPersist(aNode); });
     Apply(aNode, node.mLog->OnPersistFailed(LocalTime(node), full));
     return;
   }
+  const PersistBatch batch = *std::exchange(node.mInFlight, std::nullopt);
   NoteStored(node, batch);
   ApplyBatch(node.mDisk, batch);
   Apply(aNode, node.mLog->OnPersisted(LocalTime(node), batch.mSequence));
--- a/packages/consensus/tests/cluster.hpp
+++ b/packages/consensus/tests/cluster.hpp
@@ -70,8 +70,10 @@
   /** Loses a disk: the node comes back empty, under a new replica id. */
   void ReplaceDisk(std::size_t aNode);
   void Pause(std::size_t aNode, Duration aFor);
-  /** The next batch, and all later ones, are refused. */
+  /** The next batch is refused, and again until HealDisk. */
   void FailDisk(std::size_t aNode);
+  /** The disk has room again; the batch that was refused is written. */
+  void HealDisk(std::size_t aNode);
   /** Cuts messages from one node to another, this direction only. */
   void Block(std::size_t aFrom, std::size_t aTo);
   void Isolate(std::size_t aNode);
--- a/packages/consensus/tests/cluster_fault_test.cpp
+++ b/packages/consensus/tests/cluster_fault_test.cpp
@@ -114,6 +114,29 @@
 
 } // namespace
 
+// Reported by operators: the disks of voters were full for some seconds, one
+// after another, and changes were refused from then on.
+TEST_CASE("disks that were full one after another count again")
+{
+  const std::uint64_t seed = GENERATE(range(1, 6));
+  CAPTURE(seed);
+  Cluster cluster(3, 3, seed, SmallOptions(), kFair);
+  REQUIRE(
+    cluster.RunUntil(5s, [&] { return cluster.LeaseHolder().has_value(); }));
+  for (std::size_t n = 0; n < 7; ++n) {
+    const std::size_t node = n % cluster.Size();
+    cluster.FailDisk(node);
+    for (int write = 0; write < 4; ++write) {
+      cluster.ProposeEverywhere(std::to_string(n) + "." +
+                                std::to_string(write));
+      cluster.Run(500ms);
+    }
+    cluster.HealDisk(node);
+    cluster.Run(1s);
+  }
+  RequireProgress(cluster);
+}
+
 TEST_CASE("three replicas keep every property under faults")
 {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
--- a/packages/consensus/tests/file_storage_crash_test.cpp
+++ b/packages/consensus/tests/file_storage_crash_test.cpp
@@ -274,6 +274,74 @@
   }
 }
 
+TEST_CASE("after a full disk storage goes on with the batch that it refused")
+{
+  const auto operations = CountOperations();
+  const std::uint64_t crashAt = GENERATE(0, 1, 4);
+  for (std::uint64_t at = 1; at <= operations; ++at) {
+    CAPTURE(at, crashAt);
+    SimulatedDisk disk;
+    disk.Inject(DiskFault::Full, at);
+    auto storage = MakeStorage(disk, kSmallSegments);
+    ScriptRun run;
+    run.mCode = storage.Recover().Code();
+    if (run.mCode == ErrorCode::Ok) {
+      Continue(storage, run);
+    }
+    REQUIRE(run.mCode == ErrorCode::DiskFull);
+    if (!run.mIdentified) {
+      // Without an identity the daemon does not start.
+      continue;
+    }
+    disk.Inject(crashAt > 0 ? DiskFault::CrashAfter : DiskFault::None, crashAt);
+    try {
+      const auto resumed = storage.Resume();
+      REQUIRE(resumed);
+      run.mCode = ErrorCode::Ok;
+      Continue(storage, run);
+      REQUIRE(run.mCode == ErrorCode::Ok);
+    } catch (const SimulatedCrash&) {
+      // Died on the way: RequireRecovery goes on.
+    }
+    disk.Crash(UnsyncedFate::Lost, NamesFate::Lost);
+    disk.Inject(DiskFault::None, 0);
+    RequireRecovery(disk, run);
+  }
+}
+
+TEST_CASE("after another failure than a full disk storage does not go on")
+{
+  SimulatedDisk disk;
+  auto storage = MakeStorage(disk, kOneSegment);
+  REQUIRE(storage.Recover());
+  REQUIRE(storage.SetReplica(kReplica));
+  REQUIRE(storage.Persist(Script()[0]));
+  CHECK(storage.Resume());
+  disk.Inject(DiskFault::Broken, 2);
+  CHECK(storage.Persist(Script()[1]).Code() == ErrorCode::Io);
+  CHECK(storage.Resume().Code() == ErrorCode::Io);
+  CHECK(storage.Persist(Script()[1]).Code() == ErrorCode::Io);
+}
+
+TEST_CASE("storage does not go on if its files are not as it left them")
+{
+  SimulatedDisk disk;
+  auto storage = MakeStorage(disk, kOneSegment);
+  REQUIRE(storage.Recover());
+  REQUIRE(storage.SetReplica(kReplica));
+  REQUIRE(storage.Persist(Script()[0]));
+  REQUIRE(storage.Persist(Script()[1]));
+  disk.Inject(DiskFault::Full, 1);
+  REQUIRE(storage.Persist(Script()[2]).Code() == ErrorCode::DiskFull);
+  // The last batch that was reported durable is gone.
+  const auto& file = disk.Names().at(kSegment);
+  const std::size_t rest = file->mContent.size() - 10;
+  file->mContent.resize(rest);
+  file->mSynced = file->mContent;
+  CHECK(storage.Resume().Code() == ErrorCode::Corrupt);
+  CHECK(storage.Resume().Code() == ErrorCode::Io);
+}
+
 TEST_CASE("after a failure storage refuses more until it is recovered")
 {
   SimulatedDisk disk;
--- a/packages/consensus/tests/simulated_disk.cpp
+++ b/packages/consensus/tests/simulated_disk.cpp
@@ -25,6 +25,9 @@
     }
     return Error{ ErrorCode::DiskFull, "simulated", aPath, "" };
   }
+  if (fault == DiskFault::Broken) {
+    return Error{ ErrorCode::Io, "simulated", aPath, "" };
+  }
   aChange();
   if (fault == DiskFault::CrashAfter) {
     throw SimulatedCrash{};
--- a/packages/consensus/tests/simulated_disk.hpp
+++ b/packages/consensus/tests/simulated_disk.hpp
@@ -38,6 +38,8 @@
   CrashBefore,
   CrashAfter,
   Full,
+  /** The operation fails, and not for lack of room. */
+  Broken,
 };
 
 /** Thrown where the simulated machine stops. */
--- a/packages/daemon/src/replica_host.cpp
+++ b/packages/daemon/src/replica_host.cpp
@@ -65,6 +65,9 @@
       asio::post(executor, [self, aSequence] {
         if (*self != nullptr) {
           auto& host = **self;
+          if (std::exchange(host.mDiskFailed, false)) {
+            carobtide::Log(LogLevel::Info, { "disk.regained", {}, {}, {}, {} });
+          }
           host.Handle(host.mLog->OnPersisted(SteadyNow(), aSequence));
         }
       });
@@ -74,6 +77,7 @@
         LogError(aError);
         if (*self != nullptr) {
           auto& host = **self;
+          host.mDiskFailed = true;
           host.Handle(host.mLog->OnPersistFailed(SteadyNow(), aError));
         }
       });
--- a/packages/daemon/src/replica_host.hpp
+++ b/packages/daemon/src/replica_host.hpp
@@ -107,6 +107,8 @@
   RecoveredState mRecovered;
   std::optional<ReplicatedLog> mLog;
   std::uint64_t mAppliedIndex = 0;
+  /** The disk refused the last batch. */
+  bool mDiskFailed = false;
   std::map<std::uint64_t, Waiter> mWaiters;
   /** Posts of the storage thread that outlive this are dropped. */
   std::shared_ptr<ReplicaHost*> mSelf;
--- a/packages/daemon/src/storage_worker.cpp
+++ b/packages/daemon/src/storage_worker.cpp
@@ -3,12 +3,16 @@
 #include "clock.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <iterator>
+#include <utility>
 
 namespace carobtide {
 
 namespace {
 
+constexpr Duration kRoomRetryInterval = std::chrono::milliseconds(250);
+
 void AppendEntries(std::vector<LogEntry>& aInto, std::vector<LogEntry> aLater)
 {
   if (aLater.empty()) {
@@ -83,16 +87,36 @@
     }
     const PersistBatch batch = TakeMerged();
     lock.unlock();
-    const Instant startedAt = SteadyNow();
-    const auto persisted = mStorage->Persist(batch);
-    mTimes.Record(SteadyNow() - startedAt);
-    if (persisted) {
-      mOnDurable(batch.mSequence);
-    } else {
+    Write(batch);
+    lock.lock();
+  }
+}
+
+bool StorageWorker::WaitForRoom()
+{
+  std::unique_lock lock(mMutex);
+  return mWake.wait_for(lock, kRoomRetryInterval, [this] { return mStopping; });
+}
+
+bool StorageWorker::Write(const PersistBatch& aBatch)
+{
+  const Instant startedAt = SteadyNow();
+  auto persisted = mStorage->Persist(aBatch);
+  mTimes.Record(SteadyNow() - startedAt);
+  bool isReported = false;
+  while (!persisted) {
+    const bool mayFindRoom = persisted.Code() == ErrorCode::DiskFull;
+    if (!mayFindRoom || !std::exchange(isReported, true)) {
       mOnFailure(persisted.GetError());
     }
-    lock.lock();
+    if (!mayFindRoom || WaitForRoom()) {
+      return false;
+    }
+    persisted = mStorage->Resume();
+    persisted = persisted ? mStorage->Persist(aBatch) : std::move(persisted);
   }
+  mOnDurable(aBatch.mSequence);
+  return true;
 }
 
 } // namespace carobtide
--- a/packages/daemon/src/storage_worker.hpp
+++ b/packages/daemon/src/storage_worker.hpp
@@ -22,7 +22,8 @@
 
 /**
  * Writes batches in order on a thread of its own. Batches that queue up while
- * the disk is busy are written as one.
+ * the disk is busy are written as one. A batch that a full disk refuses is
+ * reported as failed once and written again until there is room.
  *
  * Thread safety: Enqueue from any thread. The callbacks run on the worker's
  * thread without its mutex.
@@ -35,7 +36,7 @@
 
   StorageWorker(std::unique_ptr<LogStorage> aStorage, DurableHandler aOnDurable,
                 FailureHandler aOnFailure);
-  /** Writes what is queued, then joins. */
+  /** Writes what is queued, unless the disk is full, then joins. */
   ~StorageWorker();
   StorageWorker(const StorageWorker&) = delete;
   StorageWorker& operator=(const StorageWorker&) = delete;
@@ -47,6 +48,10 @@
 
 private:
   void Run();
+  /** Reports what becomes of a batch. False if it was not written. */
+  bool Write(const PersistBatch& aBatch);
+  /** True if the worker stops within the time between two tries. */
+  bool WaitForRoom();
   PersistBatch TakeMerged();
 
   std::unique_ptr<LogStorage> mStorage;
--- a/packages/daemon/tests/storage_worker_test.cpp
+++ b/packages/daemon/tests/storage_worker_test.cpp
@@ -34,6 +34,44 @@
   {
     return MakeError(ErrorCode::DiskFull, "storage.persist", "disk");
   }
+  Result<Unit> Resume() override { return Success(); }
+};
+
+/** Storage without room for the first tries of each batch. */
+class CrampedStorage final : public LogStorage
+{
+public:
+  explicit CrampedStorage(int aRefusals)
+    : mRefusals(aRefusals)
+  {
+  }
+
+  Result<RecoveredState> Recover() override { return RecoveredState{}; }
+  Result<Unit> SetReplica(ReplicaId) override { return Success(); }
+  Result<Unit> Persist(const PersistBatch& aBatch) override
+  {
+    CHECK_FALSE(std::exchange(mMustResume, false));
+    CHECK((mRefused == 0 || mRefused == aBatch.mSequence));
+    mRefused = aBatch.mSequence;
+    if (mTries++ < mRefusals) {
+      mMustResume = true;
+      return MakeError(ErrorCode::DiskFull, "storage.persist", "disk");
+    }
+    mTries = 0;
+    mRefused = 0;
+    return Success();
+  }
+  Result<Unit> Resume() override
+  {
+    CHECK(std::exchange(mMustResume, false));
+    return Success();
+  }
+
+private:
+  int mRefusals;
+  int mTries = 0;
+  std::uint64_t mRefused = 0;
+  bool mMustResume = false;
 };
 
 } // namespace
@@ -88,3 +126,37 @@
   CHECK(error.mCode == ErrorCode::DiskFull);
   CHECK(error.mStep == "storage.persist");
 }
+
+TEST_CASE("a batch that a full disk refused is written once there is room")
+{
+  constexpr std::uint64_t kBatches = 2;
+  std::promise<void> done;
+  std::atomic<int> failures{ 0 };
+  std::vector<std::uint64_t> durable;
+  StorageWorker worker(
+    std::make_unique<CrampedStorage>(2),
+    [&](std::uint64_t aSequence) {
+      durable.push_back(aSequence);
+      if (aSequence == kBatches) {
+        done.set_value();
+      }
+    },
+    [&](const Error&) { ++failures; });
+  for (std::uint64_t n = 1; n <= kBatches; ++n) {
+    worker.Enqueue(MakeBatch(n, n, n, 1));
+  }
+  done.get_future().wait();
+  CHECK(durable.back() == kBatches);
+  // Reported once for each batch, or once if both were written as one.
+  CHECK(failures == static_cast<int>(durable.size()));
+}
+
+TEST_CASE("a worker that stops does not wait for room")
+{
+  std::promise<void> failed;
+  StorageWorker worker(
+    std::make_unique<BrokenStorage>(), [](std::uint64_t) {},
+    [&](const Error&) { failed.set_value(); });
+  worker.Enqueue(MakeBatch(1, 1, 1, 1));
+  failed.get_future().wait();
+}
