A planned stop cuts no request, however late in the grace period it comes

Reported by operators: requests that came late in the grace of a planned stop were taken and passed on, and cut at its end with no answer, among them orders. It happens here where the grace period is short against the time limits: everything is taken for 2.6 s after the signal, whatever the grace period is.

Cause: times of the stop were set for a grace period of 8 s; an attempt (a retry, a wait that ended) was not held against the end of the process; what was open then was cut, though a caller can still be told.

What is still open at the end is given up: its target's connection is closed and its caller gets 504, or 503 if it has not run, within the margin before the process ends.

--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -28,6 +28,8 @@
 constexpr std::uint16_t kNotFound = 404;
 constexpr std::uint16_t kUnavailable = 503;
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
+/** Time for the answers to what is given up at the end. */
+constexpr Duration kLastAnswers = std::chrono::milliseconds(150);
 /** Pause asked of callers while no catalog is known. */
 constexpr Duration kNoCatalogPause = std::chrono::milliseconds(500);
 constexpr std::size_t kMostIdlePerTarget = 64;
@@ -240,8 +242,11 @@
   }
   auto run = std::make_shared<EdgeRequest>(
     mContext, aExchange, std::move(caller), *route, PickService(*route), now);
+  const EdgeRequest* const key = run.get();
+  mOpen.emplace(key, run);
   auto running = run->Run();
   co_await std::move(running);
+  mOpen.erase(key);
 }
 
 void EdgeNode::RequestStop()
@@ -269,8 +274,17 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   mCallers.StopAccepting();
-  timer.expires_after(kStopPoll);
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  for (const auto& [key, request] : mOpen) {
+    if (const auto open = request.lock()) {
+      open->GiveUp();
+    }
+  }
+  mRoom.Notify();
+  const Instant end = SteadyNow() + kLastAnswers;
+  do {
+    timer.expires_after(kStopPoll);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  } while (mCallers.OpenExchanges() > 0 && SteadyNow() < end);
   Log(LogLevel::Info, { "edge.stopped", {}, {}, {}, {} });
   mWorkers.Stop();
 }
--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -19,6 +19,8 @@
 
 namespace carobtide {
 
+class EdgeRequest;
+
 /**
  * Forwards requests to targets as the dispatcher decides; learns of targets
  * and catalogs from the control daemons.
@@ -129,6 +131,8 @@
   WatchBoard mRoom;
   RequestMetrics mMetrics;
   EdgeContext mContext;
+  /** Requests whose callers have no final answer yet. */
+  std::map<const EdgeRequest*, std::weak_ptr<EdgeRequest>> mOpen;
   HttpServer mCallers;
   HttpServer mReadiness;
   MetricsEndpoint mMetricsServer;
--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -77,6 +77,22 @@
   mContext.mRoom.Notify();
 }
 
+void EdgeRequest::GiveUp()
+{
+  mIsGivenUp = true;
+  mDeadline = std::min(mDeadline, SteadyNow());
+  if (mConnection != nullptr) {
+    mConnection->Cancel();
+  }
+}
+
+bool EdgeRequest::IsTooLateToSend() const
+{
+  return mContext.mStop != nullptr &&
+         SteadyNow() >= mContext.mStop->SendLimit() &&
+         mDeadline > mContext.mStop->Latest();
+}
+
 awaitable<void> EdgeRequest::Run()
 {
   const auto self = shared_from_this();
@@ -107,6 +123,11 @@
       co_await std::move(refusing);
       co_return;
     }
+    if (IsTooLateToSend()) {
+      auto refusing = Refuse(MakeRejection("stopping"));
+      co_await std::move(refusing);
+      co_return;
+    }
     auto decision = mContext.mDispatcher.Choose(SteadyNow(), mState);
     if (auto* away = std::get_if<Rejection>(&decision)) {
       auto refusing = Refuse(std::move(*away));
@@ -260,6 +281,9 @@
   if (mIsGone) {
     return SendEnd::CallerGone;
   }
+  if (mIsGivenUp) {
+    return SendEnd::TimedOut;
+  }
   if (aError.mCode == ErrorCode::ConnectRefused) {
     return SendEnd::ConnectFailed;
   }
@@ -283,7 +307,7 @@
     co_return Attempt{ SendEnd::CallerGone, false };
   }
   // Connecting takes time, in which the target may have said more.
-  if (!mContext.mDispatcher.MaySend(SteadyNow(), aSend)) {
+  if (mIsGivenUp || !mContext.mDispatcher.MaySend(SteadyNow(), aSend)) {
     mContext.mPool.Release(aSend.mAddress, std::move(*connection));
     co_return Attempt{ SendEnd::Withheld, false };
   }
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -35,6 +35,12 @@
   /** Returns once the caller has its answer or is gone. */
   boost::asio::awaitable<void> Run();
 
+  /**
+   * Gives the request up, since the daemon ends: its caller is told that it
+   * took too long, or that it has not run.
+   */
+  void GiveUp();
+
 private:
   /** How a send ended, and whether the caller has the final answer. */
   struct Attempt
@@ -90,6 +96,8 @@
                                       std::string aReason);
   SendEnd EndOf(const Error& aError) const;
   Duration Left() const;
+  /** True if the daemon may end before a target has answered. */
+  bool IsTooLateToSend() const;
   void OnCallerGone();
   void OnFirstByte(const SendTo& aSend);
   /** Takes note of what an answer's head says of the target. */
@@ -111,6 +119,7 @@
   /** Not null while a target works on the request. */
   HttpConnection* mConnection = nullptr;
   bool mIsGone = false;
+  bool mIsGivenUp = false;
   /** How it showed that the caller is gone, for the log. */
   std::string mGoneReason = "connection closed";
   bool mHasBegun = false;
--- a/packages/daemon/src/stop_schedule.hpp
+++ b/packages/daemon/src/stop_schedule.hpp
@@ -15,7 +15,8 @@
  * Times of a planned stop. Sans-I/O. At first everything is still taken, since
  * the balancer has not noticed yet; then only what ends before the process.
  *
- * Answers: requests that go on arriving through the whole grace period.
+ * Answers: requests that go on arriving through the whole grace period, also
+ * one that is shorter than their time limit.
  *
  * Thread safety: none; the owner guards it.
  */
@@ -44,7 +45,13 @@
    */
   Instant WaitLimit() const;
 
-  /** The process ends then, whatever is open. */
+  /**
+   * From then on nothing is sent to a target that the caller might await for
+   * longer than the process lives. Without a stop there is no limit.
+   */
+  Instant SendLimit() const;
+
+  /** What is still open is given up then, and the process ends. */
   Instant Latest() const;
 
 private:
--- a/packages/daemon/tests/stop_schedule_test.cpp
+++ b/packages/daemon/tests/stop_schedule_test.cpp
@@ -38,4 +38,20 @@
   CHECK(stop.WaitLimit() + 5s < stop.Latest());
 }
 
+// Reported by operators: orders that came late in the grace period were passed
+// on and cut at its end.
+TEST_CASE("a short grace period takes nothing late that might outlive it")
+{
+  const Route order = MakeRoute(RequestKind::AtMostOnce, 10s);
+  const Duration grace = GENERATE(1s, 3s, 5s);
+  CAPTURE(grace.count());
+  StopSchedule stop(grace);
+  CHECK(stop.SendLimit() == Instant::max());
+  stop.Begin(kStart);
+  CHECK_FALSE(stop.IsTooLateFor(kStart + grace / 10, order));
+  CHECK(stop.IsTooLateFor(kStart + grace / 2, order));
+  CHECK(stop.SendLimit() >= stop.IdleUntil());
+  CHECK(stop.SendLimit() <= kStart + grace);
+}
+
 } // namespace carobtide
