A view learns that a target drains without another heartbeat

Found by reading, while limits were added to the same records.

Cause: a view takes records as heartbeats, and one with the sequence that it knows is stale. A notice that a target drains changes the phase of the record alone.

Evidence: the new test fails before and passes.

--- a/packages/fleet/src/fleet_view.cpp
+++ b/packages/fleet/src/fleet_view.cpp
@@ -35,6 +35,9 @@
     mTargets.OnLeave(aNow, last.mTarget, last.mIncarnation);
   } else {
     mTargets.OnHeartbeat(aNow, last);
+    if (last.mPhase == TargetPhase::Draining) {
+      mTargets.OnDraining(last.mTarget, last.mIncarnation);
+    }
     mTargets.OnLimit(last.mTarget, last.mIncarnation, aRecord.mLimit);
   }
 }
--- a/packages/fleet/tests/target_directory_test.cpp
+++ b/packages/fleet/tests/target_directory_test.cpp
@@ -152,6 +152,22 @@
   CHECK_FALSE(view.Find(TargetName("1"))->TakesWork());
 }
 
+// A target that leaves says so in an answer before its next heartbeat: the
+// record has the heartbeat that the view knows, and another phase.
+TEST_CASE("a view learns that a target drains without another heartbeat")
+{
+  const Endpoint one{ "10.0.1.1", 1 };
+  WatchReply reply;
+  reply.mEpoch = 1;
+  reply.mTargets.push_back({ MakeHeartbeat("1", 5, 4), false, {} });
+  FleetView view;
+  view.OnReply(kStart, one, reply);
+  REQUIRE(view.Find(TargetName("1"))->TakesWork());
+  reply.mTargets[0].mLast.mPhase = TargetPhase::Draining;
+  CHECK(view.OnReply(kStart, one, reply).size() == 1);
+  CHECK_FALSE(view.Find(TargetName("1"))->TakesWork());
+}
+
 TEST_CASE("the newest leader's view of what engines hold goes first")
 {
   const Endpoint one{ "10.0.1.1", 1 };
