--- a/packages/daemon/fuzz/peer_message.cpp
+++ b/packages/daemon/fuzz/peer_message.cpp
@@ -24,7 +24,7 @@
   if (const auto report = Decode<InFlightReport>(aBytes)) {
     LoadAggregator home;
     home.OnReport(kNow, *report);
-    MakeSections(home.Total());
+    MakeSections(home.Total(), home.TotalSends());
   }
   if (const auto map = Decode<ResidencyMap>(aBytes)) {
     ResidencyBoard board;
