--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -341,6 +341,8 @@
 std::string ControlNode::RenderMetrics() const
 {
   const ReplicatedLog& log = mReplica.Log();
+  const MissingModels missing =
+    mPlanner ? mPlanner->Missing(SteadyNow()) : MissingModels{};
   std::ostringstream disk;
   disk << "# TYPE carobtide_disk_seconds histogram\n";
   mReplica.DiskTimes().Render(disk, "disk_seconds", "");
@@ -356,6 +358,9 @@
            { "edges", static_cast<double>(mEdges.size()) },
            { "orders_under_way",
              mPlanner ? static_cast<double>(mPlanner->OrdersUnderWay()) : 0.0 },
+           { "models_missing", static_cast<double>(missing.mCount) },
+           { "longest_missing_model_seconds",
+             std::chrono::duration<double>(missing.mLongest).count() },
            { "load_evaluations",
              mPlanner ? static_cast<double>(mPlanner->LoadEvaluations())
                       : 0.0 },
--- a/packages/placement/include/carobtide/placement/residency_planner.hpp
+++ b/packages/placement/include/carobtide/placement/residency_planner.hpp
@@ -43,6 +43,14 @@
 
 using ResidencyEffect = std::variant<RequestEngineReport, IssueOrder>;
 
+/** Models that are requested and that no engine holds or loads. */
+struct MissingModels
+{
+  std::size_t mCount = 0;
+  /** How long the one that is missing longest has been. */
+  Duration mLongest{ 0 };
+};
+
 /**
  * Plans the loads and unloads of models and adapters on the leader. Sans-I/O.
  *
@@ -98,6 +106,9 @@
   /** Number of engines with an order that is not completed. */
   std::size_t OrdersUnderWay() const;
 
+  /** Models that are requested and that no engine holds or loads. */
+  MissingModels Missing(Instant aNow) const;
+
   /** How often the load of all engines was worked out, the dearest part. */
   std::uint64_t LoadEvaluations() const { return mLoadEvaluations; }
 
--- a/packages/placement/src/residency_candidates.cpp
+++ b/packages/placement/src/residency_candidates.cpp
@@ -67,6 +67,16 @@
                     std::chrono::duration<double>(aNow - since).count());
 }
 
+MissingModels ResidencyPlanner::Missing(Instant aNow) const
+{
+  MissingModels missing;
+  missing.mCount = mMissingSince.size();
+  for (const auto& [model, since] : mMissingSince) {
+    missing.mLongest = std::max(missing.mLongest, aNow - since);
+  }
+  return missing;
+}
+
 double ResidencyPlanner::CrowdedGain(const ServiceSnapshot& aSnapshot,
                                      const ModelName& aModel) const
 {
--- a/packages/placement/src/residency_planner.cpp
+++ b/packages/placement/src/residency_planner.cpp
@@ -24,8 +24,6 @@
 constexpr int kMaxEvaluations = 32;
 /** Models that need more slots are considered in every step. */
 constexpr double kMuchDemand = 1.0;
-/** Rounds after which the load distribution has nearly converged. */
-constexpr int kDistributionRounds = 4;
 /** Maximum share of a service's engines that change models concurrently. */
 constexpr double kMaxChangingShare = 0.5;
 /** A model that uses fewer slots of an engine runs nothing most of the time. */
@@ -36,17 +34,6 @@
  */
 constexpr double kStoreRateShare = 0.9;
 
-/** Slots that a request a second takes at an engine that states a limit. */
-constexpr double kSlotsPerRate = 1.0;
-
-/** Slots that an engine's limit leaves empty: they serve no demand. */
-double SlotsWithheld(const EngineTracker& aEngine)
-{
-  const double usable = aEngine.Limit().mPerSecond * kSlotsPerRate;
-  return std::max(0.0,
-                  static_cast<double>(aEngine.LastHeartbeat().mSlots) - usable);
-}
-
 double MinDifference(double aSlots)
 {
   return std::min(kMaxDifference, kDifferenceShare * aSlots);
@@ -165,30 +152,6 @@
     mEngines, [](const auto& aEngine) { return aEngine.second.IsBusy(); }));
 }
 
-std::size_t ResidencyPlanner::ServiceSnapshot::CopiesOf(
-  const ModelName& aModel) const
-{
-  const auto it = mHolders.find(aModel);
-  return it == mHolders.end() ? 0 : it->second.size();
-}
-
-double ResidencyPlanner::ServiceSnapshot::ShareOf(
-  const ModelName& aModel, const EngineTracker* aEngine) const
-{
-  const auto engine = mShares.find(aEngine);
-  if (engine == mShares.end()) {
-    return 0;
-  }
-  const auto share = engine->second.find(aModel);
-  return share == engine->second.end() ? 0 : share->second;
-}
-
-double ResidencyPlanner::ServiceSnapshot::NeedOf(const ModelName& aModel) const
-{
-  const auto it = mNeed.find(aModel);
-  return it == mNeed.end() ? 0 : it->second;
-}
-
 const CatalogModel* ResidencyPlanner::FindModel(const Service& aService,
                                                 const ModelName& aModel) const
 {
@@ -200,105 +163,6 @@
   return model == service->second.end() ? nullptr : model->second;
 }
 
-void ResidencyPlanner::AddModelFacts(ServiceSnapshot& aSnapshot) const
-{
-  const Service& service = *aSnapshot.mService;
-  const double reserve = AdapterReserve(service);
-  for (const EngineTracker* engine : aSnapshot.mEngines) {
-    aSnapshot.mFreeMegabytes[engine] = FreeMegabytes(service, *engine, reserve);
-    auto& serving = aSnapshot.mServing[engine];
-    for (const HeldModel& held : engine->Serving()) {
-      if (const CatalogModel* model = FindModel(service, held.mName)) {
-        serving.push_back(model);
-      }
-    }
-  }
-  for (const CatalogModel& model : service.mEngine->mModels) {
-    aSnapshot.mFirstCopyValue[model.mName] = FirstCopyValue(service, model);
-  }
-}
-
-ResidencyPlanner::ServiceSnapshot ResidencyPlanner::MakeSnapshot(
-  const Service& aService)
-{
-  ++mLoadEvaluations;
-  ServiceSnapshot snapshot;
-  snapshot.mService = &aService;
-  for (const CatalogModel& model : aService.mEngine->mModels) {
-    snapshot.mNeed[model.mName] =
-      mDemand.SlotsNeeded(aService.mName, model.mName);
-  }
-  for (auto& [name, engine] : mEngines) {
-    if (engine.IsUsable() &&
-        engine.LastHeartbeat().mService == aService.mName) {
-      snapshot.mEngines.push_back(&engine);
-      const double withheld = SlotsWithheld(engine);
-      snapshot.mLoad[&engine] = withheld;
-      snapshot.mWithheld += withheld;
-      snapshot.mSlots = std::max(
-        snapshot.mSlots, static_cast<double>(engine.LastHeartbeat().mSlots));
-    }
-  }
-  for (const EngineTracker* engine : snapshot.mEngines) {
-    for (const HeldModel& model : engine->Serving()) {
-      snapshot.mHolders[model.mName].push_back(engine);
-    }
-    if (const auto loading = engine->Loading()) {
-      snapshot.mHolders[*loading].push_back(engine);
-    }
-    const auto next = mPendingLoads.find(engine->LastHeartbeat().mTarget);
-    if (next != mPendingLoads.end() &&
-        !engine->IsLoading(next->second.mModel)) {
-      snapshot.mHolders[next->second.mModel].push_back(engine);
-    }
-  }
-  DistributeLoad(snapshot);
-  for (const auto& [engine, load] : snapshot.mLoad) {
-    mEngineLoads[engine->LastHeartbeat().mTarget] = load;
-  }
-  return snapshot;
-}
-
-void ResidencyPlanner::DistributeLoad(ServiceSnapshot& aSnapshot) const
-{
-  for (int round = 0; round < kDistributionRounds; ++round) {
-    for (const auto& [model, holders] : aSnapshot.mHolders) {
-      for (const EngineTracker* engine : holders) {
-        double& share = aSnapshot.mShares[engine][model];
-        aSnapshot.mLoad[engine] -= share;
-        share = 0;
-      }
-      // Water-filling: raise the least loaded holders to a common level.
-      std::vector<const EngineTracker*> order = holders;
-      std::ranges::sort(order, {}, [&](const EngineTracker* aEngine) {
-        return aSnapshot.mLoad[aEngine];
-      });
-      const double need = aSnapshot.NeedOf(model);
-      double level = 0;
-      double below = 0;
-      for (std::size_t n = 1; n <= order.size(); ++n) {
-        below += aSnapshot.mLoad[order[n - 1]];
-        level = (need + below) / static_cast<double>(n);
-        if (n == order.size() || level <= aSnapshot.mLoad[order[n]]) {
-          break;
-        }
-      }
-      for (const EngineTracker* engine : order) {
-        const double share = std::max(0.0, level - aSnapshot.mLoad[engine]);
-        aSnapshot.mShares[engine][model] = share;
-        aSnapshot.mLoad[engine] += share;
-      }
-    }
-  }
-  const double total = std::accumulate(
-    aSnapshot.mLoad.begin(), aSnapshot.mLoad.end(), 0.0,
-    [](double aSum, const auto& aItem) { return aSum + aItem.second; });
-  aSnapshot.mMeanLoad = aSnapshot.mEngines.empty()
-                          ? 0
-                          : (total - aSnapshot.mWithheld) /
-                              static_cast<double>(aSnapshot.mEngines.size());
-}
-
 void ResidencyPlanner::PlanReports(Instant aNow,
                                    std::vector<ResidencyEffect>& aEffects)
 {
--- a/packages/placement/tests/residency_planner_test.cpp
+++ b/packages/placement/tests/residency_planner_test.cpp
@@ -1,314 +1,15 @@
-#include "carobtide/placement/residency_planner.hpp"
+#include "residency_simulation.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <deque>
 #include <map>
-#include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace carobtide {
 
-namespace {
-
-const Instant kStart{ 1000s };
-const ServiceName kService("lm");
-constexpr double kModelMb = 70;
-constexpr double kEngineMb = 230;
-constexpr std::uint32_t kAdapterSlots = 4;
-constexpr double kLoadsPerSecond = 2;
-
-/** Simulates an engine that accepts orders only with a matching count. */
-class FakeEngine
-{
-public:
-  struct TimedOrder
-  {
-    Instant mAt;
-    ResidencyOrder mOrder;
-  };
-
-  ResidencyAnswer Take(Instant aNow, const ResidencyOrder& aOrder)
-  {
-    Finish(aNow);
-    if (mRunning || aOrder.mAccepted != mAccepted) {
-      return ResidencyAnswer::Conflict;
-    }
-    ++mAccepted;
-    if (!aOrder.mAdapter.IsEmpty()) {
-      auto model = Find(aOrder.mModel);
-      if (model == mModels.end()) {
-        return ResidencyAnswer::Refused;
-      }
-      if (aOrder.mAction == ResidencyAction::Unload) {
-        if (aNow < mAdaptersInUseUntil) {
-          mUnloading.push_back(aOrder);
-          return ResidencyAnswer::Accepted;
-        }
-        std::erase(model->mAdapters, aOrder.mAdapter);
-        return ResidencyAnswer::Done;
-      }
-      std::erase(model->mAdapters, aOrder.mAdapter);
-      model->mAdapters.push_back(aOrder.mAdapter);
-      std::size_t adapters = 0;
-      for (const HeldModel& held : mModels) {
-        adapters += held.mAdapters.size();
-      }
-      mExceededCapacity = mExceededCapacity || adapters > kAdapterSlots;
-      return ResidencyAnswer::Accepted;
-    }
-    const bool isLoad = aOrder.mAction == ResidencyAction::Load;
-    mRunning = TimedOrder{ aNow + (isLoad ? 2000ms : 300ms), aOrder };
-    if (isLoad) {
-      mExceededCapacity =
-        mExceededCapacity ||
-        static_cast<double>(mModels.size() + 1) * kModelMb > kEngineMb;
-      if (!mOnDisk.contains(aOrder.mModel)) {
-        mStoreLoads.push_back(aNow);
-      }
-    }
-    return ResidencyAnswer::Accepted;
-  }
-
-  void Finish(Instant aNow)
-  {
-    if (aNow >= mAdaptersInUseUntil) {
-      for (const ResidencyOrder& order : std::exchange(mUnloading, {})) {
-        if (const auto model = Find(order.mModel); model != mModels.end()) {
-          std::erase(model->mAdapters, order.mAdapter);
-        }
-      }
-    }
-    if (!mRunning || aNow < mRunning->mAt) {
-      return;
-    }
-    const ModelName& model = mRunning->mOrder.mModel;
-    if (mRunning->mOrder.mAction == ResidencyAction::Load) {
-      mModels.push_back({ model, 1, {} });
-      mOnDisk.insert(model);
-    } else {
-      std::erase_if(mModels, [&](const HeldModel& aModel) {
-        return aModel.mName == model;
-      });
-    }
-    mRunning.reset();
-  }
-
-  std::vector<HeldModel>::iterator Find(const ModelName& aModel)
-  {
-    return std::ranges::find(mModels, aModel, &HeldModel::mName);
-  }
-
-  bool Holds(const ModelName& aModel) { return Find(aModel) != mModels.end(); }
-
-  std::vector<HeldModel> mModels;
-  std::set<ModelName> mOnDisk;
-  std::uint64_t mAccepted = 0;
-  std::optional<TimedOrder> mRunning;
-  std::deque<TimedOrder> mDelayedOrders;
-  std::vector<Instant> mStoreLoads;
-  bool mExceededCapacity = false;
-  /** Adapters are unloaded when the requests that use them have ended. */
-  Instant mAdaptersInUseUntil;
-  std::vector<ResidencyOrder> mUnloading;
-  std::uint64_t mHeartbeats = 0;
-};
-
-/** Simulates a planner, engines and a network with loss and delay. */
-class Simulation
-{
-public:
-  Simulation(int aEngines, int aModels, double aLossShare)
-    : mPlanner(kStart)
-    , mLossShare(aLossShare)
-  {
-    auto catalog = std::make_shared<Catalog>();
-    catalog->mVersion = 1;
-    CatalogService service;
-    service.mName = kService;
-    service.mEngine.emplace();
-    service.mEngine->mMegabytes = kEngineMb;
-    service.mEngine->mAdapterSlots = kAdapterSlots;
-    service.mEngine->mLoadsPerSecond = kLoadsPerSecond;
-    for (int n = 0; n < aModels; ++n) {
-      CatalogModel model;
-      model.mName = Model(n);
-      model.mMegabytes = kModelMb;
-      model.mStoreLoad = 2000ms;
-      model.mDiskLoad = 400ms;
-      model.mMemoryLoad = 200ms;
-      model.mAdapters = 9;
-      model.mAdapterMegabytes = 1;
-      service.mEngine->mModels.push_back(model);
-    }
-    catalog->mServices.push_back(service);
-    mPlanner.SetCatalog(catalog);
-    for (int n = 0; n < aEngines; ++n) {
-      FakeEngine& engine = mEngines[Target(n)];
-      const int first = n % aModels;
-      for (const int model : { first, (first + 1) % aModels }) {
-        engine.mModels.push_back({ Model(model), 1, {} });
-        engine.mOnDisk.insert(Model(model));
-      }
-    }
-  }
-
-  static ModelName Model(int aN) { return ModelName("m" + std::to_string(aN)); }
-  static TargetName Target(int aN)
-  {
-    return TargetName("t" + std::to_string(aN));
-  }
-
-  /** Advances time with the given demand per model, in slots. */
-  void Run(Duration aTime, const std::map<ModelName, std::uint32_t>& aNeed)
-  {
-    const Instant end = mNow + aTime;
-    while (mNow < end) {
-      mNow += 50ms;
-      for (auto& [name, engine] : mEngines) {
-        Deliver(engine);
-      }
-      if (mNow >= mNextHeartbeat) {
-        mNextHeartbeat = mNow + 1s;
-        SendHeartbeats();
-      }
-      DemandReport report;
-      report.mFrom = Endpoint{ "10.0.0.1", 1 };
-      for (const auto& [model, slots] : aNeed) {
-        DemandItem item;
-        item.mService = kService;
-        item.mModel = model;
-        item.mArrivals = 1;
-        item.mInFlight = slots;
-        if (const auto it = mPrefillShare.find(model);
-            it != mPrefillShare.end()) {
-          // The estimate treats shorter report intervals as this long.
-          constexpr double kIntervalMicros = 100'000;
-          item.mReading =
-            static_cast<std::uint64_t>(it->second * kIntervalMicros);
-        }
-        report.mModels.push_back(item);
-      }
-      report.mStreams = mWaitingStreams;
-      mPlanner.OnDemand(mNow, report);
-      for (const ResidencyEffect& effect : mPlanner.Step(mNow)) {
-        std::visit([this](const auto& aEffect) { Perform(aEffect); }, effect);
-      }
-    }
-  }
-
-  int CopiesOf(const ModelName& aModel)
-  {
-    return static_cast<int>(std::ranges::count_if(
-      mEngines, [&](auto& aItem) { return aItem.second.Holds(aModel); }));
-  }
-
-  bool HasExceededCapacity() const
-  {
-    return std::ranges::any_of(mEngines, [](const auto& aItem) {
-      return aItem.second.mExceededCapacity;
-    });
-  }
-
-  /** Maximum number of store loads started within any 5 s. */
-  std::size_t MaxStoreLoads() const
-  {
-    std::vector<Instant> all;
-    for (const auto& [name, engine] : mEngines) {
-      all.insert(all.end(), engine.mStoreLoads.begin(),
-                 engine.mStoreLoads.end());
-    }
-    std::ranges::sort(all);
-    std::size_t most = 0;
-    for (std::size_t from = 0, to = 0; to < all.size(); ++to) {
-      while (all[to] - all[from] >= Duration(5s)) {
-        ++from;
-      }
-      most = std::max(most, to - from + 1);
-    }
-    return most;
-  }
-
-  Instant mNow = kStart;
-  /** Share of an engine's time that each model's prompts need for prefill. */
-  std::map<ModelName, double> mPrefillShare;
-  /** Streams that only one software version may go on with. */
-  std::vector<StreamDemand> mWaitingStreams;
-  /** The limits of engines that state one. */
-  std::map<TargetName, RateLimit> mLimits;
-  /** The software of engines that state one. */
-  std::map<TargetName, SoftwareVersion> mSoftware;
-  ResidencyPlanner mPlanner;
-  std::map<TargetName, FakeEngine> mEngines;
-
-private:
-  void SendHeartbeats()
-  {
-    for (auto& [name, engine] : mEngines) {
-      engine.Finish(mNow);
-      FleetRecord record;
-      record.mLast.mTarget = name;
-      record.mLast.mIncarnation = Incarnation(1);
-      record.mLast.mSequence = ++engine.mHeartbeats;
-      record.mLast.mService = kService;
-      if (const auto it = mSoftware.find(name); it != mSoftware.end()) {
-        record.mLast.mSoftware = it->second;
-      }
-      if (const auto it = mLimits.find(name); it != mLimits.end()) {
-        record.mLimit = it->second;
-      }
-      record.mLast.mEngine = true;
-      record.mLast.mSlots = 16;
-      record.mLast.mModels = engine.mModels;
-      record.mLast.mOnDisk = { engine.mOnDisk.begin(), engine.mOnDisk.end() };
-      mPlanner.OnTarget(mNow, record);
-    }
-  }
-
-  void Deliver(FakeEngine& aEngine)
-  {
-    aEngine.Finish(mNow);
-    while (!aEngine.mDelayedOrders.empty() &&
-           mNow >= aEngine.mDelayedOrders.front().mAt) {
-      aEngine.Take(mNow, aEngine.mDelayedOrders.front().mOrder);
-      aEngine.mDelayedOrders.pop_front();
-    }
-  }
-
-  void Perform(const RequestEngineReport& aAsk)
-  {
-    FakeEngine& engine = mEngines.at(aAsk.mTarget);
-    engine.Finish(mNow);
-    EngineReport report;
-    report.mBusy = engine.mRunning.has_value();
-    report.mAccepted = engine.mAccepted;
-    report.mModels = engine.mModels;
-    mPlanner.OnReport(mNow, aAsk.mTarget, aAsk.mIncarnation, mNow, report);
-  }
-
-  void Perform(const IssueOrder& aIssue)
-  {
-    const ResidencyOrder& order = aIssue.mOrder;
-    FakeEngine& engine = mEngines.at(order.mTarget);
-    if (std::bernoulli_distribution(mLossShare)(mRandom)) {
-      engine.mDelayedOrders.push_back({ mNow + 6s, order });
-      mPlanner.OnAnswer(mNow, order.mTarget, order.mId,
-                        ResidencyAnswer::Unknown);
-      return;
-    }
-    const auto answer = engine.Take(mNow, order);
-    mPlanner.OnAnswer(mNow, order.mTarget, order.mId, answer);
-  }
-
-  double mLossShare;
-  RandomEngine mRandom{ 7 };
-  Instant mNextHeartbeat = kStart;
-};
-
-} // namespace
-
 TEST_CASE("no order is sent while a former leader may still act")
 {
   Simulation simulation(2, 4, 0);
@@ -358,24 +59,19 @@
   CHECK(simulation.CopiesOf(Simulation::Model(missing)) == 1);
 }
 
-TEST_CASE("adapters are loaded on demand within the adapter slots")
+TEST_CASE("the models that are asked for and not served are counted")
 {
-  const double loss = GENERATE(0.0, 0.35);
-  Simulation simulation(2, 2, loss);
-  simulation.Run(5s, {});
-  for (int n = 1; n <= 9; ++n) {
-    EnsureAdapter wanted;
-    wanted.mService = kService;
-    wanted.mModel = Simulation::Model(0);
-    wanted.mAdapter = AdapterName("a" + std::to_string(n));
-    for (int tries = 0; tries < 8; ++tries) {
-      simulation.mPlanner.RequestAdapter(simulation.mNow, wanted);
-      simulation.Run(350ms, {});
-    }
-    const ModelKey key{ kService, wanted.mModel, wanted.mAdapter };
-    CHECK_FALSE(simulation.mPlanner.HoldersOf(key).empty());
-  }
-  CHECK_FALSE(simulation.HasExceededCapacity());
+  Simulation simulation(1, 4, 0);
+  simulation.Run(2s, {});
+  simulation.mLimits[Simulation::Target(0)] = { 1, 1 };
+  simulation.Run(1s, {});
+  CHECK(simulation.mPlanner.Missing(simulation.mNow).mCount == 0);
+  // The only engine is in need and takes no order.
+  simulation.Run(3s, { { Simulation::Model(3), 2 } });
+  const MissingModels missing = simulation.mPlanner.Missing(simulation.mNow);
+  CHECK(missing.mCount == 1);
+  CHECK(missing.mLongest > 2s);
+  CHECK(missing.mLongest <= 3s);
 }
 
 // Guards against counting occupied slots only: models with long prefill then
@@ -398,94 +94,6 @@
   CHECK_FALSE(simulation.HasExceededCapacity());
 }
 
-// Guards against unloading an adapter just after it was loaded (3 ms later, as
-// observed), before its request could use it, to free a slot for the next one.
-TEST_CASE("an adapter that was just asked for gives way to none")
-{
-  Simulation simulation(1, 2, 0);
-  simulation.Run(5s, {});
-  const auto want = [&](std::size_t aNumber) {
-    EnsureAdapter wanted;
-    wanted.mService = kService;
-    wanted.mModel = Simulation::Model(0);
-    wanted.mAdapter = AdapterName("a" + std::to_string(aNumber));
-    simulation.mPlanner.RequestAdapter(simulation.mNow, wanted);
-    return ModelKey{ kService, wanted.mModel, wanted.mAdapter };
-  };
-  // Request more adapters at once than there are slots.
-  std::vector<ModelKey> keys;
-  for (std::size_t n = 1; n <= kAdapterSlots + 2; ++n) {
-    keys.push_back(want(n));
-  }
-  std::set<ModelKey> held;
-  const Instant until = simulation.mNow + 300ms;
-  while (simulation.mNow < until) {
-    simulation.Run(10ms, {});
-    for (const ModelKey& key : keys) {
-      const bool isHeld = !simulation.mPlanner.HoldersOf(key).empty();
-      INFO(key.mAdapter.Text());
-      CHECK((isHeld || !held.contains(key)));
-      if (isHeld) {
-        held.insert(key);
-      }
-    }
-  }
-  CHECK(held.size() == kAdapterSlots);
-}
-
-// Load pattern: requests of a routing daemon that the leader does not hear of
-// use all adapters of an engine while others are requested.
-TEST_CASE("an adapter in use keeps its slot until the engine has unloaded it")
-{
-  Simulation simulation(1, 2, 0);
-  simulation.Run(5s, {});
-  const auto want = [&](std::size_t aNumber) {
-    EnsureAdapter wanted;
-    wanted.mService = kService;
-    wanted.mModel = Simulation::Model(0);
-    wanted.mAdapter = AdapterName("a" + std::to_string(aNumber));
-    simulation.mPlanner.RequestAdapter(simulation.mNow, wanted);
-    simulation.Run(500ms, {});
-    return ModelKey{ kService, wanted.mModel, wanted.mAdapter };
-  };
-  for (std::size_t n = 1; n <= kAdapterSlots; ++n) {
-    want(n);
-  }
-  FakeEngine& engine = simulation.mEngines.begin()->second;
-  engine.mAdaptersInUseUntil = simulation.mNow + 5s;
-  std::size_t next = kAdapterSlots + 1;
-  while (simulation.mNow < engine.mAdaptersInUseUntil) {
-    CHECK(simulation.mPlanner.HoldersOf(want(next++)).empty());
-  }
-  CHECK_FALSE(engine.mExceededCapacity);
-  simulation.Run(2s, {});
-  CHECK(simulation.mPlanner.HoldersOf(want(next)).size() == 1);
-  CHECK_FALSE(engine.mExceededCapacity);
-}
-
-TEST_CASE("an adapter is loaded into a free slot before another is unloaded")
-{
-  Simulation simulation(2, 2, 0);
-  simulation.Run(5s, {});
-  const auto want = [&](std::size_t aNumber) {
-    EnsureAdapter wanted;
-    wanted.mService = kService;
-    wanted.mModel = Simulation::Model(0);
-    wanted.mAdapter = AdapterName("a" + std::to_string(aNumber));
-    simulation.mPlanner.RequestAdapter(simulation.mNow, wanted);
-    simulation.Run(500ms, {});
-    return ModelKey{ kService, wanted.mModel, wanted.mAdapter };
-  };
-  std::vector<ModelKey> keys;
-  for (std::size_t n = 1; n <= 2 * kAdapterSlots; ++n) {
-    keys.push_back(want(n));
-  }
-  for (const ModelKey& key : keys) {
-    INFO(key.mAdapter.Text());
-    CHECK(simulation.mPlanner.HoldersOf(key).size() == 1);
-  }
-}
-
 // Load pattern: an engine in need takes a request a second, and is the only one
 // that holds a model with ordinary demand.
 TEST_CASE("a model whose engine states a limit gets a copy on another one")
@@ -663,26 +271,6 @@
   }
 }
 
-// Load pattern: hundreds of routing daemons ask for adapters at once. Working
-// out the load of the fleet for each of them kept the leader from its other
-// work.
-TEST_CASE("adapter requests between steps do not work out the fleet's load")
-{
-  Simulation simulation(20, 20, 0);
-  simulation.Run(3s, {});
-  const auto before = simulation.mPlanner.LoadEvaluations();
-  std::size_t orders = 0;
-  Instant now = simulation.mNow;
-  for (int n = 0; n < 20; ++n) {
-    now += 1ms;
-    simulation.mPlanner.RequestAdapter(
-      now, { kService, Simulation::Model(n), AdapterName("a1") });
-    orders += simulation.mPlanner.Step(now).size();
-  }
-  CHECK(orders >= 10);
-  CHECK(simulation.mPlanner.LoadEvaluations() - before <= 1);
-}
-
 // Load pattern: half of the engines run a newer version, and streams of the
 // older one are taken up whose model only newer engines still hold.
 TEST_CASE("a model is loaded on the software that streams wait for")
