Refusals and a metric tell targets that cannot be reached from full ones

The same words stood for holders without room and for holders that this daemon cannot connect to, so the logs could not tell a daemon that is cut off from an overload. Now `no holder can be reached`, and the gauge targets_unreachable. No decision is changed.

--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -189,6 +189,7 @@
            { "targets_leaving", static_cast<double>(ages.mLeaving) },
            { "targets_paused", static_cast<double>(ages.mPaused) },
            { "targets_limited", static_cast<double>(ages.mLimited) },
+           { "targets_unreachable", static_cast<double>(ages.mUnreachable) },
            { "targets_silent", static_cast<double>(ages.mSilent) },
            { "oldest_target_belief_seconds", seconds(ages.mOldestTarget) },
            { "oldest_peer_load_seconds", seconds(ages.mPeerLoads) },
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -185,6 +185,8 @@
   std::size_t mPaused = 0;
   /** Targets that have stated how many requests a second they take. */
   std::size_t mLimited = 0;
+  /** Targets that this daemon cannot connect to. */
+  std::size_t mUnreachable = 0;
   /** Time since the last update of a target; updates are sent on change. */
   Duration mOldestTarget{ 0 };
   /** Age of the other daemons' loads; zero if they expired. */
@@ -380,6 +382,8 @@
     std::optional<Instant> mSendableAt;
     /** The same of those that the request was not sent to yet. */
     std::optional<Instant> mUntriedSendableAt;
+    /** Those of them that this daemon cannot connect to. */
+    std::uint32_t mUnreachableHolders = 0;
     /** A holder has stated a limit. */
     bool mIsLimited = false;
     /** A target that takes work runs the software that the stream needs. */
@@ -397,6 +401,10 @@
     {
       return mHolders > 0 && mHolders == mHeldBackHolders;
     }
+    bool AreAllUnreachable() const
+    {
+      return mHolders > 0 && mHolders == mUnreachableHolders;
+    }
   };
 
   /** Null if this process is not known. */
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -437,6 +437,7 @@
     ages.mLeaving += target.mLeaves ? 1 : 0;
     ages.mPaused += target.mPause.IsOver(aNow) ? 0 : 1;
     ages.mLimited += target.mLimit.Known().IsNone() ? 0 : 1;
+    ages.mUnreachable += target.mHealth.IsReachable(aNow) ? 0 : 1;
     ages.mOldestTarget = std::max(ages.mOldestTarget, aNow - target.mUpdatedAt);
   }
   if (aNow - mPeerLoadsAt < kPeerLoadLifetime) {
--- a/packages/routing/src/dispatcher_choice.cpp
+++ b/packages/routing/src/dispatcher_choice.cpp
@@ -259,6 +259,8 @@
     ++search.mHolders;
     const bool isTried =
       std::ranges::find(aState.mTried, name) != aState.mTried.end();
+    const bool isReachable = target.mHealth.IsReachable(aNow);
+    search.mUnreachableHolders += isReachable ? 0 : 1;
     search.mIsLimited = search.mIsLimited || !target.mLimit.Known().IsNone();
     if (isHeldBack) {
       ++search.mHeldBackHolders;
@@ -267,7 +269,7 @@
         KeepEarliest(search.mUntriedSendableAt, sendableAt);
       }
     }
-    if (isHeldBack || isTried || !target.mHealth.IsReachable(aNow)) {
+    if (isHeldBack || isTried || !isReachable) {
       continue;
     }
     const TargetLoad total = LoadAt(aNow, target);
--- a/packages/routing/src/dispatcher_refusal.cpp
+++ b/packages/routing/src/dispatcher_refusal.cpp
@@ -161,7 +161,8 @@
                       : aSearch.AreAllHeldBack()
                         ? (aSearch.mIsLimited ? "all targets are at their limit"
                                               : "all targets want a pause")
-                      : aSearch.mAdapterHeld   ? "no target has room"
+                      : aSearch.AreAllUnreachable() ? "no holder can be reached"
+                      : aSearch.mAdapterHeld        ? "no target has room"
                       : aSearch.mModelHeld     ? "no target holds the adapter"
                       : facts.mModel.IsEmpty() ? "no target is known"
                       : aSearch.mReadyAt       ? "the model is being loaded"
