A daemon that cannot reach a target hands the request to one that can

Cause: a routing daemon had one way to a target, its own connection, and no notion of whether that way works: failed connections set a backoff, after which callers' requests were the trials. Class of fault: what is known of a target and what is known of the way to it are one belief.

Change: - TargetPath: whether this daemon's connections reach a target, from bytes, failed and lost connections; brought back by test connections. Four states: works, refused (open connections go on), doubtful, silent (open ones are dead; repeatable requests leave them). It replaces the backoff of TargetHealth. - RelayBoard at control daemons names up to seven daemons to each routing daemon, near and far, by neighbourhood on a hash ring; those that miss half of the targets, or stop, are left out. RelayTable spreads by own load. - Dispatcher: where no holder that this daemon reaches has room, and one that it does not reach may have, the request is handed on (RelayTo), to three daemons at most, never a second time. The other daemon decides as for its own; what it refuses has not run there. - Between daemons: HTTP on an address of its own (listen.relay) with one header that carries age, time left, attempts, tried targets, software and last event; the answer says which target, or what may have run.

--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -276,7 +276,11 @@
         OnDirectoryChange(target);
       }
       std::erase_if(mEdges, [&](const auto& aEdge) {
-        return now - aEdge.second.mAskedAt > kEdgeTimeout;
+        const bool isLost = now - aEdge.second.mAskedAt > kEdgeTimeout;
+        if (isLost) {
+          mRelays.Forget(aEdge.first);
+        }
+        return isLost;
       });
       mContents.Expire(now);
       UpdateSoftware(now);
--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -138,6 +138,7 @@
   Instant mNextPublish;
   /** Routing daemons that watch. */
   std::map<Endpoint, Watcher> mEdges;
+  RelayBoard mRelays;
   /** The routing change that watchers were last woken for. */
   std::uint64_t mNotifiedChange = 0;
   LoadAggregator mLoads;
--- a/packages/daemon/src/control_node_peers.cpp
+++ b/packages/daemon/src/control_node_peers.cpp
@@ -305,6 +305,9 @@
   reply.mCores = mPeers.Addresses();
   reply.mCores.push_back(mSettings.mPeerAddress);
   reply.mEdges = static_cast<std::uint32_t>(mEdges.size());
+  if (aRequest.mIsHome) {
+    reply.mRelays = mRelays.Select(aRequest.mFrom, aRequest.mFailureDomain);
+  }
   reply.mBlocks = mContents.Blocks().Since(
     SteadyNow(), aRequest.mEpoch == mEpoch ? aRequest.mBlockVersion : 0);
   return reply;
@@ -322,6 +325,8 @@
   Watcher& watcher = mEdges[from];
   watcher.mAskedAt = SteadyNow();
   watcher.mIsHome = aRequest.mIsHome;
+  mRelays.OnDaemon(from, { aRequest.mRelay, aRequest.mFailureDomain },
+                   aRequest.mUnreachable);
   const Instant answeredAt = watcher.mAnsweredAt;
   const Instant until = SteadyNow() + kWatchTimeout;
   while (!HasNews(aRequest) && SteadyNow() < until) {
--- a/packages/daemon/src/dialect.cpp
+++ b/packages/daemon/src/dialect.cpp
@@ -10,11 +10,14 @@
 
 namespace {
 
-/** Headers of one hop, RFC 9110 section 7.6.1, and what frames the body. */
-constexpr std::array<std::string_view, 10> kHopHeaders = {
-  "connection", "keep-alive",        "proxy-connection", "te",
-  "trailer",    "transfer-encoding", "upgrade",          "content-length",
-  "expect",     "proxy-authenticate"
+/**
+ * Headers of one hop, RFC 9110 section 7.6.1, what frames the body, and that of
+ * daemons which hand requests to each other.
+ */
+constexpr std::array<std::string_view, 11> kHopHeaders = {
+  "connection", "keep-alive",         "proxy-connection", "te",
+  "trailer",    "transfer-encoding",  "upgrade",          "content-length",
+  "expect",     "proxy-authenticate", "carobtide-relay"
 };
 
 std::string Lower(std::string_view aText)
--- a/packages/daemon/src/edge_context.hpp
+++ b/packages/daemon/src/edge_context.hpp
@@ -53,6 +53,8 @@
   /** Takes note of what began a stream. */
   std::function<void(StreamKey, const StreamOrigin&)> mStreamBegun;
   RequestMetrics& mMetrics;
+  /** Version of the catalog in force here. */
+  std::uint64_t mCatalogVersion = 0;
   /** Requests left out of the log since the last one that was written. */
   std::uint64_t mLeftOut = 0;
   /** Bounds waiting during a planned stop; null if there is none. */
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -35,6 +35,15 @@
 constexpr std::size_t kMostIdlePerTarget = 64;
 /** Targets close idle connections; ours end sooner. */
 constexpr Duration kMaxIdleTime = std::chrono::seconds(4);
+/** Added to the limit of a caller's head by the daemon before. */
+constexpr Bytes kMaxRelayHeaderBytes = 32 * kKiB;
+
+HttpLimits RelayLimits()
+{
+  HttpLimits limits;
+  limits.mMaxHeaderBytes += kMaxRelayHeaderBytes;
+  return limits;
+}
 
 } // namespace
 
@@ -46,11 +55,12 @@
   , mWorkers(1)
   , mExecutor(mWorkers.At(0))
   , mStop(mSettings.mGracePeriod)
-  , mDispatcher(DispatcherOptions{ mSettings.mFailureDomain,
-                                   RetryBudget{ mSettings.mRetryShare,
-                                                mSettings.mRetrySlack,
-                                                mSettings.mRetryWindow },
-                                   mRandom() })
+  , mDispatcher(DispatcherOptions{
+      mSettings.mFailureDomain,
+      RetryBudget{ mSettings.mRetryShare, mSettings.mRetrySlack,
+                   mSettings.mRetryWindow },
+      mRandom(),
+      [this](const Endpoint& aAddress) { return mPool.HasIdle(aAddress); } })
   , mHomes(mSettings.mPeerAddress, mSettings.mFailureDomain)
   , mNetwork(
       mWorkers,
@@ -85,10 +95,14 @@
     },
     mMetrics,
     0,
+    0,
     &mStop
   }
   , mCallers(mWorkers, HttpLimits{},
              [this](HttpExchange& aExchange) { return Handle(aExchange); })
+  , mRelayed(
+      mWorkers, RelayLimits(),
+      [this](HttpExchange& aExchange) { return HandleRelayed(aExchange); })
   , mReadiness(
       mWorkers, HttpLimits{},
       [this](HttpExchange& aExchange) { return HandleReadiness(aExchange); })
@@ -109,6 +123,9 @@
   if (started) {
     started = mCallers.Listen(mSettings.mCallerAddress);
   }
+  if (started && mSettings.mRelayAddress) {
+    started = mRelayed.Listen(*mSettings.mRelayAddress);
+  }
   if (started) {
     started = mMetricsServer.Listen(mSettings.mMetricsAddress);
   }
@@ -121,6 +138,8 @@
     mExecutor, [this] { return LoadLoop(); }, asio::detached);
   asio::co_spawn(
     mExecutor, [this] { return DemandLoop(); }, asio::detached);
+  asio::co_spawn(
+    mExecutor, [this] { return PathLoop(); }, asio::detached);
   return Success();
 }
 
@@ -179,6 +198,8 @@
            { "sends", static_cast<double>(stats.mSent) },
            { "repeats", static_cast<double>(stats.mRetried) },
            { "repeats_denied", static_cast<double>(stats.mRetriesDenied) },
+           { "handed_on", static_cast<double>(stats.mRelayed) },
+           { "taken_for_others", static_cast<double>(mTakenForOthers) },
            { "turned_away", static_cast<double>(stats.mRejected) },
            { "retry_budget_left", mDispatcher.RetriesLeft() },
            { "blocked_contents", static_cast<double>(mGuard.Blocks()) },
@@ -243,13 +264,24 @@
   }
   auto run = std::make_shared<EdgeRequest>(
     mContext, aExchange, std::move(caller), *route, PickService(*route), now);
-  const EdgeRequest* const key = run.get();
-  mOpen.emplace(key, run);
-  auto running = run->Run();
+  auto running = RunRequest(std::move(run));
+  co_await std::move(running);
+}
+
+awaitable<void> EdgeNode::RunRequest(std::shared_ptr<EdgeRequest> aRequest)
+{
+  const EdgeRequest* const key = aRequest.get();
+  mOpen.emplace(key, aRequest);
+  auto running = aRequest->Run();
   co_await std::move(running);
   mOpen.erase(key);
 }
 
+std::size_t EdgeNode::OpenExchanges() const
+{
+  return mCallers.OpenExchanges() + mRelayed.OpenExchanges();
+}
+
 void EdgeNode::RequestStop()
 {
   asio::co_spawn(
@@ -263,11 +295,12 @@
   }
   Log(LogLevel::Info, { "edge.stop", {}, {}, {}, "no longer ready" });
   mCallers.EndConnections();
+  mRelayed.EndConnections();
   // Waiting requests take the stop into account.
   mRoom.Notify();
   asio::steady_timer timer(mExecutor);
   const auto mayEnd = [this](Instant aNow) {
-    const bool isIdle = mCallers.OpenExchanges() == 0;
+    const bool isIdle = OpenExchanges() == 0;
     return aNow >= mStop.Latest() || (isIdle && aNow >= mStop.IdleUntil());
   };
   while (!mayEnd(SteadyNow())) {
@@ -275,6 +308,7 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   mCallers.StopAccepting();
+  mRelayed.StopAccepting();
   for (const auto& [key, request] : mOpen) {
     if (const auto open = request.lock()) {
       open->GiveUp();
@@ -285,7 +319,7 @@
   do {
     timer.expires_after(kStopPoll);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  } while (mCallers.OpenExchanges() > 0 && SteadyNow() < end);
+  } while (OpenExchanges() > 0 && SteadyNow() < end);
   Log(LogLevel::Info, { "edge.stopped", {}, {}, {}, {} });
   mWorkers.Stop();
 }
--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -51,6 +51,10 @@
 
   // edge_node.cpp: callers, start and stop.
   boost::asio::awaitable<void> Handle(HttpExchange& aExchange);
+  /** Runs a request, which a planned stop may give up. */
+  boost::asio::awaitable<void> RunRequest(
+    std::shared_ptr<EdgeRequest> aRequest);
+  std::size_t OpenExchanges() const;
   boost::asio::awaitable<void> HandleReadiness(HttpExchange& aExchange);
   ServiceName PickService(const Route& aRoute);
   // edge_node_fleet.cpp: what control daemons say, what others are told.
@@ -83,6 +87,16 @@
   /** Repeats an encoded notice until a home has confirmed it. */
   boost::asio::awaitable<void> SendNotice(FleetMessageType aType,
                                           std::string aNotice);
+  // edge_node_paths.cpp: which targets this daemon reaches, and requests of
+  // daemons that reach fewer.
+  boost::asio::awaitable<void> HandleRelayed(HttpExchange& aExchange);
+  boost::asio::awaitable<void> RefuseRelayed(HttpExchange& aExchange,
+                                             std::string_view aReason);
+  boost::asio::awaitable<void> PathLoop();
+  boost::asio::awaitable<void> CheckPath(PathCheck aCheck);
+  void OnPathChange(const PathCheck& aCheck, PathState aState);
+  /** Where this daemon takes requests of others now; no host if nowhere. */
+  Endpoint RelayAddress() const;
   // edge_node_streams.cpp: what began the streams that callers take up.
   void OnStreamBegun(StreamKey aStream, const StreamOrigin& aOrigin);
   boost::asio::awaitable<std::optional<StreamOrigin>> FindOrigin(
@@ -131,9 +145,12 @@
   WatchBoard mRoom;
   RequestMetrics mMetrics;
   EdgeContext mContext;
+  /** Requests that other daemons handed to this one. */
+  std::uint64_t mTakenForOthers = 0;
   /** Requests whose callers have no final answer yet. */
   std::map<const EdgeRequest*, std::weak_ptr<EdgeRequest>> mOpen;
   HttpServer mCallers;
+  HttpServer mRelayed;
   HttpServer mReadiness;
   MetricsEndpoint mMetricsServer;
 };
--- a/packages/daemon/src/edge_node_fleet.cpp
+++ b/packages/daemon/src/edge_node_fleet.cpp
@@ -84,6 +84,9 @@
     mFleet.FillRequest(aCore, request);
     request.mCatalogVersion = mCatalogVersion;
     request.mIsHome = mHomes.Select(SteadyNow()) == aCore;
+    request.mRelay = RelayAddress();
+    request.mUnreachable = mDispatcher.UnreachableShare();
+    const bool isHome = request.mIsHome;
     std::string encoded = Encode(request);
     auto calling =
       mNetwork.Call(aCore, static_cast<std::uint16_t>(FleetMessageType::Watch),
@@ -98,6 +101,9 @@
         Log(LogLevel::Info, { "core.regained", aCore.ToString(), {}, {}, {} });
       }
       OnWatchReply(aCore, *reply);
+      if (isHome) {
+        mDispatcher.SetRelays(reply->mRelays);
+      }
       continue;
     }
     if (!isLost && now - heardAt > kSourceTimeout) {
@@ -311,6 +317,7 @@
     return;
   }
   mCatalogVersion = aText.mVersion;
+  mContext.mCatalogVersion = mCatalogVersion;
   const auto shared = std::make_shared<const Catalog>(std::move(*catalog));
   mRoutes = std::make_shared<const RouteMap>(shared);
   mDispatcher.SetCatalog(shared);
--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -32,18 +32,24 @@
 
 EdgeRequest::EdgeRequest(EdgeContext& aContext, HttpExchange& aExchange,
                          CallerRequest aCaller, const Route& aRoute,
-                         ServiceName aService, Instant aArrived)
+                         ServiceName aService, Instant aArrived,
+                         const std::optional<RelayCall>& aRelayed)
   : mContext(aContext)
   , mExchange(aExchange)
   , mCaller(std::move(aCaller))
   , mRoute(aRoute)
+  , mIsRelayed(aRelayed.has_value())
+  , mRunsBefore(aRelayed ? aRelayed->mRuns : 0)
   , mFingerprints(
       ComputeDigest({ mCaller.mHost, mExchange.Request().mMethod,
                       mExchange.Request().mTarget, mExchange.Request().mBody }))
 {
   const Duration patience =
     std::min(mCaller.mPatience.value_or(mRoute.mTimeout), mRoute.mTimeout);
-  mDeadline = aArrived + patience;
+  mDeadline =
+    aArrived + (aRelayed ? Duration(aRelayed->mLeftMicros) : patience);
+  const Instant arrived =
+    aArrived - Duration(aRelayed ? aRelayed->mAgeMicros : 0);
   DispatchFacts& facts = mState.mFacts;
   facts.mService = std::move(aService);
   facts.mKind = mRoute.mKind;
@@ -55,12 +61,20 @@
   facts.mSharedPrefix = mCaller.mSharedPrefix;
   facts.mPromptTokens = mCaller.mPromptTokens;
   facts.mPauseObjective = mRoute.mPauseObjective;
-  facts.mArrived = aArrived;
+  facts.mArrived = arrived;
   facts.mDeadline = mDeadline;
   for (const std::string& part : mCaller.mSharedParts) {
     mFingerprints.AddPart(ComputeDigest({ "part", part }));
   }
-  mDue = (aArrived + mRoute.mObjective).time_since_epoch().count();
+  if (aRelayed) {
+    mState.mIsRelayed = true;
+    mState.mRuns = aRelayed->mRuns;
+    mState.mDelivered = aRelayed->mDelivered;
+    mState.mTried = aRelayed->mTried;
+    mState.mSoftware = aRelayed->mSoftware;
+    mFrames.StartAfter(aRelayed->mAfterEvent);
+  }
+  mDue = (arrived + mRoute.mObjective).time_since_epoch().count();
 }
 
 Duration EdgeRequest::Left() const
@@ -77,6 +91,15 @@
   mContext.mRoom.Notify();
 }
 
+void EdgeRequest::OnPathLost(const TargetName& aTarget)
+{
+  if (mConnection != nullptr && !mIsAtRelay && mLastSend &&
+      mLastSend->mTarget == aTarget && IsRepeatable(mRoute.mKind)) {
+    mIsPathLost = true;
+    mConnection->Cancel();
+  }
+}
+
 void EdgeRequest::GiveUp()
 {
   mIsGivenUp = true;
@@ -97,7 +120,7 @@
 {
   const auto self = shared_from_this();
   mExchange.OnClientGone([self] { self->OnCallerGone(); });
-  if (IsTakenUp()) {
+  if (IsTakenUp() && !mIsRelayed) {
     auto finding = FindOrigin();
     const bool isFound = co_await std::move(finding);
     if (!isFound) {
@@ -106,7 +129,9 @@
       co_return;
     }
   }
-  mContext.mDispatcher.OnArrival(SteadyNow(), mState.mFacts);
+  if (!mIsRelayed) {
+    mContext.mDispatcher.OnArrival(SteadyNow(), mState.mFacts);
+  }
   while (!mIsGone) {
     if (SteadyNow() >= mDeadline) {
       auto failing = Fail(SendEnd::TimedOut);
@@ -157,8 +182,18 @@
       co_await std::move(ensuring);
       continue;
     }
+    if (auto* relay = std::get_if<RelayTo>(&decision)) {
+      auto relaying = RunRelayed(std::move(*relay));
+      const bool hasEnded = co_await std::move(relaying);
+      if (hasEnded) {
+        co_return;
+      }
+      continue;
+    }
     const SendTo send = std::get<SendTo>(decision);
     mLastTarget = send.mTarget.Text();
+    mLastSend = send;
+    mIsPathLost = false;
     mTrail.OnRouted(send, mFrames.LastId());
     ++mSends;
     const Instant sentAt = SteadyNow();
@@ -249,7 +284,7 @@
 {
   const Instant now = SteadyNow();
   const TargetProcess process{ aSend.mTarget, aSend.mIncarnation };
-  if (aAttempt.mEnd == SendEnd::Broken) {
+  if (aAttempt.mEnd == SendEnd::Broken && !mIsPathLost) {
     const bool mustWait = aMayRetry && mContext.mGuard.IsSuspect(mFingerprints);
     if (!mContext.mGuard.OnConnectionLost(now, process, aSentAt,
                                           mFingerprints)) {
@@ -353,7 +388,8 @@
 {
   mTrail.OnRefused(aAway);
   // Every send so far was declared not run, or never left.
-  const bool isCertain = mState.mRuns == 0;
+  const bool isCertain = mState.mRuns == mRunsBefore;
+  mIsUnreachable = aAway.mIsUnreachable;
   auto answering =
     Answer(isCertain ? kUnavailable : kBadGateway,
            isCertain ? aAway.mRetryAfter : Duration::zero(), aAway.mReason);
@@ -364,7 +400,7 @@
 {
   std::uint16_t status = kBadGateway;
   Duration pause = Duration::zero();
-  if (mState.mRuns == 0) {
+  if (mState.mRuns == mRunsBefore) {
     constexpr Duration kPause = std::chrono::milliseconds(300);
     status = kUnavailable;
     pause = kPause;
@@ -391,6 +427,14 @@
   mHasBegun = true;
   HttpResponse response =
     mContext.mDialect.MakeAnswer(aStatus, mCaller, aRetryAfter, aReason);
+  if (mIsRelayed) {
+    RelayAnswer note;
+    note.mEnd = aStatus != kUnavailable ? RelayEnd::Failed
+                : mIsUnreachable        ? RelayEnd::Unreachable
+                                        : RelayEnd::Refused;
+    note.mRuns = mState.mRuns - mRunsBefore;
+    WriteRelayAnswer(note, response.mHead.mHeaders);
+  }
   auto sending = mExchange.Respond(std::move(response));
   const auto sent = co_await std::move(sending);
   if (!sent) {
@@ -403,7 +447,9 @@
   const Instant now = SteadyNow();
   mContext.mDispatcher.OnFirstByte(now, aSend.mSend);
   mContext.mGuard.OnAlive(now, { aSend.mTarget, aSend.mIncarnation });
-  mContext.mMetrics.OnFirstByte(mRoute.mKind, now - mState.mFacts.mArrived);
+  if (!mIsRelayed) {
+    mContext.mMetrics.OnFirstByte(mRoute.mKind, now - mState.mFacts.mArrived);
+  }
   mContext.mRoom.Notify();
 }
 
@@ -425,7 +471,10 @@
   end.mSends = mSends;
   end.mLongestPause = mLongestPause;
   end.mContent = mFingerprints.Content();
-  mContext.mMetrics.OnEnd(mRoute.mKind, aOutcome, end.mTook);
+  // The daemon that took the request from its caller counts it.
+  if (!mIsRelayed) {
+    mContext.mMetrics.OnEnd(mRoute.mKind, aOutcome, end.mTook);
+  }
   mTrail.Write(mCaller, mRoute, end, mContext.mLeftOut);
 }
 
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -7,6 +7,7 @@
 
 #include "edge_context.hpp"
 #include "event_frames.hpp"
+#include "relay_note.hpp"
 #include "request_trail.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -27,10 +28,14 @@
 class EdgeRequest : public std::enable_shared_from_this<EdgeRequest>
 {
 public:
-  /** The exchange and the context outlive Run. */
+  /**
+   * The exchange and the context outlive Run. `aRelayed` is set if the exchange
+   * is with another daemon, which handed the caller's request on.
+   */
   EdgeRequest(EdgeContext& aContext, HttpExchange& aExchange,
               CallerRequest aCaller, const Route& aRoute, ServiceName aService,
-              Instant aArrived);
+              Instant aArrived,
+              const std::optional<RelayCall>& aRelayed = std::nullopt);
 
   /** Returns once the caller has its answer or is gone. */
   boost::asio::awaitable<void> Run();
@@ -41,6 +46,12 @@
    */
   void GiveUp();
 
+  /**
+   * Nothing gets through to a target any more: a request that may be repeated
+   * does not wait for its answer.
+   */
+  void OnPathLost(const TargetName& aTarget);
+
 private:
   /** How a send ended, and whether the caller has the final answer. */
   struct Attempt
@@ -52,7 +63,34 @@
     BodyFraming mFraming = BodyFraming::None;
   };
 
+  /** How handing the request to another daemon ended. */
+  struct RelayAttempt
+  {
+    RelayEnd mEnd = RelayEnd::Lost;
+    /** Attempts that targets may have run there. */
+    std::uint32_t mRuns = 0;
+    /** The caller has the final answer, which ended so. */
+    std::optional<SendEnd> mAnswered;
+    BodyFraming mFraming = BodyFraming::None;
+  };
+
   using AwaitAttempt = boost::asio::awaitable<Attempt>;
+  using AwaitRelay = boost::asio::awaitable<RelayAttempt>;
+
+  // edge_request_relay.cpp: requests between daemons.
+  /** Hands the request on; true if it has ended, whatever the caller got. */
+  boost::asio::awaitable<bool> RunRelayed(RelayTo aRelay);
+  AwaitRelay HandOn(RelayTo aRelay);
+  AwaitRelay ExchangeWithRelay(RelayTo aRelay, HttpConnection& aConnection);
+  AwaitRelay TakeRelayAnswer(RelayTo aRelay, HttpConnection& aConnection,
+                             HttpResponseHead aHead);
+  HttpRequest MakeRelayRequest() const;
+  /** How an exchange with another daemon failed. */
+  RelayEnd RelayEndOf(const Error& aError) const;
+  /** The headers of an answer for the caller, or for the daemon before. */
+  HttpHeaders AnswerHeaders(const HttpHeaders& aHeaders) const;
+
+  static bool IsSuccess(std::uint16_t aStatus);
 
   AwaitAttempt Send(SendTo aSend);
   AwaitAttempt Exchange(SendTo aSend, HttpConnection& aConnection);
@@ -118,6 +156,17 @@
   EventFrames mFrames;
   /** Not null while a target works on the request. */
   HttpConnection* mConnection = nullptr;
+  /** What works on it is another daemon. */
+  bool mIsAtRelay = false;
+  /** Another daemon handed the request to this one. */
+  const bool mIsRelayed;
+  /** What may have run before the request came here. */
+  const std::uint32_t mRunsBefore;
+  /** The target that it was last sent to. */
+  std::optional<SendTo> mLastSend;
+  bool mIsPathLost = false;
+  /** It was refused since no target for it can be reached from here. */
+  bool mIsUnreachable = false;
   bool mIsGone = false;
   bool mIsGivenUp = false;
   /** How it showed that the caller is gone, for the log. */
--- a/packages/daemon/src/edge_request_answer.cpp
+++ b/packages/daemon/src/edge_request_answer.cpp
@@ -33,15 +33,15 @@
          aStatus == kRequestTimeout || aStatus == kMisdirected;
 }
 
-bool IsSuccess(std::uint16_t aStatus)
+} // namespace
+
+bool EdgeRequest::IsSuccess(std::uint16_t aStatus)
 {
   constexpr std::uint16_t kFirst = 200;
   constexpr std::uint16_t kLast = 299;
   return aStatus >= kFirst && aStatus <= kLast;
 }
 
-} // namespace
-
 awaitable<Result<HttpResponseHead>> EdgeRequest::ReadOwnHead(
   HttpConnection& aConnection, HttpResponseHead aFirst)
 {
@@ -128,7 +128,7 @@
   }
   HttpResponse response;
   response.mHead.mStatus = aHead.mStatus;
-  response.mHead.mHeaders = EndToEndHeaders(aHead.mHeaders);
+  response.mHead.mHeaders = AnswerHeaders(aHead.mHeaders);
   response.mBody = std::move(*body);
   mHasBegun = true;
   auto sending = mExchange.Respond(std::move(response));
@@ -164,7 +164,7 @@
   }
   HttpResponseHead head;
   head.mStatus = aHead.mStatus;
-  head.mHeaders = EndToEndHeaders(aHead.mHeaders);
+  head.mHeaders = AnswerHeaders(aHead.mHeaders);
   auto beginning = mExchange.BeginStream(std::move(head));
   const auto begun = co_await std::move(beginning);
   co_return begun;
@@ -194,6 +194,7 @@
     if (std::exchange(isFirst, false)) {
       OnFirstByte(aSend);
     }
+    mContext.mDispatcher.OnBytes(SteadyNow(), aSend.mSend);
     const std::string events = mFrames.Take(bytes);
     if (mFrames.IsTooLong()) {
       LogError(MakeError(ErrorCode::TooLarge, "edge.read-event", mLastTarget,
--- a/packages/daemon/src/event_frames.hpp
+++ b/packages/daemon/src/event_frames.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace carobtide {
 
@@ -36,6 +37,9 @@
   /** Forgets a part of an event: the stream goes on with a whole one. */
   void DropRest() { mRest.clear(); }
 
+  /** The stream goes on behind this event, which the caller has. */
+  void StartAfter(std::string aId) { mLastId = std::move(aId); }
+
   /** The id of the last whole event given out; empty if none had one. */
   const std::string& LastId() const { return mLastId; }
 
--- a/packages/daemon/src/request_trail.cpp
+++ b/packages/daemon/src/request_trail.cpp
@@ -83,6 +83,22 @@
   entry.mPause = aAway.mRetryAfter;
 }
 
+void RequestTrail::OnHandedOn(const RelayTo& aRelay)
+{
+  Entry& entry = Add(TrailStep::HandedOn);
+  entry.mRelay = aRelay.mRelay.ToString();
+  entry.mSnapshot.mHolders = static_cast<std::uint32_t>(aRelay.mHolders.size());
+}
+
+void RequestTrail::OnRelayEnded(const RelayTo& aRelay, RelayEnd aEnd,
+                                bool aMayRepeat)
+{
+  Entry& entry = Add(TrailStep::RelayEnded);
+  entry.mRelay = aRelay.mRelay.ToString();
+  entry.mRelayEnd = aEnd;
+  entry.mMayRepeat = aMayRepeat;
+}
+
 void RequestTrail::WriteEntry(const Entry& aEntry, std::string_view aCall) const
 {
   std::vector<LogInput> inputs;
@@ -122,6 +138,15 @@
       inputs.push_back({ "load_limit", aEntry.mLoadLimit });
       inputs.push_back({ "retry_after_ms", Millis(aEntry.mPause) });
       break;
+    case TrailStep::HandedOn:
+      inputs.push_back({ "unreachable_holders", static_cast<std::int64_t>(
+                                                  aEntry.mSnapshot.mHolders) });
+      break;
+    case TrailStep::RelayEnded:
+      inputs.push_back({ "end", kRelayEnds.Name(aEntry.mRelayEnd) });
+      inputs.push_back(
+        { "then", std::string_view(aEntry.mMayRepeat ? "repeat" : "final") });
+      break;
     case TrailStep::SendEnded:
       inputs.push_back({ "end", kSendEnds.Name(aEntry.mEnd) });
       inputs.push_back({ "framing", kBodyFramings.Name(aEntry.mFraming) });
@@ -131,7 +156,7 @@
   }
   LogFields fields;
   fields.mStep = kTrailSteps.Name(aEntry.mStep);
-  fields.mPeer = aEntry.mTarget.Text();
+  fields.mPeer = aEntry.mRelay.empty() ? aEntry.mTarget.Text() : aEntry.mRelay;
   fields.mCall = aCall;
   fields.mInputs = inputs;
   fields.mTimeMicros = aEntry.mTimeMicros;
--- a/packages/daemon/src/request_trail.hpp
+++ b/packages/daemon/src/request_trail.hpp
@@ -28,9 +28,11 @@
   Resumed,
   SendEnded,
   Refused,
+  HandedOn,
+  RelayEnded,
 };
 
-inline constexpr EnumTable<TrailStep, 7> kTrailSteps{ { {
+inline constexpr EnumTable<TrailStep, 9> kTrailSteps{ { {
   { TrailStep::OriginFound, "request.origin-found" },
   { TrailStep::Waiting, "request.waiting" },
   { TrailStep::AdapterAsked, "request.adapter-asked" },
@@ -38,6 +40,8 @@
   { TrailStep::Resumed, "request.resumed" },
   { TrailStep::SendEnded, "request.send-ended" },
   { TrailStep::Refused, "request.refused" },
+  { TrailStep::HandedOn, "request.handed-on" },
+  { TrailStep::RelayEnded, "request.relay-ended" },
 } } };
 
 /** How a request ended, for its last line. */
@@ -76,6 +80,8 @@
   void OnSendEnded(const SendTo& aSend, SendEnd aEnd, BodyFraming aFraming,
                    bool aMayRepeat);
   void OnRefused(const Rejection& aAway);
+  void OnHandedOn(const RelayTo& aRelay);
+  void OnRelayEnded(const RelayTo& aRelay, RelayEnd aEnd, bool aMayRepeat);
 
   /** Writes the steps and the end, or counts the request as left out. */
   void Write(const CallerRequest& aCaller, const Route& aRoute,
@@ -94,6 +100,9 @@
     TargetSnapshot mSnapshot;
     double mLoadLimit = 0;
     std::string mDetail;
+    /** The other daemon, and how handing the request to it ended. */
+    std::string mRelay;
+    RelayEnd mRelayEnd = RelayEnd::Answered;
     /** How long it may wait, or is asked to stay away. */
     Duration mPause{ 0 };
   };
--- a/packages/fleet/include/carobtide/fleet.hpp
+++ b/packages/fleet/include/carobtide/fleet.hpp
@@ -16,6 +16,7 @@
 #include "carobtide/fleet/load_messages.hpp"
 #include "carobtide/fleet/messages.hpp"
 #include "carobtide/fleet/peer_directory.hpp"
+#include "carobtide/fleet/relay_board.hpp"
 #include "carobtide/fleet/residency_board.hpp"
 #include "carobtide/fleet/software_history.hpp"
 #include "carobtide/fleet/stream_messages.hpp"
--- a/packages/fleet/include/carobtide/fleet/messages.hpp
+++ b/packages/fleet/include/carobtide/fleet/messages.hpp
@@ -9,6 +9,7 @@
 #include "carobtide/catalog/catalog_register.hpp"
 #include "carobtide/fleet/crash_messages.hpp"
 #include "carobtide/fleet/peer_directory.hpp"
+#include "carobtide/fleet/relay_board.hpp"
 #include "carobtide/fleet/target.hpp"
 
 #include <cstdint>
@@ -166,12 +167,17 @@
   std::uint64_t mResidencyTerm = 0;
   std::uint64_t mResidencyVersion = 0;
   std::uint64_t mBlockVersion = 0;
+  /** Where the watcher takes other daemons' requests; no host if nowhere. */
+  Endpoint mRelay;
+  /** Share of the targets that the watcher does not reach, 0 to 1. */
+  double mUnreachable = 0;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(mFrom, mFailureDomain, mEpoch, mChange, mCatalogVersion, mIsHome,
-             mResidencyTerm, mResidencyVersion, mBlockVersion);
+             mResidencyTerm, mResidencyVersion, mBlockVersion, mRelay,
+             mUnreachable);
   }
 };
 
@@ -196,12 +202,14 @@
   /** Number of routing daemons that watch. */
   std::uint32_t mEdges = 0;
   BlockChanges mBlocks;
+  /** Daemons that can send requests for the watcher; at its home only. */
+  std::vector<RelayPeer> mRelays;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(mEpoch, mChange, mReset, mTargets, mCatalogVersion, mLeader,
-             mResidency, mFailureDomain, mCores, mEdges, mBlocks);
+             mResidency, mFailureDomain, mCores, mEdges, mBlocks, mRelays);
   }
 };
 
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -8,12 +8,15 @@
 
 #include "carobtide/catalog.hpp"
 #include "carobtide/fleet.hpp"
+#include "carobtide/routing/relay_table.hpp"
 #include "carobtide/routing/retry_allowance.hpp"
 #include "carobtide/routing/target_health.hpp"
 #include "carobtide/routing/target_limit.hpp"
+#include "carobtide/routing/target_path.hpp"
 #include "carobtide/routing/target_pause.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -69,6 +72,12 @@
   bool mAdapterRequested = false;
   /** Identifies the request as unplaced demand; 0 if it is not counted. */
   std::uint64_t mUnplaced = 0;
+  /** Tried targets to which no connection could be made from here. */
+  std::vector<TargetName> mUnreached;
+  /** Daemons that the request was handed to. */
+  std::vector<Endpoint> mRelays;
+  /** Another daemon handed it to this one: it is not handed on once more. */
+  bool mIsRelayed = false;
 };
 
 /** State of the chosen target as known to this daemon, for the log. */
@@ -103,6 +112,14 @@
   TargetSnapshot mSnapshot;
 };
 
+/** Hand the request to another daemon, which reaches targets. */
+struct RelayTo
+{
+  Endpoint mRelay;
+  /** Targets that hold what it needs and that this daemon does not reach. */
+  std::vector<TargetName> mHolders;
+};
+
 /** Wait until woken or until this time, then call Choose again. */
 struct WaitForCapacity
 {
@@ -129,10 +146,20 @@
   double mLeastLoad = 0;
   /** Load below which a target accepts the request. */
   double mLoadLimit = 0;
+  /** There are targets for it, and this daemon reaches none of them. */
+  bool mIsUnreachable = false;
 };
 
 using DispatchDecision =
-  std::variant<SendTo, WaitForCapacity, LoadAdapter, Rejection>;
+  std::variant<SendTo, RelayTo, WaitForCapacity, LoadAdapter, Rejection>;
+
+/** A test connection to make to a target. */
+struct PathCheck
+{
+  TargetName mTarget;
+  Incarnation mIncarnation;
+  Endpoint mAddress;
+};
 
 /** How an update changed a target's state for the dispatcher. */
 enum class TargetTransition : std::uint8_t
@@ -164,6 +191,8 @@
   FailureDomain mFailureDomain;
   RetryBudget mRetryBudget;
   std::uint64_t mSeed = 1;
+  /** True if an open connection to the address awaits its next request. */
+  std::function<bool(const Endpoint&)> mHasIdleConnection;
 };
 
 /** Counters since construction, for metrics and tests. */
@@ -173,6 +202,8 @@
   std::uint64_t mRetried = 0;
   std::uint64_t mRejected = 0;
   std::uint64_t mRetriesDenied = 0;
+  /** Requests handed to other daemons. */
+  std::uint64_t mRelayed = 0;
 };
 
 /** Age of the state that choices rely on, for metrics. */
@@ -250,6 +281,30 @@
   /** False if what the target said since Choose forbids to send to it. */
   bool MaySend(Instant aNow, const SendTo& aSend) const;
 
+  /** Replaces the daemons that requests can be handed to. */
+  void SetRelays(const std::vector<RelayPeer>& aRelays);
+
+  /**
+   * Records how a request that was handed to another daemon ended. aRuns:
+   * attempts that a target may have run there. True if the request may be
+   * retried with Choose.
+   */
+  bool OnRelayEnd(Instant aNow, const RelayTo& aRelay, RelayEnd aEnd,
+                  std::uint32_t aRuns, DispatchState& aState);
+
+  /** Test connections to make now; report each with OnPathChecked. */
+  std::vector<PathCheck> TakePathChecks(Instant aNow);
+
+  /** The new state of the path if it changed. */
+  std::optional<PathState> OnPathChecked(Instant aNow, const PathCheck& aCheck,
+                                         PathEvidence aEvidence);
+
+  /** Records that bytes of a target arrived; an unknown send is ignored. */
+  void OnBytes(Instant aNow, SendId aSend);
+
+  /** Share of the targets that this daemon does not reach, 0 to 1. */
+  double UnreachableShare() const;
+
   /** Records the first byte of an attempt; an unknown attempt is ignored. */
   void OnFirstByte(Instant aNow, SendId aSend);
 
@@ -293,6 +348,9 @@
   {
     RoutedTarget mState;
     TargetHealth mHealth;
+    TargetPath mPath;
+    /** Daemons that do not reach it either, and until when that counts. */
+    std::map<Endpoint, Instant> mUselessRelays;
     std::uint32_t mInFlight = 0;
     /** Estimated prefill time of the requests still without a first byte. */
     Duration mPrefillTime{ 0 };
@@ -384,6 +442,10 @@
     std::optional<Instant> mUntriedSendableAt;
     /** Those of them that this daemon cannot connect to. */
     std::uint32_t mUnreachableHolders = 0;
+    /** Those of them that may take the request through another daemon. */
+    std::vector<TargetName> mRelayHolders;
+    /** One of those has room. */
+    bool mHasRoomElsewhere = false;
     /** A holder has stated a limit. */
     bool mIsLimited = false;
     /** A target that takes work runs the software that the stream needs. */
@@ -430,6 +492,8 @@
   Search FindTarget(Instant aNow, const Pool& aPool,
                     const DispatchState& aState);
   bool MayRetry(Instant aNow, SendEnd aEnd, DispatchState& aState);
+  /** Takes a retry out of the budget, if there is time left for it. */
+  bool TakeRetry(Instant aNow, const DispatchFacts& aFacts);
   DispatchDecision Refuse(Instant aNow, DispatchState& aState,
                           const Search& aSearch, const Pool& aPool);
   /** Until when a request waits for capacity; in the past if it does not. */
@@ -441,6 +505,13 @@
                       const Pool& aPool);
   /** Usual time to load a model that no target holds or loads. */
   Duration LoadTime(const DispatchFacts& aFacts) const;
+  /** True if this daemon may send to the target now. */
+  bool IsReachable(const Target& aTarget) const;
+  /** Another daemon to hand the request to, if it helps. */
+  std::optional<RelayTo> FindRelay(Instant aNow, const DispatchState& aState,
+                                   Search& aSearch);
+  /** A path failed: others that were not proven lately are tested. */
+  void SpreadDoubt(Instant aNow);
   SendTo RecordSend(Instant aNow, const Search& aSearch, DispatchState& aState);
   /** Counts the request as demand that no target could take. */
   void RecordUnplaced(Instant aNow, const Pool& aPool, DispatchState& aState);
@@ -451,6 +522,9 @@
 
   DispatcherOptions mOptions;
   RandomEngine mRandom;
+  RelayTable mRelays;
+  /** Test connections that have not ended. */
+  std::size_t mOpenChecks = 0;
   std::shared_ptr<const Catalog> mCatalog;
   std::unordered_map<TargetName, Target> mTargets;
   std::unordered_map<ServiceName, Pool> mPools;
--- a/packages/routing/include/carobtide/routing/target_health.hpp
+++ b/packages/routing/include/carobtide/routing/target_health.hpp
@@ -54,8 +54,7 @@
  * Moving averages of the outcomes and latencies of one target.
  *
  * Detects targets that fail part of their requests or hang while they report
- * that they are healthy, targets that have become slow, and targets that are
- * down.
+ * that they are healthy, and targets that have become slow.
  *
  * Thread safety: none; the owner synchronizes access.
  */
@@ -71,12 +70,6 @@
   /** Records how an attempt ended. */
   void OnEnd(Instant aNow, SendId aSend, SendEnd aEnd);
 
-  /** False during the backoff after a failed connection. */
-  bool IsReachable(Instant aNow) const { return aNow >= mBackoffUntil; }
-
-  /** Ends the backoff: some daemon received a heartbeat of the target. */
-  void OnHeartbeat() { mBackoffUntil = Instant(); }
-
   /** Recent share of failures, 0 to 1; decays while nothing is sent. */
   double FailureShare(Instant aNow) const;
 
@@ -92,8 +85,6 @@
   Instant mFirstByteAt;
   double mFailures = 0;
   Instant mFailuresAt;
-  std::uint32_t mConnectFailures = 0;
-  Instant mBackoffUntil;
 };
 
 } // namespace carobtide
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -57,6 +57,7 @@
 Dispatcher::Dispatcher(DispatcherOptions aOptions)
   : mOptions(std::move(aOptions))
   , mRandom(mOptions.mSeed)
+  , mRelays(mOptions.mFailureDomain)
 {
 }
 
@@ -123,7 +124,7 @@
   it->second.mLimit.OnTold(aNow, aState.mLimit);
   it->second.mUpdatedAt = aNow;
   if (isNewHeartbeat) {
-    it->second.mHealth.OnHeartbeat();
+    it->second.mPath.OnHeartbeat(aNow);
   }
   return transition;
 }
@@ -258,7 +259,9 @@
   target.mPrefillTime += open.mPrefillTime;
   mOpen.emplace(send.mSend, std::move(open));
   mUnplaced.erase(std::exchange(aState.mUnplaced, 0));
-  ++target.mInFlight;
+  if (target.mInFlight++ == 0) {
+    target.mPath.OnFirstInFlight(aNow);
+  }
   target.mHealth.OnSent(aNow, send.mSend);
   target.mPause.OnSent(aNow, send.mSend);
   target.mLimit.OnSent(aNow);
@@ -282,6 +285,15 @@
   const bool isOverloaded =
     search.mAdapterHeld &&
     search.mLeastLoad > search.mLeastModelLoad + kOverloadMargin;
+  if (search.mBest == nullptr) {
+    if (auto relay = FindRelay(aNow, aState, search)) {
+      aState.mRelays.push_back(relay->mRelay);
+      mRelays.OnSent(relay->mRelay);
+      mUnplaced.erase(std::exchange(aState.mUnplaced, 0));
+      ++mStats.mRelayed;
+      return std::move(*relay);
+    }
+  }
   if (search.mModelHeld && (!search.mAdapterHeld || isOverloaded) &&
       !aState.mAdapterRequested) {
     aState.mAdapterRequested = true;
@@ -356,6 +368,7 @@
   if (const auto target = mTargets.find(it->second.mTarget);
       target != mTargets.end()) {
     target->second.mHealth.OnFirstByte(aNow, aSend, took);
+    target->second.mPath.OnBytes(aNow);
     target->second.mPause.OnFirstByte(aSend);
     target->second.mPrefillTime -=
       std::min(target->second.mPrefillTime, it->second.mPrefillTime);
@@ -365,7 +378,6 @@
 bool Dispatcher::MayRetry(Instant aNow, SendEnd aEnd, DispatchState& aState)
 {
   const DispatchFacts& facts = aState.mFacts;
-  RetryAllowance& allowance = PoolOf(facts.mService).mAllowance;
   switch (aEnd) {
     case SendEnd::Whole:
     case SendEnd::CallerGone:
@@ -391,10 +403,15 @@
       }
       break;
   }
-  if (aNow >= facts.mDeadline) {
+  return TakeRetry(aNow, facts);
+}
+
+bool Dispatcher::TakeRetry(Instant aNow, const DispatchFacts& aFacts)
+{
+  if (aNow >= aFacts.mDeadline) {
     return false;
   }
-  if (!allowance.Take(aNow)) {
+  if (!PoolOf(aFacts.mService).mAllowance.Take(aNow)) {
     ++mStats.mRetriesDenied;
     return false;
   }
@@ -423,6 +440,17 @@
     }
     target->second.mHealth.OnEnd(aNow, aSend, aEnd);
     target->second.mPause.OnEnd(aSend);
+    TargetPath& path = target->second.mPath;
+    if (aEnd == SendEnd::ConnectFailed) {
+      path.OnConnectFailed(aNow);
+      SpreadDoubt(aNow);
+    } else if (aEnd == SendEnd::Broken) {
+      path.OnDoubt(aNow);
+    }
+    const bool isLost = aEnd == SendEnd::Broken || aEnd == SendEnd::TimedOut;
+    if (aEnd == SendEnd::ConnectFailed || (isLost && !path.IsOpen())) {
+      aState.mUnreached.push_back(open.mTarget);
+    }
   }
   aState.mTried.push_back(open.mTarget);
   return MayRetry(aNow, aEnd, aState);
@@ -437,7 +465,7 @@
     ages.mLeaving += target.mLeaves ? 1 : 0;
     ages.mPaused += target.mPause.IsOver(aNow) ? 0 : 1;
     ages.mLimited += target.mLimit.Known().IsNone() ? 0 : 1;
-    ages.mUnreachable += target.mHealth.IsReachable(aNow) ? 0 : 1;
+    ages.mUnreachable += target.mPath.IsOpen() ? 0 : 1;
     ages.mOldestTarget = std::max(ages.mOldestTarget, aNow - target.mUpdatedAt);
   }
   if (aNow - mPeerLoadsAt < kPeerLoadLifetime) {
--- a/packages/routing/src/dispatcher_choice.cpp
+++ b/packages/routing/src/dispatcher_choice.cpp
@@ -232,6 +232,7 @@
     search.mSoftwareServes = true;
     const Instant sendableAt = SendableAt(aNow, target);
     const bool isHeldBack = sendableAt > aNow;
+    const bool isReachable = IsReachable(target);
     if (!facts.mModel.IsEmpty()) {
       const HeldModel* held = FindHeld(target.mState, facts.mModel);
       if (held == nullptr) {
@@ -243,7 +244,7 @@
         continue;
       }
       search.mModelHeld = true;
-      if (target.mHealth.IsReachable(aNow) && !isHeldBack) {
+      if (isReachable && !isHeldBack) {
         search.mLeastModelLoad = std::min(search.mLeastModelLoad,
                                           LoadOf(target, LoadAt(aNow, target)));
       }
@@ -259,7 +260,6 @@
     ++search.mHolders;
     const bool isTried =
       std::ranges::find(aState.mTried, name) != aState.mTried.end();
-    const bool isReachable = target.mHealth.IsReachable(aNow);
     search.mUnreachableHolders += isReachable ? 0 : 1;
     search.mIsLimited = search.mIsLimited || !target.mLimit.Known().IsNone();
     if (isHeldBack) {
@@ -269,11 +269,20 @@
         KeepEarliest(search.mUntriedSendableAt, sendableAt);
       }
     }
-    if (isHeldBack || isTried || !isReachable) {
+    if (isHeldBack) {
       continue;
     }
     const TargetLoad total = LoadAt(aNow, target);
     const double load = LoadOf(target, total);
+    const bool isUnreached =
+      std::ranges::find(aState.mUnreached, name) != aState.mUnreached.end();
+    if (isTried ? isUnreached : !isReachable) {
+      search.mHasRoomElsewhere = search.mHasRoomElsewhere || load < limit;
+      search.mRelayHolders.push_back(name);
+    }
+    if (isTried || !isReachable) {
+      continue;
+    }
     search.mLeastLoad = std::min(search.mLeastLoad, load);
     if (load >= limit || ExceedsPrefillLimit(aPool, facts, total) ||
         !target.mPause.MayTry(aNow)) {
--- a/packages/routing/src/dispatcher_refusal.cpp
+++ b/packages/routing/src/dispatcher_refusal.cpp
@@ -38,7 +38,8 @@
                                 DispatchState& aState)
 {
   const DispatchFacts& facts = aState.mFacts;
-  if (facts.mModel.IsEmpty() || aState.mUnplaced != 0) {
+  // The daemon that handed it on counts it.
+  if (facts.mModel.IsEmpty() || aState.mUnplaced != 0 || aState.mIsRelayed) {
     return;
   }
   aState.mUnplaced = mNextUnplaced++;
@@ -54,6 +55,10 @@
   const DispatchFacts& facts = aState.mFacts;
   const bool isTolerant = facts.IsLatencyTolerant();
   const bool hasDeadline = facts.mDeadline != Instant::max();
+  if (aSearch.AreAllUnreachable() &&
+      (aState.mIsRelayed || !aState.mRelays.empty())) {
+    return {};
+  }
   if (aState.mSoftware && !facts.mModel.IsEmpty() && hasDeadline) {
     // The stream can go on nowhere else, and a copy is loaded for it.
     const Instant latest = facts.mArrived + (facts.mDeadline - facts.mArrived) /
@@ -168,6 +173,7 @@
                       : aSearch.mReadyAt       ? "the model is being loaded"
                                                : "no target holds the model";
   rejection.mHolders = aSearch.mHolders;
+  rejection.mIsUnreachable = aSearch.AreAllUnreachable();
   rejection.mLoadLimit = LoadLimit(aPool, facts);
   // No load is known if all holders are unreachable or were tried before.
   const bool isMeasured =
--- a/packages/routing/src/target_health.cpp
+++ b/packages/routing/src/target_health.cpp
@@ -15,9 +15,6 @@
 constexpr Duration kFailureHalfLife = std::chrono::seconds(3);
 /** Lifetime of a time to the first byte. */
 constexpr Duration kFirstByteLifetime = std::chrono::seconds(3);
-/** Backoff after a failed connection; doubles with each further failure. */
-constexpr Duration kInitialBackoff = std::chrono::milliseconds(250);
-constexpr std::uint32_t kMaxDoublings = 4;
 
 bool IsFailure(SendEnd aEnd)
 {
@@ -35,7 +32,6 @@
 void TargetHealth::OnFirstByte(Instant aNow, SendId aSend, Duration aTook)
 {
   mWaiting.erase(aSend);
-  mConnectFailures = 0;
   const Duration before = FirstByteTime(aNow);
   mFirstByte = before == Duration::zero()
                  ? aTook
@@ -67,10 +63,6 @@
   const double before = FailureShare(aNow);
   mFailures = before + (outcome - before) * kOutcomeWeight;
   mFailuresAt = aNow;
-  if (aEnd == SendEnd::ConnectFailed) {
-    const auto doublings = std::min(mConnectFailures++, kMaxDoublings);
-    mBackoffUntil = aNow + kInitialBackoff * (1U << doublings);
-  }
 }
 
 Duration TargetHealth::OldestWait(Instant aNow) const
--- a/packages/settings/include/carobtide/settings/node_settings.hpp
+++ b/packages/settings/include/carobtide/settings/node_settings.hpp
@@ -47,6 +47,11 @@
   Endpoint mControlAddress;
   /** TCP and UDP address towards other daemons. */
   Endpoint mPeerAddress;
+  /**
+   * Where an edge takes requests of callers that other edges cannot send to a
+   * target themselves; it helps nobody if unset.
+   */
+  std::optional<Endpoint> mRelayAddress;
   /** Where metrics are served; nowhere if unset. */
   std::optional<Endpoint> mMetricsAddress;
   /**
--- a/packages/settings/src/node_settings.cpp
+++ b/packages/settings/src/node_settings.cpp
@@ -24,6 +24,9 @@
   if (aSettings.mRole == NodeRole::Edge) {
     aSettings.mCallerAddress = aListen.Child("callers").RequiredEndpoint();
     aSettings.mReadinessAddress = aListen.Child("readiness").RequiredEndpoint();
+    if (const YamlNode relay = aListen.Child("relay"); relay.IsPresent()) {
+      aSettings.mRelayAddress = relay.RequiredEndpoint();
+    }
   } else {
     aSettings.mControlAddress = aListen.Child("control").RequiredEndpoint();
   }
--- a/packages/transport/include/carobtide/transport/http_client.hpp
+++ b/packages/transport/include/carobtide/transport/http_client.hpp
@@ -151,6 +151,12 @@
     Endpoint aAddress, Duration aTimeout,
     std::optional<std::uint64_t> aRequestHash = std::nullopt);
 
+  /** True if an idle connection to the address may be used again. */
+  bool HasIdle(const Endpoint& aAddress) const;
+
+  /** Closes the idle connections to an address. */
+  void DropIdle(const Endpoint& aAddress);
+
   /** Takes a connection back; closes it unless it is reusable. */
   void Release(const Endpoint& aAddress,
                std::unique_ptr<HttpConnection> aConnection);
--- a/packages/transport/src/http_pool.cpp
+++ b/packages/transport/src/http_pool.cpp
@@ -109,11 +109,13 @@
     const Endpoint& aAddress, const asio::any_io_executor& aExecutor,
     std::optional<std::uint64_t> aRequestHash);
   void Put(const Endpoint& aAddress, IdleConnection aIdle);
+  bool HasIdle(const Endpoint& aAddress) const;
+  void DropIdle(const Endpoint& aAddress);
 
 private:
   const HttpPoolOptions mOptions;
   /** Guards mIdle. */
-  std::mutex mMutex;
+  mutable std::mutex mMutex;
   std::map<Endpoint, std::vector<IdleConnection>> mIdle;
 };
 
@@ -160,6 +162,23 @@
   }
 }
 
+bool HttpPool::Impl::HasIdle(const Endpoint& aAddress) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto it = mIdle.find(aAddress);
+  const auto now = std::chrono::steady_clock::now();
+  return it != mIdle.end() &&
+         std::ranges::any_of(it->second, [&](const IdleConnection& aIdle) {
+           return now < aIdle.mExpiresAt && aIdle.mConnection->IsReusable();
+         });
+}
+
+void HttpPool::Impl::DropIdle(const Endpoint& aAddress)
+{
+  const std::lock_guard lock(mMutex);
+  mIdle.erase(aAddress);
+}
+
 HttpPool::HttpPool(HttpPoolOptions aOptions)
   : mImpl(std::make_unique<Impl>(aOptions))
 {
@@ -188,6 +207,16 @@
   co_return connection;
 }
 
+bool HttpPool::HasIdle(const Endpoint& aAddress) const
+{
+  return mImpl->HasIdle(aAddress);
+}
+
+void HttpPool::DropIdle(const Endpoint& aAddress)
+{
+  mImpl->DropIdle(aAddress);
+}
+
 void HttpPool::Release(const Endpoint& aAddress,
                        std::unique_ptr<HttpConnection> aConnection)
 {
