Refusals of brittle targets stay below what they state they bear

What callers would see: targets that state that they are brittle fall over one after the other, as daemons fill a queue that is not there. Cause: nothing read the statement; and with the slots alone kept, 40 daemons that see each other's load late all take the same freed slot (68 falls in 12 s, 4 allowed). Class of fault: what many daemons may do together is decided by each for itself.

Change: RefusalLimit (per service, from every answer) and RefusalGuard (a daemon replaces its own ended requests, and all together take a part of what the last total shows free).

--- a/packages/daemon/include/carobtide/daemon/dialect.hpp
+++ b/packages/daemon/include/carobtide/daemon/dialect.hpp
@@ -75,6 +75,11 @@
    * it states no limit, nothing if what it states cannot be read.
    */
   std::optional<double> mLimit = RateLimit::kNone;
+  /**
+   * Requests a second that the target can refuse for want of room without
+   * falling over; kNone and nothing as above.
+   */
+  std::optional<double> mRefusals = RateLimit::kNone;
 };
 
 /** Calls to a control daemon. */
--- a/packages/daemon/src/edge_request_answer.cpp
+++ b/packages/daemon/src/edge_request_answer.cpp
@@ -245,6 +245,14 @@
                                  *aSaid.mPause);
     LogPause(aSend.mTarget, *aSaid.mPause, mCaller.mId);
   }
+  if (aSaid.mRefusals) {
+    const bool isBrittle = *aSaid.mRefusals != RateLimit::kNone;
+    if (mContext.mDispatcher.OnStatedRefusals(
+          SteadyNow(), aSend, isBrittle ? aSaid.mRefusals : std::nullopt)) {
+      LogBrittle(mState.mFacts.mService, aSend.mTarget, *aSaid.mRefusals,
+                 mCaller.mId);
+    }
+  }
   if (aSaid.mLimit) {
     const auto limit =
       mContext.mDispatcher.OnStatedLimit(SteadyNow(), aSend, *aSaid.mLimit);
--- a/packages/daemon/src/target_log.cpp
+++ b/packages/daemon/src/target_log.cpp
@@ -37,4 +37,20 @@
   Log(LogLevel::Info, fields);
 }
 
+void LogBrittle(const ServiceName& aService, const TargetName& aTarget,
+                double aRefusals, std::string_view aCall)
+{
+  const bool isBrittle = aRefusals != RateLimit::kNone;
+  const std::array inputs{
+    LogInput{ "service", std::string_view(aService.Text()) },
+    LogInput{ "refusals_per_second", isBrittle ? aRefusals : 0.0 },
+  };
+  LogFields fields;
+  fields.mStep = isBrittle ? "service.brittle" : "service.sound";
+  fields.mPeer = aTarget.Text();
+  fields.mCall = aCall;
+  fields.mInputs = inputs;
+  Log(LogLevel::Info, fields);
+}
+
 } // namespace carobtide
--- a/packages/daemon/src/target_log.hpp
+++ b/packages/daemon/src/target_log.hpp
@@ -27,4 +27,11 @@
 void LogLimit(const TargetName& aTarget, const RateLimit& aLimit,
               std::string_view aCall = {});
 
+/**
+ * Writes that an answer of a target made its service brittle, or no longer.
+ * Thread safety: any thread.
+ */
+void LogBrittle(const ServiceName& aService, const TargetName& aTarget,
+                double aRefusals, std::string_view aCall);
+
 } // namespace carobtide
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -8,6 +8,7 @@
 
 #include "carobtide/catalog.hpp"
 #include "carobtide/fleet.hpp"
+#include "carobtide/routing/refusal_limit.hpp"
 #include "carobtide/routing/relay_table.hpp"
 #include "carobtide/routing/retry_allowance.hpp"
 #include "carobtide/routing/target_health.hpp"
@@ -278,6 +279,14 @@
   std::optional<RateLimit> OnStatedLimit(Instant aNow, const SendTo& aSend,
                                          double aPerSecond);
 
+  /**
+   * Records the refusals a second that an answer of a target states it bears,
+   * nothing if it states none. Call before OnEnd of the send. True if the
+   * service became brittle with it, or ceased to be.
+   */
+  bool OnStatedRefusals(Instant aNow, const SendTo& aSend,
+                        std::optional<double> aPerSecond);
+
   /** False if what the target said since Choose forbids to send to it. */
   bool MaySend(Instant aNow, const SendTo& aSend) const;
 
@@ -358,6 +367,7 @@
     bool mLeaves = false;
     TargetPause mPause;
     TargetLimit mLimit;
+    RefusalGuard mRefusals;
     TargetKey mKey = 0;
     /** Shared prompt prefixes sent here recently, with the time. */
     std::unordered_map<std::uint64_t, Instant> mPrefixes;
@@ -395,6 +405,7 @@
     }
 
     RetryAllowance mAllowance;
+    RefusalLimit mRefusals;
     /** Smoothed time from send to end, over complete answers. */
     Duration mRunTime{ 0 };
     /** Smoothed time to the first byte over all targets. */
@@ -476,6 +487,10 @@
   Instant SendableAt(Instant aNow, const Target& aTarget) const;
   /** Known load of all daemons on a target. */
   TargetLoad LoadAt(Instant aNow, const Target& aTarget) const;
+  /** This daemon's requests in flight, as it reported them. */
+  std::uint32_t ReportedAt(std::uint64_t aReport, const Target& aTarget) const;
+  /** The same with what the last total says of this daemon and the others. */
+  KnownLoad KnownLoadAt(Instant aNow, const Target& aTarget) const;
   /** Requests in flight divided by slots. */
   static double LoadOf(const Target& aTarget, const TargetLoad& aLoad);
   /** Estimated time that an engine needs to prefill the request's prompt. */
@@ -533,6 +548,8 @@
   /** The home that sent the last total, and its sequence. */
   Endpoint mHome;
   std::uint64_t mTotalSequence = 0;
+  /** This daemon's report that the last total includes. */
+  std::uint64_t mIncludedReport = 0;
   std::uint64_t mReportSequence = 0;
   /** The latest reports by sequence. */
   std::map<std::uint64_t, Loads> mReports;
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -142,6 +142,7 @@
   }
   mHome = aTotal.mFrom;
   mTotalSequence = aTotal.mSequence;
+  mIncludedReport = aTotal.mIncluded;
   mPeerLoadsAt = aNow;
   const LoadSection& section = aTotal.mSection;
   mPeerLoads.erase(mPeerLoads.lower_bound(section.mFirst),
@@ -259,6 +260,7 @@
   target.mPrefillTime += open.mPrefillTime;
   mOpen.emplace(send.mSend, std::move(open));
   mUnplaced.erase(std::exchange(aState.mUnplaced, 0));
+  target.mRefusals.OnSent(KnownLoadAt(aNow, target));
   if (target.mInFlight++ == 0) {
     target.mPath.OnFirstInFlight(aNow);
   }
@@ -345,6 +347,19 @@
            : target->mLimit.OnStated(aNow, aPerSecond, open->second.mSentAt);
 }
 
+bool Dispatcher::OnStatedRefusals(Instant aNow, const SendTo& aSend,
+                                  std::optional<double> aPerSecond)
+{
+  const auto open = mOpen.find(aSend.mSend);
+  if (open == mOpen.end()) {
+    return false;
+  }
+  RefusalLimit& refusals = PoolOf(open->second.mService).mRefusals;
+  const bool wasBrittle = refusals.Current(aNow).has_value();
+  refusals.OnStated(aNow, aPerSecond, open->second.mSentAt);
+  return wasBrittle != refusals.Current(aNow).has_value();
+}
+
 bool Dispatcher::MaySend(Instant aNow, const SendTo& aSend) const
 {
   const auto it = mTargets.find(aSend.mTarget);
@@ -440,6 +455,11 @@
     }
     target->second.mHealth.OnEnd(aNow, aSend, aEnd);
     target->second.mPause.OnEnd(aSend);
+    const auto refusals = PoolOf(open.mService).mRefusals.Current(aNow);
+    if (aEnd == SendEnd::Full && refusals) {
+      target->second.mRefusals.OnRefused(
+        aNow, KnownLoadAt(aNow, target->second), *refusals);
+    }
     TargetPath& path = target->second.mPath;
     if (aEnd == SendEnd::ConnectFailed) {
       path.OnConnectFailed(aNow);
--- a/packages/routing/src/dispatcher_choice.cpp
+++ b/packages/routing/src/dispatcher_choice.cpp
@@ -88,6 +88,34 @@
   return load;
 }
 
+std::uint32_t Dispatcher::ReportedAt(std::uint64_t aReport,
+                                     const Target& aTarget) const
+{
+  const auto report = mReports.find(aReport);
+  if (report == mReports.end()) {
+    return 0;
+  }
+  const auto own = report->second.find(aTarget.mKey);
+  return own == report->second.end() ? 0 : own->second.mInFlight;
+}
+
+KnownLoad Dispatcher::KnownLoadAt(Instant aNow, const Target& aTarget) const
+{
+  KnownLoad load;
+  load.mSlots = std::max<std::uint32_t>(aTarget.mState.mLast.mSlots, 1);
+  load.mOwn = aTarget.mInFlight;
+  load.mOthers = LoadAt(aNow, aTarget).mInFlight - aTarget.mInFlight;
+  load.mDaemons = mDaemons;
+  if (aNow - mPeerLoadsAt < kPeerLoadLifetime) {
+    load.mIsKnown = true;
+    load.mReport = mReportSequence;
+    load.mReportInTotal = mIncludedReport;
+    load.mOwnInTotal = ReportedAt(mIncludedReport, aTarget);
+    load.mOwnReported = ReportedAt(mReportSequence, aTarget);
+  }
+  return load;
+}
+
 Instant Dispatcher::SendableAt(Instant aNow, const Target& aTarget) const
 {
   TargetLimit::Others others;
@@ -219,6 +247,7 @@
 {
   const DispatchFacts& facts = aState.mFacts;
   const double limit = LoadLimit(aPool, facts);
+  const auto refusals = aPool.mRefusals.Current(aNow);
   Search search;
   search.mLeastLoad = std::numeric_limits<double>::max();
   search.mLeastModelLoad = std::numeric_limits<double>::max();
@@ -285,7 +314,9 @@
     }
     search.mLeastLoad = std::min(search.mLeastLoad, load);
     if (load >= limit || ExceedsPrefillLimit(aPool, facts, total) ||
-        !target.mPause.MayTry(aNow)) {
+        !target.mPause.MayTry(aNow) ||
+        (refusals && !target.mRefusals.MaySend(aNow, KnownLoadAt(aNow, target),
+                                               *refusals, mRandom))) {
       continue;
     }
     const double score = ScoreOf(aNow, target, aPool, facts, total);
