The first request to a limited target after a home is lost waits for a phase

With 80 daemons at a limit of 2 a second, 33 requests reached the target in 4 s once the home was lost, 17 allowed: each daemon that had sent nothing took its equal share at once. Its first request now waits for the daemon's own phase in the time that the share gives it for one; a daemon that never knew totals does as before.

--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -537,6 +537,8 @@
 
   DispatcherOptions mOptions;
   RandomEngine mRandom;
+  /** Where this daemon stands among those that begin at the same time. */
+  double mPhase;
   RelayTable mRelays;
   /** Test connections that have not ended. */
   std::size_t mOpenChecks = 0;
--- a/packages/routing/include/carobtide/routing/target_limit.hpp
+++ b/packages/routing/include/carobtide/routing/target_limit.hpp
@@ -21,7 +21,9 @@
  * daemons with demand share the rate, whatever the size of the fleet, and what
  * was sent too much is made up for by waiting.
  *
- * A daemon that does not know the others' sum keeps to an equal share.
+ * A daemon that does not know the others' sum keeps to an equal share; if it
+ * has sent nothing yet, its first request waits for the daemon's own phase in
+ * the time that the share gives it for one.
  *
  * When the limit ends, the rate rises from what it was, so that the target is
  * not sent everything that kept away from it at once.
@@ -64,6 +66,10 @@
     Instant mAt;
     /** Daemons, this one included. */
     std::uint32_t mDaemons = 1;
+    /** Since when their sum is not known. */
+    Instant mUnknownSince;
+    /** 0 to 1, another one at each daemon; 0: it never was known. */
+    double mPhase = 0;
   };
 
   /** When a request may be sent; aNow if at once. */
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -52,11 +52,18 @@
  */
 constexpr std::uint32_t kUrgency = 5;
 
+double DrawPhase(std::uint64_t aSeed)
+{
+  RandomEngine random(aSeed);
+  return std::uniform_real_distribution<>(0, 1)(random);
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions aOptions)
   : mOptions(std::move(aOptions))
   , mRandom(mOptions.mSeed)
+  , mPhase(DrawPhase(mOptions.mSeed))
   , mRelays(mOptions.mFailureDomain)
 {
 }
--- a/packages/routing/src/dispatcher_choice.cpp
+++ b/packages/routing/src/dispatcher_choice.cpp
@@ -120,6 +120,10 @@
 {
   TargetLimit::Others others;
   others.mDaemons = mDaemons;
+  if (mPeerLoadsAt != Instant()) {
+    others.mUnknownSince = mPeerLoadsAt + kPeerLoadLifetime;
+    others.mPhase = mPhase;
+  }
   if (aNow - mPeerLoadsAt < kPeerLoadLifetime) {
     const auto it = mPeerLoads.find(aTarget.mKey);
     const bool isKnown = it != mPeerLoads.end();
--- a/packages/routing/src/target_limit.cpp
+++ b/packages/routing/src/target_limit.cpp
@@ -137,7 +137,10 @@
     rate /= std::max(aOthers.mDaemons, 1U);
   }
   if (recent <= 0) {
-    return aNow;
+    const Instant since = std::max(aOthers.mUnknownSince, mChangedAt);
+    return std::max(aNow, since + std::chrono::duration_cast<Duration>(
+                                    std::chrono::duration<double>(
+                                      aOthers.mPhase / rate)));
   }
   const double wait =
     kDecaySeconds * (std::log(recent) - LogSteadySum(rate, group));
