Callers of targets that cannot be reached are asked to stay away for longer

Retry-After is 1.4 to 1.8 s there now. 'callers of targets that cannot be reached do not use up attempts' failed before (0.21 s) and passes.

--- a/packages/routing/src/dispatcher_refusal.cpp
+++ b/packages/routing/src/dispatcher_refusal.cpp
@@ -21,6 +21,9 @@
 /** Bound for the retry delay while a model is loaded, and its jitter. */
 constexpr Duration kMaxLoadRetryAfter = std::chrono::seconds(6);
 constexpr Duration kLoadRetrySpread = std::chrono::milliseconds(800);
+/** Until targets that cannot be reached may be back, and the spread. */
+constexpr Duration kUnreachableRetryAfter = std::chrono::milliseconds(1400);
+constexpr Duration kUnreachableSpread = std::chrono::milliseconds(800);
 /** Over which callers return to targets that want a pause. */
 constexpr Duration kPauseSpread = std::chrono::milliseconds(800);
 /** Time until the leader has a load started for a model. */
@@ -121,6 +124,10 @@
     return std::max(*aSearch.mSendableAt - aNow, kMinRetryAfter) +
            std::chrono::duration_cast<Duration>(jitter * spread);
   }
+  if (aSearch.AreAllUnreachable()) {
+    return kUnreachableRetryAfter +
+           std::chrono::duration_cast<Duration>(jitter * kUnreachableSpread);
+  }
   if (!facts.mModel.IsEmpty() && !aSearch.mModelHeld) {
     const bool isLoading =
       aSearch.mReadyAt && *aSearch.mReadyAt + kMaxLoadDelay >= aNow;
--- a/packages/routing/src/target_limit.cpp
+++ b/packages/routing/src/target_limit.cpp
@@ -138,9 +138,9 @@
   }
   if (recent <= 0) {
     const Instant since = std::max(aOthers.mUnknownSince, mChangedAt);
-    return std::max(aNow, since + std::chrono::duration_cast<Duration>(
-                                    std::chrono::duration<double>(
-                                      aOthers.mPhase / rate)));
+    return std::max(
+      aNow, since + std::chrono::duration_cast<Duration>(
+                      std::chrono::duration<double>(aOthers.mPhase / rate)));
   }
   const double wait =
     kDecaySeconds * (std::log(recent) - LogSteadySum(rate, group));
--- a/packages/routing/tests/dispatcher_test.cpp
+++ b/packages/routing/tests/dispatcher_test.cpp
@@ -131,6 +131,23 @@
   CHECK_FALSE(fixture.End(fixture.MustSend(state), SendEnd::Broken, state));
 }
 
+// Load pattern: all holders of a model crash; callers have a few attempts each,
+// and the holders are back after seconds.
+TEST_CASE("callers of targets that cannot be reached do not use up attempts")
+{
+  DispatcherFixture fixture(1);
+  DispatchState first = fixture.Arrive(RequestKind::AtMostOnce);
+  CHECK(fixture.End(fixture.MustSend(first), SendEnd::ConnectFailed, first));
+  DispatchState state = fixture.Arrive(RequestKind::AtMostOnce);
+  fixture.mNow += 200ms;
+  const auto decision = fixture.Choose(state);
+  REQUIRE(std::holds_alternative<Rejection>(decision));
+  const auto& rejection = std::get<Rejection>(decision);
+  CHECK(rejection.mIsUnreachable);
+  CHECK(rejection.mRetryAfter >= 800ms);
+  CHECK(rejection.mRetryAfter <= 2s);
+}
+
 TEST_CASE(
   "a target that refuses connections is avoided until its next heartbeat")
 {
