--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -436,6 +436,14 @@
                 rig.close()
             os._exit(NOT_RUN)
 
+    def stop(*_):
+        record("the script was stopped")
+        if rig:
+            rig.close()
+        os._exit(NOT_RUN)
+
+    for sign in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(sign, stop)
     threading.Thread(target=expire, daemon=True).start()
     try:
         rig = Rig(record, **options)
