--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,13 +12,13 @@
 
 EVENTS, PAUSE_S = 47, 0.2
 TIME_LIMIT_S = 15.0
-STREAMS = 24
+STREAMS = 40
 DOWN_S = 0.9
 DRAIN_S = 2.0
 
 
-def config():
-    return {"version": 3,
+def config(version=3):
+    return {"version": version,
             "routes": [{"name": "batch", "host": "shop.example", "pathPrefix": "/batch/",
                         "kind": "streaming", "timeoutMs": 15000, "sloMs": 2500,
                         "gapSloMs": 200, "priority": 1, "service": "atelier",
@@ -137,12 +137,14 @@
 
 def case(rig, record):
     rig.put(config())
+    # A release has come half way: two versions serve side by side.
     old = [StreamReplica(rig, f"i-old-{n}", f"{rig.net}.{81 + n}", "v1") for n in range(2)]
+    new = [StreamReplica(rig, f"i-new-{n}", f"{rig.net}.{91 + n}", "v2") for n in range(2)]
     rig.await_ready()
     time.sleep(3)
-    # The release: new ones start first, old ones leave one after the other.
-    new = [StreamReplica(rig, f"i-new-{n}", f"{rig.net}.{91 + n}", "v2") for n in range(2)]
-    record("release: two replicas of v2 have started")
+    # The other half: new ones start first, old ones leave one after the other.
+    new += [StreamReplica(rig, f"i-new-{n}", f"{rig.net}.{91 + n}", "v2") for n in (2, 3)]
+    record("release: two more replicas of v2 have started")
     time.sleep(2)
     old[0].leave_at_once()
     time.sleep(1)
@@ -152,6 +154,7 @@
     time.sleep(1)
     old[1].leave_at_once()
     time.sleep(0.5)
+    rig.put(config(version=5))
     if has_trouble():
         machines = list(rig.machines.values())
         for machine in machines:
