The log tells what the origin of a stream was taken from

Change: stream.origin-found and stream.origin-unknown with the evidence: whether a daemon was told, whether this one has watched for a window, replies, complete replies, versions seen. No decision changes.

--- a/packages/daemon/src/edge_node_streams.cpp
+++ b/packages/daemon/src/edge_node_streams.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace carobtide {
@@ -25,6 +26,26 @@
 /** A caller waits for its stream meanwhile. */
 constexpr Duration kQueryTimeout = std::chrono::milliseconds(250);
 
+void LogSearch(const StreamQuery& aQuery, const OriginEvidence& aEvidence,
+               const std::optional<StreamOrigin>& aOrigin)
+{
+  const std::array inputs{
+    LogInput{ "service", std::string_view(aQuery.mService.Text()) },
+    LogInput{ "software", std::string_view(
+                            aOrigin ? aOrigin->mSoftware.Text() : "") },
+    LogInput{ "told", std::int64_t{ aEvidence.mIsTold } },
+    LogInput{ "watched", std::int64_t{ aEvidence.mIsWatched } },
+    LogInput{ "versions", static_cast<std::int64_t>(aEvidence.mVersions) },
+    LogInput{ "replies", static_cast<std::int64_t>(aEvidence.mReplies) },
+    LogInput{ "complete_replies",
+              static_cast<std::int64_t>(aEvidence.mCompleteReplies) },
+  };
+  LogFields fields;
+  fields.mStep = aOrigin ? "stream.origin-found" : "stream.origin-unknown";
+  fields.mInputs = inputs;
+  Log(LogLevel::Info, fields);
+}
+
 } // namespace
 
 void EdgeNode::OnStreamBegun(StreamKey aStream, const StreamOrigin& aOrigin)
@@ -107,6 +128,7 @@
     co_await std::move(waiting);
   }
   auto origin = open->mSearch.Result();
+  LogSearch(aQuery, open->mSearch.Evidence(), origin);
   co_return origin;
 }
 
--- a/packages/fleet/include/carobtide/fleet/stream_origins.hpp
+++ b/packages/fleet/include/carobtide/fleet/stream_origins.hpp
@@ -114,6 +114,21 @@
   std::set<ServiceName> mMixed;
 };
 
+/** What the search for a stream's origin has to go by. */
+struct OriginEvidence
+{
+  /** Control daemons that answered. */
+  std::size_t mReplies = 0;
+  /** Those of them that know a whole window. */
+  std::size_t mCompleteReplies = 0;
+  /** Software versions that any daemon has seen within the window. */
+  std::size_t mVersions = 0;
+  /** A daemon was told of the stream. */
+  bool mIsTold = false;
+  /** The daemon that asks knows a whole window itself. */
+  bool mIsWatched = false;
+};
+
 /**
  * Finds what began a stream that a caller takes up, from the answers of several
  * daemons. Where none was told of the stream, it is certain only if they have
@@ -138,13 +153,16 @@
   /** Nothing if it is not certain. */
   std::optional<StreamOrigin> Result() const;
 
+  OriginEvidence Evidence() const;
+
 private:
   ServiceName mService;
   std::optional<StreamOrigin> mOrigin;
   std::set<SoftwareVersion> mVersions;
   /** This daemon has watched for as long as a stream lasts. */
   bool mIsComplete = false;
-  bool mHasReply = false;
+  std::size_t mReplies = 0;
+  std::size_t mCompleteReplies = 0;
 };
 
 } // namespace carobtide
--- a/packages/fleet/src/stream_origins.cpp
+++ b/packages/fleet/src/stream_origins.cpp
@@ -118,7 +118,10 @@
 
 void OriginSearch::OnReply(const StreamReply& aReply)
 {
-  mHasReply = true;
+  ++mReplies;
+  if (aReply.mSeen.mIsComplete) {
+    ++mCompleteReplies;
+  }
   if (aReply.mOrigin) {
     mOrigin = aReply.mOrigin;
   }
@@ -136,10 +139,16 @@
   if (mOrigin) {
     return mOrigin;
   }
-  if (mVersions.size() == 1 && (mIsComplete || mHasReply)) {
+  if (mVersions.size() == 1 && (mIsComplete || mReplies > 0)) {
     return StreamOrigin{ mService, *mVersions.begin() };
   }
   return std::nullopt;
 }
 
+OriginEvidence OriginSearch::Evidence() const
+{
+  return { mReplies, mCompleteReplies, mVersions.size(), mOrigin.has_value(),
+           mIsComplete };
+}
+
 } // namespace carobtide
