Streams keep to their version over a restart of all daemons

Cause: nothing that was known of versions and streams outlived the processes, and OriginSearch took one version in any reply for all that had served, although no daemon had watched for as long as a stream lasts. Evidence: the search's log line shows not told, not watched, no complete reply. Change: control daemons keep the versions of the window and what began the streams that they were told of on disk (SoftwareStore); one that knows no whole window does not answer for it; an origin that nobody was told of needs a majority; edges ask again for 1.5 s at most; a control daemon with an empty disk asks the others. The section "all daemons just started and one version serves" of stream_origins_test.cpp wanted the fault itself; it is replaced by one that wants a majority, and by the cases of AnswerQuery. Conclusion: what proves an origin has to outlive whoever saw it.

--- a/packages/consensus/src/file_system.hpp
+++ b/packages/consensus/include/carobtide/consensus/file_system.hpp
@@ -2,7 +2,7 @@
 
 /**
  * @file
- * The file operations that log storage needs, behind an interface, so that
+ * The file operations that durable state needs, behind an interface, so that
  * tests can fail or cut off each one.
  */
 
--- a/packages/consensus/src/file_log_storage.hpp
+++ b/packages/consensus/src/file_log_storage.hpp
@@ -5,8 +5,8 @@
  * Log storage in files, over any FileSystem.
  */
 
+#include "carobtide/consensus/file_system.hpp"
 #include "carobtide/consensus/storage.hpp"
-#include "file_system.hpp"
 #include "log_recovery.hpp"
 
 namespace carobtide {
--- a/packages/consensus/src/file_system.cpp
+++ b/packages/consensus/src/file_system.cpp
@@ -3,7 +3,7 @@
  * File operations by POSIX calls.
  */
 
-#include "file_system.hpp"
+#include "carobtide/consensus/file_system.hpp"
 
 #include <algorithm>
 #include <array>
--- a/packages/consensus/src/log_recovery.hpp
+++ b/packages/consensus/src/log_recovery.hpp
@@ -5,8 +5,8 @@
  * Reads a stored log back.
  */
 
+#include "carobtide/consensus/file_system.hpp"
 #include "carobtide/consensus/storage.hpp"
-#include "file_system.hpp"
 
 #include <string>
 #include <vector>
--- a/packages/consensus/tests/simulated_disk.hpp
+++ b/packages/consensus/tests/simulated_disk.hpp
@@ -5,7 +5,7 @@
  * A file system in memory that can crash or fail at any operation.
  */
 
-#include "../src/file_system.hpp"
+#include "carobtide/consensus/file_system.hpp"
 
 #include <functional>
 #include <map>
--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -80,6 +80,11 @@
   return DaemonName(aPeer.ToString());
 }
 
+std::string SoftwareFolder(const NodeSettings& aSettings)
+{
+  return aSettings.mDataDir + "/software";
+}
+
 /** The same identity on every daemon for the founders of a deployment. */
 ReplicaId FounderId(const Endpoint& aPeer)
 {
@@ -131,6 +136,8 @@
         },
         [this] { return mCatalogs.Save(); }, [this] { OnReplicaChange(); } })
   , mMembers(MakePolicy(mSettings))
+  , mSoftwareStore(MakePosixFileSystem(), SoftwareFolder(mSettings),
+                   [](const Error& aError) { LogError(aError); })
   , mNetwork(
       mWorkers,
       [this](std::uint16_t aType, std::string aPayload, std::string aPeer) {
@@ -179,6 +186,9 @@
     return found.GetError();
   }
   mReplicaId = *found;
+  if (auto restored = RestoreSoftware(); !restored) {
+    return restored;
+  }
   const auto seeds = SeedPeers();
   const bool isSeed =
     std::ranges::find(seeds, mSettings.mPeerAddress) != seeds.end();
@@ -226,6 +236,8 @@
     mExecutor, [this] { return GreetingLoop(); }, asio::detached);
   asio::co_spawn(
     mExecutor, [this] { return LoadLoop(); }, asio::detached);
+  asio::co_spawn(
+    mExecutor, [this] { return CatchUpSoftware(); }, asio::detached);
   return Success();
 }
 
@@ -301,21 +313,6 @@
   }
 }
 
-void ControlNode::UpdateSoftware(Instant aNow)
-{
-  mSoftware.OnContact(aNow);
-  if (aNow < mNextSoftware) {
-    return;
-  }
-  mNextSoftware = aNow + SoftwareHistory::kObserveInterval;
-  for (const FleetRecord* record : mTargets.All()) {
-    if (!record->mSilent) {
-      mSoftware.Observe(aNow, record->mLast);
-    }
-  }
-  mStreams.Expire(aNow - mSoftware.Window());
-}
-
 void ControlNode::RunMembership(Instant aNow)
 {
   std::vector<ReplicaCandidate> candidates;
--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -13,6 +13,7 @@
 #include "control_metrics.hpp"
 #include "metrics_endpoint.hpp"
 #include "replica_host.hpp"
+#include "software_store.hpp"
 #include "watch_board.hpp"
 
 #include <map>
@@ -58,7 +59,17 @@
   void SendLoads(Duration aInterval);
   boost::asio::awaitable<void> StopWhenAsked();
   void RunMembership(Instant aNow);
+
+  // control_node_software.cpp: what has served and what began open streams.
+  Result<Unit> RestoreSoftware();
   void UpdateSoftware(Instant aNow);
+  void ObserveSoftware(const FleetRecord& aRecord);
+  /** Writes what changed since it was last written. */
+  void KeepSoftware(Instant aNow);
+  /** Asks the other control daemons, on a disk that holds no record. */
+  boost::asio::awaitable<void> CatchUpSoftware();
+  void OnStreamNotice(const StreamNotice& aNotice);
+  std::string OnStreamQuery(const StreamQuery& aQuery) const;
 
   // control_node_calls.cpp: operators, targets and other daemons.
   boost::asio::awaitable<void> HandleCall(HttpExchange& aExchange);
@@ -85,7 +96,6 @@
   void OnCrashNotice(const CrashNotice& aNotice);
   void OnDrainNotice(DrainNotice aNotice);
   void OnLimitNotice(LimitNotice aNotice);
-  StreamReply OnStreamQuery(const StreamQuery& aQuery) const;
   /** Number of routing daemons that this daemon relays to. */
   std::size_t CountHomeWatchers() const;
   bool HasNews(const WatchRequest& aRequest) const;
@@ -133,6 +143,9 @@
   Instant mNextSoftware;
   /** Streams that routing daemons told of. */
   StreamOrigins mStreams;
+  SoftwareStore mSoftwareStore;
+  SoftwareRecord mKeptSoftware;
+  Instant mNextRotation;
   /** When the blocks are next sent to the other control daemons. */
   Instant mNextBlocks;
   Instant mNextPublish;
--- a/packages/daemon/src/control_node_leader.cpp
+++ b/packages/daemon/src/control_node_leader.cpp
@@ -121,6 +121,9 @@
 void ControlNode::OnDirectoryChange(const TargetName& aTarget)
 {
   const FleetRecord* record = mTargets.Find(aTarget);
+  if (record != nullptr && !record->mSilent) {
+    ObserveSoftware(*record);
+  }
   if (mPlanner && record != nullptr) {
     mPlanner->OnTarget(SteadyNow(), *record);
   }
--- a/packages/daemon/src/control_node_peers.cpp
+++ b/packages/daemon/src/control_node_peers.cpp
@@ -97,7 +97,7 @@
     case FleetMessageType::StreamQuery: {
       const auto query = Decode<StreamQuery>(aPayload, aPeer);
       if (query) {
-        std::string reply = Encode(OnStreamQuery(*query));
+        std::string reply = OnStreamQuery(*query);
         co_return reply;
       }
       LogError(query.GetError());
@@ -182,7 +182,7 @@
       break;
     case FleetMessageType::StreamNotice:
       take(StreamNotice{},
-           [&](const StreamNotice& aNotice) { mStreams.Put(now, aNotice); });
+           [&](const StreamNotice& aNotice) { OnStreamNotice(aNotice); });
       break;
     case FleetMessageType::DrainNotice:
       take(DrainNotice{},
@@ -268,12 +268,6 @@
   OnDirectoryChange(aNotice.mTarget);
 }
 
-StreamReply ControlNode::OnStreamQuery(const StreamQuery& aQuery) const
-{
-  return { mStreams.Find(aQuery.mStream),
-           mSoftware.Seen(SteadyNow(), aQuery.mService) };
-}
-
 bool ControlNode::HasNews(const WatchRequest& aRequest) const
 {
   return aRequest.mEpoch != mEpoch ||
--- a/packages/daemon/src/edge_node_fleet.cpp
+++ b/packages/daemon/src/edge_node_fleet.cpp
@@ -116,6 +116,7 @@
     if (!isSeed && now - mMentioned[aCore] > kForgetCore) {
       mCores.erase(aCore);
       mMentioned.erase(aCore);
+      mAnsweredAt.erase(aCore);
       mHomes.Forget(aCore);
       co_return;
     }
@@ -127,7 +128,10 @@
 void EdgeNode::OnWatchReply(const Endpoint& aCore, const WatchReply& aReply)
 {
   mHomes.OnReply(SteadyNow(), aCore, aReply.mFailureDomain);
-  mSoftware.OnContact(SteadyNow());
+  mAnsweredAt[aCore] = SteadyNow();
+  if (HearsMajority(SteadyNow())) {
+    mSoftware.OnContact(SteadyNow());
+  }
   const bool isOtherProcess = mFleet.EpochOf(aCore) != aReply.mEpoch;
   if (isOtherProcess) {
     mStreams.Repeat();
@@ -154,6 +158,15 @@
   }
 }
 
+bool EdgeNode::HearsMajority(Instant aNow) const
+{
+  const auto heard =
+    std::ranges::count_if(mAnsweredAt, [&](const auto& aAnswer) {
+      return aNow - aAnswer.second <= SoftwareHistory::kMaxContactGap;
+    });
+  return 2 * static_cast<std::size_t>(heard) > mCores.size();
+}
+
 void EdgeNode::TakeTargets(const std::vector<TargetName>& aChanged)
 {
   const Instant now = SteadyNow();
--- a/packages/daemon/src/edge_node_streams.cpp
+++ b/packages/daemon/src/edge_node_streams.cpp
@@ -25,14 +25,17 @@
 constexpr Duration kNoticeDelay = std::chrono::milliseconds(20);
 /** A caller waits for its stream meanwhile. */
 constexpr Duration kQueryTimeout = std::chrono::milliseconds(250);
+/** Control daemons that do not answer yet are asked again for this long. */
+constexpr Duration kOriginPatience = std::chrono::milliseconds(1500);
+constexpr Duration kQueryPause = std::chrono::milliseconds(50);
 
 void LogSearch(const StreamQuery& aQuery, const OriginEvidence& aEvidence,
                const std::optional<StreamOrigin>& aOrigin)
 {
   const std::array inputs{
     LogInput{ "service", std::string_view(aQuery.mService.Text()) },
-    LogInput{ "software", std::string_view(
-                            aOrigin ? aOrigin->mSoftware.Text() : "") },
+    LogInput{ "software",
+              aOrigin ? std::string_view(aOrigin->mSoftware.Text()) : "" },
     LogInput{ "told", std::int64_t{ aEvidence.mIsTold } },
     LogInput{ "watched", std::int64_t{ aEvidence.mIsWatched } },
     LogInput{ "versions", static_cast<std::int64_t>(aEvidence.mVersions) },
@@ -96,12 +99,15 @@
     aCore, static_cast<std::uint16_t>(FleetMessageType::StreamQuery),
     std::move(aQuery), kQueryTimeout);
   const auto answer = co_await std::move(calling);
-  const auto reply = answer ? Decode<StreamReply>(*answer, aCore.ToString())
-                            : Result<StreamReply>(answer.GetError());
-  if (reply) {
-    aOpen->mSearch.OnReply(*reply);
-  } else {
-    LogError(reply.GetError());
+  if (!answer) {
+    LogError(answer.GetError());
+  } else if (!answer->empty()) {
+    const auto reply = Decode<StreamReply>(*answer, aCore.ToString());
+    if (reply) {
+      aOpen->mSearch.OnReply(*reply);
+    } else {
+      LogError(reply.GetError());
+    }
   }
   --aOpen->mUnanswered;
   aOpen->mReplied.Notify();
@@ -112,9 +118,26 @@
   if (auto known = mStreams.Find(aQuery.mStream)) {
     co_return known;
   }
-  const Instant now = SteadyNow();
+  const Instant until = SteadyNow() + kOriginPatience;
+  asio::steady_timer pause(mExecutor);
+  while (true) {
+    auto asking = AskForOrigin(aQuery);
+    const OriginSearch search = co_await std::move(asking);
+    auto origin = search.Result();
+    if (origin || search.IsAnswered() || SteadyNow() >= until) {
+      LogSearch(aQuery, search.Evidence(), origin);
+      co_return origin;
+    }
+    pause.expires_after(kQueryPause);
+    co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
+awaitable<OriginSearch> EdgeNode::AskForOrigin(StreamQuery aQuery)
+{
   const auto open = std::make_shared<OpenQuery>(
-    OriginSearch(aQuery.mService, mSoftware.Seen(now, aQuery.mService)));
+    OriginSearch(aQuery.mService, mSoftware.Seen(SteadyNow(), aQuery.mService),
+                 mCores.size()));
   if (!open->mSearch.IsDecided()) {
     // The daemon that began it may have had another home, or lost its home.
     open->mUnanswered = mCores.size();
@@ -127,9 +150,7 @@
     auto waiting = open->mReplied.Wait(kQueryTimeout);
     co_await std::move(waiting);
   }
-  auto origin = open->mSearch.Result();
-  LogSearch(aQuery, open->mSearch.Evidence(), origin);
-  co_return origin;
+  co_return open->mSearch;
 }
 
 } // namespace carobtide
--- /dev/null
+++ b/packages/daemon/tests/software_store_test.cpp
@@ -0,0 +1,237 @@
+#include "../src/software_store.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <future>
+
+#include <unistd.h>
+
+using namespace carobtide;
+
+namespace {
+
+const ServiceName kService("lm");
+const StreamOrigin kOld{ kService, SoftwareVersion("v1") };
+const StreamOrigin kNew{ kService, SoftwareVersion("v2") };
+
+/** A folder that is removed at the end. */
+class TemporaryFolder
+{
+public:
+  TemporaryFolder()
+    : mPath(std::filesystem::temp_directory_path() /
+            ("carobtide-store-" + std::to_string(::getpid()) + "-" +
+             std::to_string(mCount++)))
+  {
+  }
+  ~TemporaryFolder() { std::filesystem::remove_all(mPath); }
+  TemporaryFolder(const TemporaryFolder&) = delete;
+  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+
+  std::string Text() const { return mPath.string(); }
+  std::filesystem::path File(const std::string& aName) const
+  {
+    return mPath / aName;
+  }
+
+private:
+  static inline std::atomic<int> mCount = 0;
+  std::filesystem::path mPath;
+};
+
+/** A disk that is full as long as it is told so. */
+class FullFileSystem final : public FileSystem
+{
+public:
+  explicit FullFileSystem(std::shared_ptr<std::atomic<bool>> aIsFull)
+    : mIsFull(std::move(aIsFull))
+  {
+  }
+
+  Result<Unit> MakeFolder(const std::string& aFolder) override
+  {
+    return mFiles->MakeFolder(aFolder);
+  }
+  Result<std::vector<std::string>> List(const std::string& aFolder) override
+  {
+    return mFiles->List(aFolder);
+  }
+  Result<std::string> Read(const std::string& aPath) override
+  {
+    return mFiles->Read(aPath);
+  }
+  Result<std::unique_ptr<AppendFile>> Open(const std::string& aPath) override
+  {
+    if (*mIsFull) {
+      return MakeError(ErrorCode::DiskFull, "file.open", aPath);
+    }
+    return mFiles->Open(aPath);
+  }
+  Result<Unit> Rename(const std::string& aFrom, const std::string& aTo) override
+  {
+    return mFiles->Rename(aFrom, aTo);
+  }
+  Result<Unit> Remove(const std::string& aPath) override
+  {
+    return mFiles->Remove(aPath);
+  }
+  Result<Unit> SyncFolder(const std::string& aFolder) override
+  {
+    return mFiles->SyncFolder(aFolder);
+  }
+
+private:
+  std::unique_ptr<FileSystem> mFiles = MakePosixFileSystem();
+  std::shared_ptr<std::atomic<bool>> mIsFull;
+};
+
+SoftwareRecord MakeRecord()
+{
+  SoftwareRecord record;
+  record.mIsComplete = true;
+  record.mServices = { { kService, { kOld.mSoftware, kNew.mSoftware } } };
+  return record;
+}
+
+StreamNotice Begun(const StreamOrigin& aOrigin, StreamKey aStream)
+{
+  return { { { aOrigin, { aStream } } } };
+}
+
+/** One life of a process: what it finds, and what it does. */
+template<class Use>
+StoredSoftware Live(const TemporaryFolder& aFolder, Use aUse)
+{
+  SoftwareStore store(MakePosixFileSystem(), aFolder.Text(),
+                      [](const Error&) {});
+  auto stored = store.Load();
+  REQUIRE(stored);
+  store.Start();
+  aUse(store);
+  return std::move(*stored);
+}
+
+StoredSoftware LoadAgain(const TemporaryFolder& aFolder)
+{
+  return Live(aFolder, [](SoftwareStore&) {});
+}
+
+std::vector<StreamKey> Streams(const StoredSoftware& aStored)
+{
+  std::vector<StreamKey> streams;
+  for (const StreamNotice& notice : aStored.mNotices) {
+    for (const StreamGroup& group : notice.mGroups) {
+      streams.insert(streams.end(), group.mStreams.begin(),
+                     group.mStreams.end());
+    }
+  }
+  return streams;
+}
+
+} // namespace
+
+// Fault: what control daemons knew of streams and versions ended with them.
+TEST_CASE("software and streams outlive the process")
+{
+  const TemporaryFolder folder;
+  const StoredSoftware first = Live(folder, [](SoftwareStore& aStore) {
+    aStore.Save(MakeRecord());
+    aStore.Append(Begun(kOld, 1));
+    aStore.Append(Begun(kNew, 2));
+  });
+  CHECK_FALSE(first.mRecord);
+  CHECK(first.mNotices.empty());
+  // A second kill within the window.
+  const StoredSoftware second =
+    Live(folder, [](SoftwareStore& aStore) { aStore.Append(Begun(kNew, 3)); });
+  CHECK(second.mRecord == MakeRecord());
+  CHECK(Streams(second) == std::vector<StreamKey>{ 1, 2 });
+  CHECK(Streams(LoadAgain(folder)) == std::vector<StreamKey>{ 1, 2, 3 });
+}
+
+TEST_CASE("streams are kept for a window and for less than three")
+{
+  const TemporaryFolder folder;
+  Live(folder, [](SoftwareStore& aStore) { aStore.Append(Begun(kOld, 1)); });
+  Live(folder, [](SoftwareStore& aStore) {
+    aStore.Append(Begun(kOld, 2));
+    // A window of this process: what another one left is over.
+    aStore.Rotate();
+  });
+  CHECK(Streams(LoadAgain(folder)) == std::vector<StreamKey>{ 2 });
+}
+
+TEST_CASE("a file of streams that was cut short is read as far as it is whole")
+{
+  const TemporaryFolder folder;
+  Live(folder, [](SoftwareStore& aStore) { aStore.Append(Begun(kOld, 1)); });
+  const auto path = folder.File("streams-1");
+  const auto whole = std::filesystem::file_size(path);
+  {
+    std::ofstream file(path, std::ios::app | std::ios::binary);
+    file << "CRBT and some more bytes that are no frame at all";
+  }
+  Live(folder, [](SoftwareStore& aStore) { aStore.Append(Begun(kNew, 2)); });
+  CHECK(Streams(LoadAgain(folder)) == std::vector<StreamKey>{ 1, 2 });
+  std::filesystem::resize_file(path, whole - 1);
+  CHECK(Streams(LoadAgain(folder)) == std::vector<StreamKey>{ 2 });
+}
+
+TEST_CASE("a record that is damaged or of a later format is no record")
+{
+  const TemporaryFolder folder;
+  SECTION("damaged")
+  {
+    Live(folder, [](SoftwareStore& aStore) { aStore.Save(MakeRecord()); });
+    std::filesystem::resize_file(folder.File("record"), 20);
+  }
+  SECTION("of a later format")
+  {
+    Live(folder, [](SoftwareStore& aStore) {
+      SoftwareRecord record = MakeRecord();
+      ++record.mFormat;
+      aStore.Save(record);
+    });
+  }
+  CHECK_FALSE(LoadAgain(folder).mRecord);
+}
+
+// Fault: an outdated record would vouch for a version that it lacks.
+TEST_CASE("a record that a full disk refuses leaves none behind")
+{
+  const TemporaryFolder folder;
+  Live(folder, [](SoftwareStore& aStore) { aStore.Save(MakeRecord()); });
+  const auto isFull = std::make_shared<std::atomic<bool>>(true);
+  std::promise<void> failed;
+  {
+    SoftwareStore store(std::make_unique<FullFileSystem>(isFull), folder.Text(),
+                        [&](const Error&) { failed.set_value(); });
+    const auto stored = store.Load();
+    REQUIRE(stored);
+    CHECK(stored->mRecord);
+    store.Start();
+    store.Save(MakeRecord());
+    failed.get_future().wait();
+  }
+  CHECK_FALSE(LoadAgain(folder).mRecord);
+}
+
+TEST_CASE("a record that a full disk refused is written once there is room")
+{
+  const TemporaryFolder folder;
+  const auto isFull = std::make_shared<std::atomic<bool>>(true);
+  {
+    SoftwareStore store(std::make_unique<FullFileSystem>(isFull), folder.Text(),
+                        [&](const Error&) { *isFull = false; });
+    REQUIRE(store.Load());
+    store.Start();
+    store.Save(MakeRecord());
+    while (!std::filesystem::exists(folder.File("record"))) {
+      std::this_thread::yield();
+    }
+  }
+  CHECK(LoadAgain(folder).mRecord == MakeRecord());
+}
--- a/packages/fleet/include/carobtide/fleet/stream_messages.hpp
+++ b/packages/fleet/include/carobtide/fleet/stream_messages.hpp
@@ -92,6 +92,40 @@
   }
 };
 
+/** The software versions of one service that have served lately. */
+struct ServiceSoftware
+{
+  ServiceName mService;
+  std::vector<SoftwareVersion> mVersions;
+
+  bool operator==(const ServiceSoftware&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mService, mVersions);
+  }
+};
+
+/** What a control daemon keeps on disk of the versions that have served. */
+struct SoftwareRecord
+{
+  static constexpr std::uint32_t kFormat = 1;
+
+  std::uint32_t mFormat = kFormat;
+  /** It held all versions of a whole window when it was written. */
+  bool mIsComplete = false;
+  std::vector<ServiceSoftware> mServices;
+
+  bool operator==(const SoftwareRecord&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mFormat, mIsComplete, mServices);
+  }
+};
+
 struct StreamReply
 {
   /** Nothing if the daemon was not told of the stream. */
--- a/packages/fleet/include/carobtide/fleet/stream_origins.hpp
+++ b/packages/fleet/include/carobtide/fleet/stream_origins.hpp
@@ -114,12 +114,21 @@
   std::set<ServiceName> mMixed;
 };
 
+/**
+ * A control daemon's answer to a query. Nothing if it was not told of the
+ * stream and does not know a whole window: then it has nothing to say, and a
+ * daemon that asks must not take what it sees now for all that served.
+ */
+std::optional<StreamReply> AnswerQuery(Instant aNow, const StreamQuery& aQuery,
+                                       const StreamOrigins& aStreams,
+                                       const SoftwareHistory& aHistory);
+
 /** What the search for a stream's origin has to go by. */
 struct OriginEvidence
 {
   /** Control daemons that answered. */
   std::size_t mReplies = 0;
-  /** Those of them that know a whole window. */
+  /** Those of them that say to know a whole window. */
   std::size_t mCompleteReplies = 0;
   /** Software versions that any daemon has seen within the window. */
   std::size_t mVersions = 0;
@@ -131,26 +140,39 @@
 
 /**
  * Finds what began a stream that a caller takes up, from the answers of several
- * daemons. Where none was told of the stream, it is certain only if they have
- * seen one and the same software version.
+ * daemons. Where none was told of the stream, it is certain only if one
+ * software version alone has served for as long as a stream lasts: this daemon
+ * has watched that long, or a majority of the control daemons has. What a
+ * majority observed once, at least one of any other majority has seen.
  *
- * Answers: daemons that restarted, were cut off, or see a new version later
- * than others; no daemon answers.
+ * Answers: daemons that restarted, all at once too, were cut off, lost their
+ * disks, or see a new version later than others; no daemon answers.
  *
  * Thread safety: none; the owner synchronizes access.
  */
 class OriginSearch
 {
 public:
-  /** Precondition: aSeen is what this daemon itself has seen of the service. */
-  OriginSearch(ServiceName aService, const SoftwareSeen& aSeen);
+  /**
+   * Preconditions: aSeen is what this daemon itself has seen of the service;
+   * aAsked counts all control daemons, also those that cannot be reached.
+   */
+  OriginSearch(ServiceName aService, const SoftwareSeen& aSeen,
+               std::size_t aAsked);
 
+  /**
+   * A control daemon has answered; see AnswerQuery. One of a build that kept
+   * nothing over restarts answers also if it knows no whole window.
+   */
   void OnReply(const StreamReply& aReply);
 
   /** True if no further reply changes the result. */
   bool IsDecided() const;
 
-  /** Nothing if it is not certain. */
+  /** True if all have replied: asking again is of no use. */
+  bool IsAnswered() const { return mReplies >= mAsked; }
+
+  /** Nothing if it is not certain from the replies so far. */
   std::optional<StreamOrigin> Result() const;
 
   OriginEvidence Evidence() const;
@@ -161,6 +183,7 @@
   std::set<SoftwareVersion> mVersions;
   /** This daemon has watched for as long as a stream lasts. */
   bool mIsComplete = false;
+  std::size_t mAsked = 0;
   std::size_t mReplies = 0;
   std::size_t mCompleteReplies = 0;
 };
--- a/packages/fleet/src/stream_origins.cpp
+++ b/packages/fleet/src/stream_origins.cpp
@@ -109,10 +109,12 @@
   return notice;
 }
 
-OriginSearch::OriginSearch(ServiceName aService, const SoftwareSeen& aSeen)
+OriginSearch::OriginSearch(ServiceName aService, const SoftwareSeen& aSeen,
+                           std::size_t aAsked)
   : mService(std::move(aService))
   , mVersions(aSeen.mVersions.begin(), aSeen.mVersions.end())
   , mIsComplete(aSeen.mIsComplete)
+  , mAsked(aAsked)
 {
 }
 
@@ -139,12 +141,23 @@
   if (mOrigin) {
     return mOrigin;
   }
-  if (mVersions.size() == 1 && (mIsComplete || mReplies > 0)) {
+  const bool isMajority = 2 * mReplies > mAsked;
+  if (mVersions.size() == 1 && (mIsComplete || isMajority)) {
     return StreamOrigin{ mService, *mVersions.begin() };
   }
   return std::nullopt;
 }
 
+std::optional<StreamReply> AnswerQuery(Instant aNow, const StreamQuery& aQuery,
+                                       const StreamOrigins& aStreams,
+                                       const SoftwareHistory& aHistory)
+{
+  StreamReply reply{ aStreams.Find(aQuery.mStream),
+                     aHistory.Seen(aNow, aQuery.mService) };
+  return reply.mOrigin || reply.mSeen.mIsComplete ? std::optional(reply)
+                                                  : std::nullopt;
+}
+
 OriginEvidence OriginSearch::Evidence() const
 {
   return { mReplies, mCompleteReplies, mVersions.size(), mOrigin.has_value(),
--- a/packages/fleet/tests/stream_origins_test.cpp
+++ b/packages/fleet/tests/stream_origins_test.cpp
@@ -110,19 +110,19 @@
 {
   SECTION("one version for as long as a stream lasts: nobody need be asked")
   {
-    const OriginSearch search(kService, Seen({ kOld }, 120s));
+    const OriginSearch search(kService, Seen({ kOld }, 120s), 3);
     CHECK(search.IsDecided());
     CHECK(search.Result() == kOld);
   }
   SECTION("several versions, and no daemon was told")
   {
-    OriginSearch search(kService, Seen({ kOld, kNew }, 120s));
+    OriginSearch search(kService, Seen({ kOld, kNew }, 120s), 2);
     search.OnReply({ std::nullopt, Seen({ kOld, kNew }, 120s) });
     CHECK_FALSE(search.Result());
   }
   SECTION("a daemon was told")
   {
-    OriginSearch search(kService, Seen({ kOld, kNew }, 120s));
+    OriginSearch search(kService, Seen({ kOld, kNew }, 120s), 2);
     search.OnReply({ std::nullopt, Seen({ kOld, kNew }, 120s) });
     search.OnReply({ kNew, Seen({ kOld, kNew }, 120s) });
     CHECK(search.IsDecided());
@@ -130,26 +130,105 @@
   }
   SECTION("this daemon just started and another one saw two versions")
   {
-    OriginSearch search(kService, Seen({ kNew }, 1s));
+    OriginSearch search(kService, Seen({ kNew }, 1s), 1);
     CHECK_FALSE(search.IsDecided());
     CHECK_FALSE(search.Result());
     search.OnReply({ std::nullopt, Seen({ kOld, kNew }, 120s) });
     CHECK_FALSE(search.Result());
   }
-  SECTION("all daemons just started and one version serves")
+  SECTION("this daemon just started: a majority of three has to answer")
   {
-    OriginSearch search(kService, Seen({ kOld }, 1s));
-    search.OnReply({ std::nullopt, Seen({ kOld }, 1s) });
+    OriginSearch search(kService, Seen({ kOld }, 1s), 3);
+    search.OnReply({ std::nullopt, Seen({ kOld }, 120s) });
+    CHECK_FALSE(search.Result());
+    search.OnReply({ std::nullopt, Seen({ kOld }, 120s) });
     CHECK(search.Result() == kOld);
+    CHECK_FALSE(search.IsAnswered());
+    // The third one was on the other side of a cut.
+    search.OnReply({ std::nullopt, Seen({ kNew }, 120s) });
+    CHECK_FALSE(search.Result());
+    CHECK(search.IsAnswered());
   }
   SECTION("no daemon answers after a cut")
   {
     SoftwareHistory history = Watch({ kOld }, 120s);
-    OriginSearch search(kService, history.Seen(kStart + 125s, kService));
+    OriginSearch search(kService, history.Seen(kStart + 125s, kService), 3);
     CHECK_FALSE(search.Result());
   }
 }
 
+// Fault: all daemons are killed while a version ends. What serves now was taken
+// for all that had served, and streams went on at another version.
+TEST_CASE("a daemon that knows no whole window does not answer for it")
+{
+  const StreamOrigins none;
+  const StreamQuery query{ 7, kService };
+  SoftwareHistory young = Watch({ kNew }, 1s);
+  CHECK_FALSE(AnswerQuery(kStart + 1s, query, none, young));
+  SECTION("but of a stream that it was told of")
+  {
+    StreamOrigins streams;
+    streams.Put(kStart, query.mStream, kOld);
+    const auto reply = AnswerQuery(kStart + 1s, query, streams, young);
+    REQUIRE(reply);
+    CHECK(reply->mOrigin == kOld);
+  }
+  SECTION("it does after a window")
+  {
+    CHECK(AnswerQuery(kStart + 61s, query, none, Watch({ kNew }, 61s)));
+  }
+  SECTION("it does with the record of the process before")
+  {
+    SoftwareHistory before = Watch({ kOld, kNew }, 120s);
+    const SoftwareRecord record = before.Record(kStart + 120s);
+    young.Restore(kStart + 1s, record);
+    const auto reply = AnswerQuery(kStart + 1s, query, none, young);
+    REQUIRE(reply);
+    CHECK(reply->mSeen.mVersions.size() == 2);
+    // The age of what was kept is unknown: it counts for a whole window.
+    CHECK(young.IsMixed(kStart + 60s, kService));
+    CHECK_FALSE(young.IsMixed(kStart + 62s, kService));
+  }
+  SECTION("a record that was not complete does not help")
+  {
+    young.Restore(kStart + 1s, Watch({ kOld }, 1s).Record(kStart + 1s));
+    CHECK_FALSE(AnswerQuery(kStart + 1s, query, none, young));
+  }
+  SECTION("it does at the first start of a deployment")
+  {
+    young.SetComplete();
+    CHECK(AnswerQuery(kStart + 1s, query, none, young));
+  }
+}
+
+TEST_CASE("what has to be kept changes with the versions alone")
+{
+  SoftwareHistory history = Watch({ kOld }, 120s);
+  const SoftwareRecord record = history.Record(kStart + 120s);
+  history.OnContact(kStart + 121s);
+  CHECK_FALSE(history.Observe(kStart + 121s, kService, kOld.mSoftware));
+  CHECK(history.Record(kStart + 121s) == record);
+  CHECK(history.Observe(kStart + 121s, kService, kNew.mSoftware));
+  CHECK(history.Record(kStart + 121s) != record);
+}
+
+// Fault: VMs of control daemons are replaced faster than a window passes.
+TEST_CASE("a daemon with an empty disk learns from a majority what has served")
+{
+  const ServiceName other("other");
+  SoftwareCatchUp catchUp({ kService, other }, 3);
+  CHECK_FALSE(catchUp.IsDone());
+  catchUp.OnReply(kService, Seen({ kOld }, 120s));
+  catchUp.OnReply(kService, Seen({ kOld }, 120s));
+  catchUp.OnReply(other, Seen({ kOld }, 120s));
+  CHECK_FALSE(catchUp.IsDone());
+  // A daemon that just started says nothing of a whole window.
+  catchUp.OnReply(other, Seen({ kOld }, 1s));
+  CHECK_FALSE(catchUp.IsDone());
+  catchUp.OnReply(other, Seen({ kOld }, 120s));
+  CHECK(catchUp.IsDone());
+}
+
 // 48 resumable streams a second at each of 2,100 daemons while all services
 // change versions; the control of a daemon may take 16 KB a second.
 TEST_CASE("reports of streams stay within the control traffic of a daemon")
