A peer whose bytes never end is cut off while little of them is kept

Cause: the HTTP parser bounds heads and bodies; extensions of chunks, chunk sizes and trailers have no bound, and the buffer grew until their line ended. Clients could do the same with requests. Sound chunks with long extensions kept little, but were read at the speed of the link. Change: HttpReader is the only way from a socket to an HTTP parser, on both sides. It bounds what is kept outside a message and what is read beside its body. Frames between daemons take memory as bytes arrive. Counters oversized_answers, oversized_requests. Conclusion: the bound belongs where bytes enter, not where messages are taken.

--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -344,6 +344,7 @@
   const ReplicatedLog& log = mReplica.Log();
   const MissingModels missing =
     mPlanner ? mPlanner->Missing(SteadyNow()) : MissingModels{};
+  const HttpReadStats read = GetHttpReadStats();
   std::ostringstream disk;
   disk << "# TYPE carobtide_disk_seconds histogram\n";
   mReplica.DiskTimes().Render(disk, "disk_seconds", "");
@@ -365,6 +366,10 @@
            { "load_evaluations",
              mPlanner ? static_cast<double>(mPlanner->LoadEvaluations())
                       : 0.0 },
+           { "oversized_requests",
+             static_cast<double>(read.mOversizedRequests) },
+           { "oversized_answers",
+             static_cast<double>(read.mOversizedResponses) },
            { "streams_known", static_cast<double>(mStreams.Size()) },
            { "watches_waiting", static_cast<double>(mNews.Waiting()) },
            { "log_lines_dropped", static_cast<double>(DroppedLogLines()) },
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -186,6 +186,7 @@
   const Instant now = SteadyNow();
   const DispatcherStats stats = mDispatcher.Stats();
   const FleetAges ages = mDispatcher.Ages(now);
+  const HttpReadStats read = GetHttpReadStats();
   const auto seconds = [](Duration aTime) {
     return std::chrono::duration<double>(aTime).count();
   };
@@ -193,6 +194,10 @@
          RenderGauges({
            { "ready", IsReady() ? 1.0 : 0.0 },
            { "catalog_version", static_cast<double>(mCatalogVersion) },
+           { "oversized_requests",
+             static_cast<double>(read.mOversizedRequests) },
+           { "oversized_answers",
+             static_cast<double>(read.mOversizedResponses) },
            { "open_requests", static_cast<double>(mCallers.OpenExchanges()) },
            { "waiting_requests", static_cast<double>(mRoom.Waiting()) },
            { "sends", static_cast<double>(stats.mSent) },
--- a/packages/transport/include/carobtide/transport.hpp
+++ b/packages/transport/include/carobtide/transport.hpp
@@ -8,6 +8,7 @@
 
 #include "carobtide/transport/frame.hpp"
 #include "carobtide/transport/http_client.hpp"
+#include "carobtide/transport/http_read_stats.hpp"
 #include "carobtide/transport/http_server.hpp"
 #include "carobtide/transport/http_types.hpp"
 #include "carobtide/transport/peer_channel.hpp"
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -1,6 +1,7 @@
 #include "carobtide/transport/http_client.hpp"
 
 #include "http_errors.hpp"
+#include "http_reader.hpp"
 #include "silence.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -39,6 +40,8 @@
   BeastConnection(beast::tcp_stream aStream, const Endpoint& aAddress)
     : mStream(std::move(aStream))
     , mPeerName(aAddress.ToString())
+    , mReader(mStream, HttpReadBounds::ForHead(kMaxResponseHeaderBytes),
+              mPeerName)
   {
   }
 
@@ -68,7 +71,7 @@
 
   beast::tcp_stream mStream;
   std::string mPeerName;
-  beast::flat_buffer mBuffer;
+  HttpReader mReader;
   std::optional<Parser> mParser;
   std::array<char, kBodyChunkBytes> mChunk;
   BodyFraming mFraming = BodyFraming::None;
@@ -128,18 +131,19 @@
 
 awaitable<Result<HttpResponseHead>> BeastConnection::ReadHead(Duration aTimeout)
 {
-  beast::error_code ec;
   mFraming = BodyFraming::None;
   mParser.emplace();
   mParser->header_limit(kMaxResponseHeaderBytes);
   mParser->body_limit(boost::none);
-  mParser->eager(true);
   mParser->skip(mSkipBody);
+  mReader.BeginMessage();
   mStream.expires_after(aTimeout);
-  co_await http::async_read_header(mStream, mBuffer, *mParser,
-                                   redirect_error(use_awaitable, ec));
-  if (ec) {
-    co_return LibraryError(ec, "http.read-response");
+  while (!mParser->is_header_done()) {
+    auto advancing = mReader.Advance(*mParser, "http.read-response");
+    auto advanced = co_await std::move(advancing);
+    if (!advanced) {
+      co_return advanced.GetError();
+    }
   }
   co_return TakeHead();
 }
@@ -153,13 +157,14 @@
     auto& body = mParser->get().body();
     body.data = mChunk.data();
     body.size = mChunk.size();
-    beast::error_code ec;
-    co_await http::async_read_some(mStream, mBuffer, *mParser,
-                                   redirect_error(use_awaitable, ec));
-    if (ec && ec != http::error::need_buffer) {
-      co_return LibraryError(ec, "http.read-body");
+    auto advancing = mReader.Advance(*mParser, "http.read-body");
+    auto advanced = co_await std::move(advancing);
+    const std::size_t n = mChunk.size() - body.size;
+    aOut.append(mChunk.data(), n);
+    mReader.SetBodyBytes(mReader.BodyBytes() + n);
+    if (!advanced) {
+      co_return advanced.GetError();
     }
-    aOut.append(mChunk.data(), mChunk.size() - body.size);
   }
   co_return !mParser->is_done();
 }
@@ -192,7 +197,7 @@
 bool BeastConnection::IsReusable() const
 {
   if (mCancelled || !mParser || !mParser->is_done() || !mParser->keep_alive() ||
-      mBuffer.size() != 0) {
+      mReader.HasBytes()) {
     return false;
   }
   char byte = 0;
--- a/packages/transport/src/http_connection.cpp
+++ b/packages/transport/src/http_connection.cpp
@@ -66,6 +66,10 @@
   : mStream(std::move(aSocket))
   , mLimits(aLimits)
   , mHandler(aHandler)
+  , mReader(mStream,
+            HttpReadBounds::ForHead(
+              static_cast<std::size_t>(aLimits.mMaxHeaderBytes)),
+            mPeerName)
   , mCounters(std::move(aCounters))
 {
   beast::error_code ec;
@@ -123,32 +127,31 @@
 
 awaitable<bool> HttpServerConnection::WaitForRequest()
 {
-  if (mBuffer.size() != 0) {
-    co_return true;
-  }
-  beast::error_code ec;
   mStream.expires_after(mLimits.mIdleTimeout);
-  const std::size_t n = co_await mStream.async_read_some(
-    mBuffer.prepare(kReadChunkBytes), redirect_error(use_awaitable, ec));
-  mBuffer.commit(n);
-  co_return !ec;
+  auto awaiting = mReader.AwaitBytes("http.await-request");
+  const auto arrived = co_await std::move(awaiting);
+  co_return arrived.HasValue();
 }
 
 awaitable<bool> HttpServerConnection::ReadRequest()
 {
-  beast::error_code ec;
   mAnswer = AnswerState::None;
   mParser.emplace();
+  mParser->eager(true);
   mParser->header_limit(static_cast<std::uint32_t>(mLimits.mMaxHeaderBytes));
   mParser->body_limit(static_cast<std::uint64_t>(mLimits.mMaxBodyBytes));
   mStream.expires_after(mLimits.mReadTimeout);
-  co_await http::async_read(mStream, mBuffer, *mParser,
-                            redirect_error(use_awaitable, ec));
-  if (ec) {
-    mKeepAlive = false;
-    const Error error = LibraryError(ec, "http.read-request");
-    co_await RefuseRequest(error);
-    co_return false;
+  mReader.BeginMessage();
+  while (!mParser->is_done()) {
+    auto advancing = mReader.Advance(*mParser, "http.read-request");
+    const auto advanced = co_await std::move(advancing);
+    if (!advanced) {
+      mKeepAlive = false;
+      auto refusing = RefuseRequest(advanced.GetError());
+      co_await std::move(refusing);
+      co_return false;
+    }
+    mReader.SetBodyBytes(mParser->get().body().size());
   }
   TakeRequest();
   co_return true;
--- a/packages/transport/src/http_connection.hpp
+++ b/packages/transport/src/http_connection.hpp
@@ -6,10 +6,10 @@
  */
 
 #include "carobtide/transport/http_server.hpp"
+#include "http_reader.hpp"
 
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -96,12 +96,12 @@
   boost::beast::tcp_stream mStream;
   const HttpLimits& mLimits;
   const HttpHandler& mHandler;
+  std::string mPeerName;
+  HttpReader mReader;
   /** Shared: a connection may end after its server. */
   std::shared_ptr<HttpServerCounters> mCounters;
-  boost::beast::flat_buffer mBuffer;
   std::optional<Parser> mParser;
   HttpRequest mRequest;
-  std::string mPeerName;
   AnswerState mAnswer = AnswerState::None;
   bool mKeepAlive = true;
   bool mIdle = true;
--- /dev/null
+++ b/packages/transport/src/http_reader.cpp
@@ -0,0 +1,142 @@
+#include "http_reader.hpp"
+
+#include "carobtide/transport/http_read_stats.hpp"
+#include "http_errors.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <algorithm>
+#include <atomic>
+
+namespace carobtide {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::awaitable;
+using asio::redirect_error;
+using asio::use_awaitable;
+
+namespace {
+
+constexpr std::size_t kMaxReadBytes = 65536;
+
+std::atomic<std::uint64_t> gOversizedRequests{ 0 };
+std::atomic<std::uint64_t> gOversizedResponses{ 0 };
+
+} // namespace
+
+HttpReadStats GetHttpReadStats()
+{
+  return { gOversizedRequests, gOversizedResponses };
+}
+
+HttpReadBounds HttpReadBounds::ForHead(std::size_t aMaxHeadBytes)
+{
+  constexpr std::size_t kKeptPerHeadByte = 2;
+  constexpr std::size_t kOverheadPerHeadByte = 4;
+  HttpReadBounds bounds;
+  bounds.mMaxKept = kKeptPerHeadByte * aMaxHeadBytes;
+  bounds.mMaxOverhead = kOverheadPerHeadByte * aMaxHeadBytes;
+  return bounds;
+}
+
+void HttpReader::BeginMessage()
+{
+  mTaken = 0;
+  mBodyBytes = 0;
+}
+
+awaitable<beast::error_code> HttpReader::ReadOnce()
+{
+  beast::error_code ec;
+  const std::size_t size = beast::read_size(mBuffer, kMaxReadBytes);
+  const std::size_t n = co_await mStream.async_read_some(
+    mBuffer.prepare(size), redirect_error(use_awaitable, ec));
+  mBuffer.commit(n);
+  co_return ec;
+}
+
+awaitable<Result<Unit>> HttpReader::AwaitBytes(std::string_view aStep)
+{
+  if (HasBytes()) {
+    co_return Success();
+  }
+  auto reading = ReadOnce();
+  const beast::error_code ec = co_await std::move(reading);
+  if (ec) {
+    co_return TransportError(ec, aStep, mPeerName);
+  }
+  co_return Success();
+}
+
+bool HttpReader::IsOverheadExceeded() const
+{
+  const std::uint64_t overhead = mTaken - std::min(mTaken, mBodyBytes);
+  return overhead >
+         mBounds.mMaxOverhead + mBounds.mOverheadPerBodyByte * mBodyBytes;
+}
+
+Error HttpReader::MakeOverrun(std::string_view aStep, std::string_view aBound,
+                              bool aIsRequest) const
+{
+  ++(aIsRequest ? gOversizedRequests : gOversizedResponses);
+  return MakeError(ErrorCode::TooLarge, aStep, mPeerName,
+                   std::string(aBound) + ": " + std::to_string(mTaken) +
+                     " bytes read, " + std::to_string(mBodyBytes) +
+                     " of them body, " + std::to_string(mBuffer.size()) +
+                     " kept");
+}
+
+template<bool IsRequest>
+awaitable<Result<Unit>> HttpReader::Advance(
+  http::basic_parser<IsRequest>& aParser, std::string_view aStep)
+{
+  if (IsOverheadExceeded()) {
+    const Error error = MakeOverrun(aStep, "too little progress", IsRequest);
+    co_return error;
+  }
+  while (true) {
+    beast::error_code ec = http::error::need_more;
+    std::size_t taken = 0;
+    if (HasBytes()) {
+      taken = aParser.put(mBuffer.data(), ec);
+      mBuffer.consume(taken);
+      mTaken += taken;
+    }
+    if (ec && ec != http::error::need_more && ec != http::error::need_buffer) {
+      co_return TransportError(ec, aStep, mPeerName);
+    }
+    if (taken > 0 || ec != http::error::need_more) {
+      co_return Success();
+    }
+    if (mBuffer.size() >= mBounds.mMaxKept) {
+      const Error error = MakeOverrun(aStep, "no end of a line", IsRequest);
+      co_return error;
+    }
+    auto reading = ReadOnce();
+    ec = co_await std::move(reading);
+    if (ec == asio::error::eof && aParser.got_some()) {
+      ec = {};
+      aParser.put_eof(ec);
+      if (!ec) {
+        co_return Success();
+      }
+    } else if (ec == asio::error::eof) {
+      ec = http::error::end_of_stream;
+    }
+    if (ec) {
+      co_return TransportError(ec, aStep, mPeerName);
+    }
+  }
+}
+
+template awaitable<Result<Unit>> HttpReader::Advance<true>(
+  http::basic_parser<true>& aParser, std::string_view aStep);
+template awaitable<Result<Unit>> HttpReader::Advance<false>(
+  http::basic_parser<false>& aParser, std::string_view aStep);
+
+} // namespace carobtide
--- a/packages/transport/src/peer_link.cpp
+++ b/packages/transport/src/peer_link.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace carobtide {
@@ -24,6 +25,9 @@
 /** Set in the type of a frame that answers a call. */
 constexpr std::uint16_t kReplyFlag = 0x8000;
 
+/** Bytes of a frame that are read at once. */
+constexpr std::size_t kReadBytes = 65536;
+
 /** Frames beyond this are dropped rather than queued. */
 constexpr std::size_t kMaxQueueBytes = 16 * 1024 * 1024;
 
@@ -59,11 +63,17 @@
     co_return header.GetError();
   }
   Frame frame{ header->mType, header->mCorrelation, {} };
-  frame.mPayload.resize(header->mLength);
-  co_await asio::async_read(mSocket, asio::buffer(frame.mPayload),
-                            redirect_error(use_awaitable, ec));
-  if (ec) {
-    co_return TransportError(ec, "peer.read-payload", mPeerName);
+  // Memory is taken as the bytes arrive, not as the length claims.
+  while (frame.mPayload.size() < header->mLength) {
+    const std::size_t begin = frame.mPayload.size();
+    const std::size_t size = std::min(kReadBytes, header->mLength - begin);
+    frame.mPayload.resize(begin + size);
+    co_await asio::async_read(mSocket,
+                              asio::buffer(frame.mPayload.data() + begin, size),
+                              redirect_error(use_awaitable, ec));
+    if (ec) {
+      co_return TransportError(ec, "peer.read-payload", mPeerName);
+    }
   }
   const auto checked = CheckFramePayload(*header, frame.mPayload);
   if (!checked) {
--- /dev/null
+++ b/packages/transport/tests/endless_bytes_test.cpp
@@ -0,0 +1,236 @@
+// Guards against peers whose bytes are no message and never end: what a reader
+// kept of them had no bound, and the process ran out of memory.
+#include "carobtide/transport.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <thread>
+
+namespace carobtide {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr Duration kPatience = std::chrono::seconds(60);
+/** The peer gives up here, far beyond what kernels buffer for a connection. */
+constexpr std::size_t kMaxWritten = 64 * 1024 * 1024;
+constexpr std::size_t kPieceBytes = 250'000;
+
+const std::string kChunkedHead =
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string kChunkedRequest =
+  "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/** What a peer writes: a beginning, then a piece over and over. */
+struct Script
+{
+  std::string mFirst;
+  std::string mPiece;
+};
+
+/** A sound small chunk with an extension of some length. */
+std::string ChunkWithExtension(std::size_t aBytes)
+{
+  return "1;" + std::string(aBytes, 'y') + "\r\nx\r\n";
+}
+
+std::string Repeated(const std::string& aPiece, std::size_t aBytes)
+{
+  std::string all;
+  while (all.size() < aBytes) {
+    all += aPiece;
+  }
+  return all;
+}
+
+/** Writes until the other side closes; the bytes that were taken. */
+std::size_t WriteOn(tcp::socket& aSocket, const Script& aBytes)
+{
+  boost::system::error_code ec;
+  std::size_t written = asio::write(aSocket, asio::buffer(aBytes.mFirst), ec);
+  while (!ec && !aBytes.mPiece.empty() && written < kMaxWritten) {
+    written += asio::write(aSocket, asio::buffer(aBytes.mPiece), ec);
+  }
+  return written;
+}
+
+/** Fetches from a peer that answers with these bytes and then closes. */
+Result<HttpResponse> FetchFrom(const Script& aAnswer)
+{
+  asio::io_context context;
+  tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+  const Endpoint address{ "127.0.0.1", acceptor.local_endpoint().port() };
+  std::thread peer([&] {
+    tcp::socket socket(context);
+    acceptor.accept(socket);
+    std::string request;
+    boost::system::error_code ec;
+    asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", ec);
+    WriteOn(socket, aAnswer);
+  });
+  WorkerPool workers(1);
+  workers.Start();
+  auto asking = asio::co_spawn(
+    workers.At(0),
+    [address]() -> awaitable<Result<HttpResponse>> {
+      auto fetching = FetchOnce(address, HttpRequest{}, kPatience);
+      auto response = co_await std::move(fetching);
+      co_return response;
+    },
+    asio::use_future);
+  auto response = asking.get();
+  peer.join();
+  return response;
+}
+
+awaitable<void> Echo(HttpExchange& aExchange)
+{
+  HttpResponse response =
+    MakeResponse(200, "text/plain", aExchange.Request().mBody);
+  co_await aExchange.Respond(std::move(response));
+}
+
+/** What a server answers to these bytes, and how many it took. */
+struct ServerAnswer
+{
+  std::string mText;
+  std::size_t mTaken = 0;
+};
+
+ServerAnswer AskWith(const Script& aRequest, HttpLimits aLimits = {})
+{
+  WorkerPool workers(1);
+  HttpServer server(workers, aLimits, Echo);
+  workers.Start();
+  REQUIRE(server.Listen(Endpoint{ "127.0.0.1", 0 }));
+  asio::io_context context;
+  tcp::socket socket(context);
+  socket.connect(
+    { asio::ip::make_address("127.0.0.1"), server.Address().mPort });
+  ServerAnswer answer;
+  std::thread reader([&] {
+    boost::system::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(answer.mText), ec);
+  });
+  answer.mTaken = WriteOn(socket, aRequest);
+  if (aRequest.mPiece.empty()) {
+    boost::system::error_code ec;
+    socket.shutdown(tcp::socket::shutdown_send, ec);
+  }
+  reader.join();
+  return answer;
+}
+
+const std::string kPiece(kPieceBytes, 'y');
+
+} // namespace
+
+TEST_CASE("an answer without end is cut off while little of it is kept")
+{
+  const auto [name, answer] = GENERATE(table<std::string, Script>({
+    { "extension of a chunk", { kChunkedHead + "8;", kPiece } },
+    { "chunk size", { kChunkedHead, std::string(kPieceBytes, '0') } },
+    { "trailer field", { kChunkedHead + "0\r\nA: ", kPiece } },
+    { "trailer fields",
+      { kChunkedHead + "0\r\n", Repeated("A: b\r\n", kPieceBytes) } },
+    { "extensions of sound chunks, each too long to be kept",
+      { kChunkedHead, ChunkWithExtension(kPieceBytes) } },
+    { "extensions of sound chunks, each short enough to be kept",
+      { kChunkedHead, ChunkWithExtension(8000) } },
+    { "head", { "HTTP/1.1 200 OK\r\nA: ", kPiece } },
+    { "fields of a head",
+      { "HTTP/1.1 200 OK\r\n", Repeated("A: b\r\n", kPieceBytes) } },
+    { "status line", { "HTTP/1.1 200 ", kPiece } },
+  }));
+  CAPTURE(name);
+  const std::uint64_t before = GetHttpReadStats().mOversizedResponses;
+  const auto response = FetchFrom(answer);
+  CHECK(response.Code() == ErrorCode::TooLarge);
+  const bool isInBody = answer.mFirst.starts_with(kChunkedHead);
+  CHECK(GetHttpReadStats().mOversizedResponses - before ==
+        (isInBody ? 1U : 0U));
+}
+
+TEST_CASE("a request without end is refused while little of it is kept")
+{
+  const auto [name, request] = GENERATE(table<std::string, Script>({
+    { "extension of a chunk", { kChunkedRequest + "8;", kPiece } },
+    { "chunk size", { kChunkedRequest, std::string(kPieceBytes, '0') } },
+    { "trailer field", { kChunkedRequest + "0\r\nA: ", kPiece } },
+    { "trailer fields",
+      { kChunkedRequest + "0\r\n", Repeated("A: b\r\n", kPieceBytes) } },
+    { "extensions of sound chunks",
+      { kChunkedRequest, ChunkWithExtension(8000) } },
+    { "head", { "POST / HTTP/1.1\r\nHost: a\r\nA: ", kPiece } },
+  }));
+  CAPTURE(name);
+  const ServerAnswer answer = AskWith(request);
+  CHECK(answer.mText.starts_with("HTTP/1.1 4"));
+  CHECK(answer.mText.find("not-run") != std::string::npos);
+  CHECK(answer.mTaken < kMaxWritten);
+}
+
+TEST_CASE("sound messages are not cut off")
+{
+  SECTION("an answer with a long head")
+  {
+    const auto response =
+      FetchFrom({ "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nA: " +
+                    std::string(60'000, 'y') + "\r\n\r\nok",
+                  "" });
+    REQUIRE(response);
+    CHECK(response->mBody == "ok");
+  }
+  SECTION("an answer in short chunks with extensions and trailers")
+  {
+    constexpr std::size_t kChunks = 100'000;
+    std::string answer = kChunkedHead;
+    for (std::size_t n = 0; n < kChunks; ++n) {
+      answer += "1;a=b\r\nx\r\n";
+    }
+    answer += "0\r\nA: " + std::string(10'000, 'y') + "\r\n\r\n";
+    const auto response = FetchFrom({ answer, "" });
+    REQUIRE(response);
+    CHECK(response->mBody.size() == kChunks);
+  }
+  SECTION("an answer with few chunks and extensions")
+  {
+    const std::string chunk = "20000;" + std::string(300, 'y') + "\r\n" +
+                              std::string(0x20000, 'x') + "\r\n";
+    const auto response = FetchFrom(
+      { kChunkedHead + Repeated(chunk, 4'000'000) + "0\r\n\r\n", "" });
+    REQUIRE(response);
+    CHECK(response->mBody.size() % 0x20000 == 0);
+  }
+  SECTION("a body that ends with its connection")
+  {
+    const auto response = FetchFrom(
+      { "HTTP/1.1 200 OK\r\n\r\n" + std::string(1'000'000, 'x'), "" });
+    REQUIRE(response);
+    CHECK(response->mBody.size() == 1'000'000);
+  }
+  SECTION("a request with the largest body, in chunks with trailers")
+  {
+    const std::string chunk =
+      "20000;a=b\r\n" + std::string(0x20000, 'x') + "\r\n";
+    const ServerAnswer answer =
+      AskWith({ kChunkedRequest + Repeated(chunk, 8'000'000) +
+                  "0\r\nA: " + std::string(1000, 'y') + "\r\n\r\n",
+                "" });
+    CHECK(answer.mText.starts_with("HTTP/1.1 200"));
+  }
+}
+
+} // namespace carobtide
