--- a/packages/cli/tests/engine_target_test.cpp
+++ b/packages/cli/tests/engine_target_test.cpp
@@ -62,6 +62,16 @@
     REQUIRE(mTarget->Start());
   }
 
+  /** Handlers that have yet to return refer to the target. */
+  ~TargetFixture()
+  {
+    while (mTarget->OpenExchanges() > 0) {
+      mContext.run_one();
+    }
+  }
+  TargetFixture(const TargetFixture&) = delete;
+  TargetFixture& operator=(const TargetFixture&) = delete;
+
   asio::awaitable<void> Take(HttpExchange& aExchange)
   {
     if (aExchange.Request().mTarget == "/targets/announce") {
