Large request bodies are bounded in sum

What callers saw: none so far; found on the way through the paths related to bytes without end. Each body has a bound, their sum had none. Cause: every connection reads and holds its body, in three copies while it is sent on. Change: bodies above 64 KiB may hold 32 MiB in sum at one server, from their first byte to the end of their handlers; beyond it a request is refused at once with 503, Retry-After and "not run". Smaller ones are not counted. Test: "large bodies are bounded in sum, small ones are served beside them"; its limit did not exist before.

--- a/packages/transport/include/carobtide/transport/http_server.hpp
+++ b/packages/transport/include/carobtide/transport/http_server.hpp
@@ -23,6 +23,12 @@
 {
   Bytes mMaxHeaderBytes = 16 * kKiB;
   Bytes mMaxBodyBytes = 8 * kMiB;
+  /**
+   * Bodies above mSmallBodyBytes that requests may hold in sum, from their first
+   * byte to the end of their handlers. Beyond it a request gets 503, not run.
+   */
+  Bytes mMaxHeldBytes = 32 * kMiB;
+  Bytes mSmallBodyBytes = 64 * kKiB;
   /** A request must arrive whole within this time from its first byte. */
   Duration mReadTimeout = std::chrono::seconds(30);
   /** An idle connection is closed after this time. */
--- a/packages/transport/src/http_connection.cpp
+++ b/packages/transport/src/http_connection.cpp
@@ -43,6 +43,10 @@
   constexpr std::uint16_t kBadRequest = 400;
   constexpr std::uint16_t kPayloadTooLarge = 413;
   constexpr std::uint16_t kHeaderTooLarge = 431;
+  constexpr std::uint16_t kUnavailable = 503;
+  if (aCode == ErrorCode::Overloaded) {
+    return kUnavailable;
+  }
   if (aCode == ErrorCode::TooLarge) {
     return aDetail.find("header") != std::string::npos ? kHeaderTooLarge
                                                        : kPayloadTooLarge;
@@ -84,9 +88,19 @@
 
 HttpServerConnection::~HttpServerConnection()
 {
+  HoldBody(0);
   --mCounters->mConnections;
 }
 
+bool HttpServerConnection::HoldBody(std::size_t aBytes)
+{
+  const auto bytes = static_cast<std::int64_t>(aBytes);
+  const std::int64_t held = bytes > mLimits.mSmallBodyBytes ? bytes : 0;
+  const std::int64_t more = held - std::exchange(mHeldBytes, held);
+  const std::int64_t sum = mCounters->mHeldBytes += more;
+  return more <= 0 || sum <= mLimits.mMaxHeldBytes;
+}
+
 awaitable<void> HttpServerConnection::Run()
 {
   const auto self = shared_from_this();
@@ -151,7 +165,18 @@
       co_await std::move(refusing);
       co_return false;
     }
-    mReader.SetBodyBytes(mParser->get().body().size());
+    const std::size_t size = mParser->get().body().size();
+    mReader.SetBodyBytes(size);
+    if (!HoldBody(size)) {
+      mKeepAlive = false;
+      mParser.reset();
+      HoldBody(0);
+      const Error error = MakeError(ErrorCode::Overloaded, "http.read-request",
+                                    mPeerName, "too many large bodies at once");
+      auto refusing = RefuseRequest(error);
+      co_await std::move(refusing);
+      co_return false;
+    }
   }
   TakeRequest();
   co_return true;
@@ -192,6 +217,8 @@
   if (failed || mAnswer != AnswerState::Done || mCounters->mEnding) {
     mKeepAlive = false;
   }
+  mRequest = HttpRequest{};
+  HoldBody(0);
   --mCounters->mExchanges;
 }
 
@@ -210,6 +237,10 @@
     MakeResponse(RefusalStatus(aError.mCode, aError.mDetail),
                  "application/json", std::move(body));
   response.mHead.mHeaders.Add("Carobtide-Outcome", "not-run");
+  if (aError.mCode == ErrorCode::Overloaded) {
+    // Seconds: about the time in which a body of the largest size is read.
+    response.mHead.mHeaders.Add("Retry-After", "1");
+  }
   co_await Respond(std::move(response));
 }
 
--- a/packages/transport/src/http_connection.hpp
+++ b/packages/transport/src/http_connection.hpp
@@ -28,6 +28,8 @@
 {
   std::atomic<std::size_t> mConnections{ 0 };
   std::atomic<std::size_t> mExchanges{ 0 };
+  /** Bytes of large bodies. */
+  std::atomic<std::int64_t> mHeldBytes{ 0 };
   std::atomic<bool> mStopping{ false };
   /** Every answer ends its connection. */
   std::atomic<bool> mEnding{ false };
@@ -90,6 +92,8 @@
   boost::asio::awaitable<void> WatchClient();
   void StopWatching();
   void TakeRequest();
+  /** Counts a body of this size; false if that is too much in sum. */
+  bool HoldBody(std::size_t aBytes);
   Error LibraryError(const boost::beast::error_code& aCode,
                      std::string_view aStep);
 
@@ -102,6 +106,8 @@
   std::shared_ptr<HttpServerCounters> mCounters;
   std::optional<Parser> mParser;
   HttpRequest mRequest;
+  /** What the current body counts in mHeldBytes. */
+  std::int64_t mHeldBytes = 0;
   AnswerState mAnswer = AnswerState::None;
   bool mKeepAlive = true;
   bool mIdle = true;
--- a/packages/transport/tests/endless_bytes_test.cpp
+++ b/packages/transport/tests/endless_bytes_test.cpp
@@ -14,6 +14,7 @@
 
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace carobtide {
 
@@ -182,6 +183,58 @@
   CHECK(answer.mTaken < kMaxWritten);
 }
 
+// Guards against many large requests at once, each within its bound, that use
+// up the memory in sum.
+TEST_CASE("large bodies are bounded in sum, small ones are served beside them")
+{
+  constexpr std::size_t kLargeBytes = 1'000'000;
+  constexpr std::size_t kClients = 8;
+  HttpLimits limits;
+  limits.mMaxHeldBytes = 3'500'000;
+  WorkerPool workers(1);
+  HttpServer server(workers, limits, Echo);
+  workers.Start();
+  REQUIRE(server.Listen(Endpoint{ "127.0.0.1", 0 }));
+  const tcp::endpoint address(asio::ip::make_address("127.0.0.1"),
+                              server.Address().mPort);
+  asio::io_context context;
+  const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ";
+  // All but the last byte of each is sent, so that all are open at once.
+  std::vector<tcp::socket> clients;
+  std::vector<std::string> answers(kClients);
+  const auto large = head + std::to_string(kLargeBytes) + "\r\n\r\n" +
+                     std::string(kLargeBytes - 1, 'x');
+  boost::system::error_code ec;
+  for (std::size_t n = 0; n < kClients; ++n) {
+    clients.emplace_back(context).connect(address);
+    asio::write(clients.back(), asio::buffer(large), ec);
+  }
+  tcp::socket small(context);
+  small.connect(address);
+  asio::write(small, asio::buffer(head + "2\r\nConnection: close\r\n\r\nok"));
+  std::string answer;
+  asio::read(small, asio::dynamic_buffer(answer), ec);
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+  std::size_t served = 0;
+  std::size_t refused = 0;
+  for (std::size_t n = 0; n < kClients; ++n) {
+    asio::write(clients[n], asio::buffer("x", 1), ec);
+    clients[n].shutdown(tcp::socket::shutdown_send, ec);
+    asio::read(clients[n], asio::dynamic_buffer(answers[n]), ec);
+    served += answers[n].starts_with("HTTP/1.1 200") ? 1 : 0;
+    refused += answers[n].starts_with("HTTP/1.1 503") &&
+                   answers[n].find("Retry-After: 1") != std::string::npos &&
+                   answers[n].find("not-run") != std::string::npos
+                 ? 1
+                 : 0;
+  }
+  CHECK(served == 3);
+  CHECK(refused == kClients - 3);
+  // What was refused or answered counts no more.
+  const auto again = AskWith({ large + "x", "" }, limits);
+  CHECK(again.mText.starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("sound messages are not cut off")
 {
   SECTION("an answer with a long head")
