A control daemon starts also if the folder for its software cannot be made

Cause: seen in reading: a full disk at the start made SoftwareStore::Load fail, and with it the start of the daemon, which runs without that folder as well. Change: what cannot be read or made is reported and left out; the folder is made when something is written.

--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -186,9 +186,7 @@
     return found.GetError();
   }
   mReplicaId = *found;
-  if (auto restored = RestoreSoftware(); !restored) {
-    return restored;
-  }
+  RestoreSoftware();
   const auto seeds = SeedPeers();
   const bool isSeed =
     std::ranges::find(seeds, mSettings.mPeerAddress) != seeds.end();
--- a/packages/daemon/src/control_node_software.cpp
+++ b/packages/daemon/src/control_node_software.cpp
@@ -26,26 +26,23 @@
 
 } // namespace
 
-Result<Unit> ControlNode::RestoreSoftware()
+void ControlNode::RestoreSoftware()
 {
-  const auto stored = mSoftwareStore.Load();
-  if (!stored) {
-    return stored.GetError();
-  }
+  const StoredSoftware stored = mSoftwareStore.Load();
   const Instant now = SteadyNow();
   if (mSettings.mFirstStart) {
     // Nothing has served before a deployment's first start.
     mSoftware.SetComplete();
   }
-  if (stored->mRecord) {
-    mSoftware.Restore(now, *stored->mRecord);
+  if (stored.mRecord) {
+    mSoftware.Restore(now, *stored.mRecord);
   }
-  for (const StreamNotice& notice : stored->mNotices) {
+  for (const StreamNotice& notice : stored.mNotices) {
     mStreams.Put(now, notice);
   }
   mNextRotation = now + mSoftware.Window();
   const std::array inputs{
-    LogInput{ "record", std::int64_t{ stored->mRecord.has_value() } },
+    LogInput{ "record", std::int64_t{ stored.mRecord.has_value() } },
     LogInput{ "complete", std::int64_t{ mSoftware.Record(now).mIsComplete } },
     LogInput{ "streams", static_cast<std::int64_t>(mStreams.Size()) },
   };
@@ -55,7 +52,6 @@
   Log(LogLevel::Info, fields);
   mSoftwareStore.Start();
   KeepSoftware(now);
-  return Success();
 }
 
 void ControlNode::KeepSoftware(Instant aNow)
--- a/packages/daemon/src/software_store.cpp
+++ b/packages/daemon/src/software_store.cpp
@@ -54,15 +54,11 @@
            : std::nullopt;
 }
 
-Result<std::vector<std::uint64_t>> StreamFiles(FileSystem& aFiles,
-                                               const std::string& aFolder)
+/** The numbers of the files of streams, in order. */
+std::vector<std::uint64_t> StreamFiles(const std::vector<std::string>& aNames)
 {
-  const auto names = aFiles.List(aFolder);
-  if (!names) {
-    return names.GetError();
-  }
   std::vector<std::uint64_t> numbers;
-  for (const std::string& name : *names) {
+  for (const std::string& name : aNames) {
     if (const auto number = NumberOf(name)) {
       numbers.push_back(*number);
     }
@@ -98,14 +94,17 @@
   return mFolder + "/" + std::string(kStreamsPrefix) + std::to_string(aNumber);
 }
 
-Result<StoredSoftware> SoftwareStore::Load()
+StoredSoftware SoftwareStore::Load()
 {
-  if (auto made = mFiles->MakeFolder(mFolder); !made) {
-    return made.GetError();
-  }
   StoredSoftware stored;
-  const auto names = mFiles->List(mFolder);
-  if (names && std::ranges::find(*names, kRecordName) != names->end()) {
+  const auto made = mFiles->MakeFolder(mFolder);
+  const auto names = made ? mFiles->List(mFolder)
+                          : Result<std::vector<std::string>>(made.GetError());
+  if (!names) {
+    mOnFailure(names.GetError());
+    return stored;
+  }
+  if (std::ranges::find(*names, kRecordName) != names->end()) {
     const std::string path = mFolder + "/" + std::string(kRecordName);
     const auto bytes = mFiles->Read(path);
     std::string_view rest = bytes ? std::string_view(*bytes) : "";
@@ -121,11 +120,7 @@
                         : record.GetError());
     }
   }
-  const auto numbers = StreamFiles(*mFiles, mFolder);
-  if (!numbers) {
-    return numbers.GetError();
-  }
-  for (const std::uint64_t number : *numbers) {
+  for (const std::uint64_t number : StreamFiles(*names)) {
     const auto bytes = mFiles->Read(PathOf(number));
     if (!bytes) {
       mOnFailure(bytes.GetError());
@@ -235,8 +230,11 @@
 
 Result<Unit> SoftwareStore::WriteRecord(const std::string& aBytes)
 {
-  auto written =
-    ReplaceFile(*mFiles, mFolder, std::string(kRecordName), aBytes);
+  // The disk may have been full when the store was loaded.
+  auto written = mFiles->MakeFolder(mFolder);
+  written = written
+              ? ReplaceFile(*mFiles, mFolder, std::string(kRecordName), aBytes)
+              : std::move(written);
   if (!written) {
     // An outdated record would vouch for versions that it lacks. There may be
     // none to remove.
@@ -252,6 +250,9 @@
                      "streams are not kept until the next window");
   }
   if (mFile == nullptr) {
+    if (auto made = mFiles->MakeFolder(mFolder); !made) {
+      return made;
+    }
     auto file = mFiles->Open(PathOf(mNumber));
     if (!file) {
       return file.GetError();
@@ -273,11 +274,11 @@
 
 Result<Unit> SoftwareStore::RemoveBefore(std::uint64_t aNumber)
 {
-  const auto numbers = StreamFiles(*mFiles, mFolder);
-  if (!numbers) {
-    return numbers.GetError();
+  const auto names = mFiles->List(mFolder);
+  if (!names) {
+    return names.GetError();
   }
-  for (const std::uint64_t number : *numbers) {
+  for (const std::uint64_t number : StreamFiles(*names)) {
     if (number < aNumber) {
       if (auto removed = mFiles->Remove(PathOf(number)); !removed) {
         return removed;
--- a/packages/daemon/src/software_store.hpp
+++ b/packages/daemon/src/software_store.hpp
@@ -60,8 +60,11 @@
   SoftwareStore(const SoftwareStore&) = delete;
   SoftwareStore& operator=(const SoftwareStore&) = delete;
 
-  /** Reads the disk; damaged ends of files are passed over. Blocks. */
-  Result<StoredSoftware> Load();
+  /**
+   * Reads the disk. What cannot be read is reported and left out: a daemon
+   * starts without it, and does not know what served. Blocks.
+   */
+  StoredSoftware Load();
   /** Starts the thread. Precondition: Load was called. */
   void Start();
 
