--- a/packages/transport/include/carobtide/transport/http_server.hpp
+++ b/packages/transport/include/carobtide/transport/http_server.hpp
@@ -24,8 +24,9 @@
   Bytes mMaxHeaderBytes = 16 * kKiB;
   Bytes mMaxBodyBytes = 8 * kMiB;
   /**
-   * Bodies above mSmallBodyBytes that requests may hold in sum, from their first
-   * byte to the end of their handlers. Beyond it a request gets 503, not run.
+   * Bodies above mSmallBodyBytes that requests may hold in sum, from their
+   * first byte to the end of their handlers. Beyond it a request gets 503, not
+   * run.
    */
   Bytes mMaxHeldBytes = 32 * kMiB;
   Bytes mSmallBodyBytes = 64 * kKiB;
