A control daemon also learns from older builds what has served

Cause: a control daemon with an empty disk took only answers with a whole window, which daemons of a build that keeps nothing do not have for a window after a restart; then nobody answered at the edges. Change: such an answer counts for it as it counts for edges: as that build counted it. Daemons of this build answer only if they know a whole window.

--- a/packages/daemon/src/control_node_software.cpp
+++ b/packages/daemon/src/control_node_software.cpp
@@ -119,7 +119,7 @@
           LogError(reply.GetError());
           break;
         }
-        catchUp.OnReply(service, reply->mSeen);
+        catchUp.OnReply(service);
         for (const SoftwareVersion& software : reply->mSeen.mVersions) {
           mSoftware.Observe(SteadyNow(), service, software);
         }
--- a/packages/fleet/include/carobtide/fleet/software_history.hpp
+++ b/packages/fleet/include/carobtide/fleet/software_history.hpp
@@ -83,7 +83,8 @@
 /**
  * Tells when a control daemon without a record has learned from the others what
  * has served: for each service a majority of all of them, itself counted as one
- * that knows nothing, has answered with a whole window.
+ * that knows nothing, has answered. Those that know no whole window do not, but
+ * for daemons of older builds, which know no better until all are replaced.
  *
  * Answers: VMs that are replaced one after the other, in less than a window.
  *
@@ -97,13 +98,13 @@
                   std::size_t aDaemons);
 
   /** A control daemon's answer; each is given once for each service. */
-  void OnReply(const ServiceName& aService, const SoftwareSeen& aSeen);
+  void OnReply(const ServiceName& aService);
 
   bool IsDone() const;
 
 private:
   std::size_t mDaemons = 0;
-  /** Whole windows that were answered with. */
+  /** Daemons that answered. */
   std::map<ServiceName, std::size_t> mAnswers;
 };
 
