Fuzzer of messages between daemons: the new constructor, and software records

Cause: fuzz peer_message did not compile; the build of the tests leaves it out. Change: OriginSearch with its third argument; SoftwareRecord is decoded, restored and recorded as well.

--- a/packages/daemon/fuzz/peer_message.cpp
+++ b/packages/daemon/fuzz/peer_message.cpp
@@ -54,10 +54,15 @@
     streams.Expire(kNow);
   }
   if (const auto reply = Decode<StreamReply>(aBytes)) {
-    OriginSearch search(ServiceName("s"), {});
+    OriginSearch search(ServiceName("s"), {}, 1);
     search.OnReply(*reply);
     search.Result();
   }
+  if (const auto record = Decode<SoftwareRecord>(aBytes)) {
+    SoftwareHistory history;
+    history.Restore(kNow, *record);
+    history.Record(kNow);
+  }
 }
 
 /** What decodes must encode and decode again. */
