A test of bodies in sum waits until the server has refused what it must

The server had not read all eight bodies from the kernel when the clients sent their last bytes; one request was done and gave its room back before the next was read. Change: the last bytes go once five clients have their refusals; the counts are as before.

--- a/packages/transport/tests/endless_bytes_test.cpp
+++ b/packages/transport/tests/endless_bytes_test.cpp
@@ -261,6 +261,16 @@
     clients.emplace_back(context).connect(address);
     asio::write(clients.back(), asio::buffer(large), ec);
   }
+  // The rest is sent once the server has read enough to refuse what it must.
+  const auto isAnswered = [&](tcp::socket& aClient) {
+    return aClient.available(ec) > 0;
+  };
+  const auto until = std::chrono::steady_clock::now() + kPatience;
+  while (std::ranges::count_if(clients, isAnswered) <
+           static_cast<std::ptrdiff_t>(kClients - 3) &&
+         std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
   tcp::socket small(context);
   small.connect(address);
   asio::write(small, asio::buffer(head + "2\r\nConnection: close\r\n\r\nok"));
