--- a/packages/daemon/tests/software_store_test.cpp
+++ b/packages/daemon/tests/software_store_test.cpp
@@ -91,6 +91,86 @@
   std::shared_ptr<std::atomic<bool>> mIsFull;
 };
 
+/** Keeps what is written in memory until a sync; none takes effect at the end.
+ */
+class PowerLossFileSystem final : public FileSystem
+{
+public:
+  explicit PowerLossFileSystem(std::shared_ptr<std::atomic<bool>> aIsLost)
+    : mIsLost(std::move(aIsLost))
+  {
+  }
+
+  Result<Unit> MakeFolder(const std::string& aFolder) override
+  {
+    return mFiles->MakeFolder(aFolder);
+  }
+  Result<std::vector<std::string>> List(const std::string& aFolder) override
+  {
+    return mFiles->List(aFolder);
+  }
+  Result<std::string> Read(const std::string& aPath) override
+  {
+    return mFiles->Read(aPath);
+  }
+  Result<std::unique_ptr<AppendFile>> Open(const std::string& aPath) override
+  {
+    auto file = mFiles->Open(aPath);
+    if (!file) {
+      return file.GetError();
+    }
+    return std::unique_ptr<AppendFile>(
+      std::make_unique<File>(std::move(*file), mIsLost));
+  }
+  Result<Unit> Rename(const std::string& aFrom, const std::string& aTo) override
+  {
+    return *mIsLost ? Success() : mFiles->Rename(aFrom, aTo);
+  }
+  Result<Unit> Remove(const std::string& aPath) override
+  {
+    return *mIsLost ? Success() : mFiles->Remove(aPath);
+  }
+  Result<Unit> SyncFolder(const std::string& aFolder) override
+  {
+    return mFiles->SyncFolder(aFolder);
+  }
+
+private:
+  class File final : public AppendFile
+  {
+  public:
+    File(std::unique_ptr<AppendFile> aFile,
+         std::shared_ptr<std::atomic<bool>> aIsLost)
+      : mFile(std::move(aFile))
+      , mIsLost(std::move(aIsLost))
+    {
+    }
+
+    Result<Unit> Write(std::string_view aBytes) override
+    {
+      mUnsynced += aBytes;
+      return Success();
+    }
+    Result<Unit> Sync() override
+    {
+      const std::string bytes = std::exchange(mUnsynced, {});
+      return *mIsLost ? Success() : mFile->Write(bytes);
+    }
+    Result<Unit> Truncate(std::uint64_t aSize) override
+    {
+      return mFile->Truncate(aSize);
+    }
+
+  private:
+    std::unique_ptr<AppendFile> mFile;
+    std::shared_ptr<std::atomic<bool>> mIsLost;
+    std::string mUnsynced;
+  };
+
+  std::unique_ptr<FileSystem> mFiles = MakePosixFileSystem();
+  std::shared_ptr<std::atomic<bool>> mIsLost;
+};
+
 SoftwareRecord MakeRecord()
 {
   SoftwareRecord record;
@@ -182,6 +262,27 @@
   CHECK(Streams(LoadAgain(folder)) == std::vector<StreamKey>{ 2 });
 }
 
+// Fault: all machines lose power; what was written and not synced is gone.
+TEST_CASE("after a loss of power the store holds what it had synced")
+{
+  const TemporaryFolder folder;
+  const auto isLost = std::make_shared<std::atomic<bool>>(false);
+  const auto live = [&](const SoftwareRecord& aRecord, StreamKey aStream) {
+    SoftwareStore store(std::make_unique<PowerLossFileSystem>(isLost),
+                        folder.Text(), [](const Error&) {});
+    store.Load();
+    store.Start();
+    store.Save(aRecord);
+    store.Append(Begun(kOld, aStream));
+  };
+  live(MakeRecord(), 1);
+  *isLost = true;
+  live(SoftwareRecord{}, 2);
+  const StoredSoftware stored = LoadAgain(folder);
+  CHECK(stored.mRecord == MakeRecord());
+  CHECK(Streams(stored) == std::vector<StreamKey>{ 1 });
+}
+
 TEST_CASE("a record that is damaged or of a later format is no record")
 {
   const TemporaryFolder folder;
