A second SIGTERM does not end a stopping daemon

Callers saw connections end without an answer, also of orders at work at a target, 1 s after the second of two SIGTERMs (41 of 615 requests that targets ran, four stops of an edge; exit status 1). Supervisors repeat the signal; the signal thread took the second one for an order to end at once. Now only SIGINT, which comes from a terminal, does that; a repeated SIGTERM is a log line.

Test: e2e second stop signal; on its order gets no answer, with the change it is answered 200 and the daemons exit with 0.

--- a/main/carobtided.cpp
+++ b/main/carobtided.cpp
@@ -12,6 +12,7 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <utility>
 #include <variant>
 
 namespace {
@@ -62,8 +63,9 @@
 }
 
 /**
- * Waits for signals: SIGHUP reloads, the first other one stops gracefully, the
- * second at once.
+ * Waits for signals: SIGHUP reloads, SIGTERM and SIGINT stop gracefully. While
+ * it stops, SIGTERM changes nothing, since supervisors repeat it; SIGINT ends
+ * the process at once.
  */
 void HandleSignals(sigset_t aSignals, const std::function<void()>& aStop,
                    const std::function<void()>& aReload)
@@ -74,12 +76,14 @@
     sigwait(&aSignals, &signal);
     if (signal == SIGHUP) {
       aReload();
-    } else if (isStopping) {
+    } else if (!std::exchange(isStopping, true)) {
+      aStop();
+    } else if (signal == SIGINT) {
       carobtide::FlushLogs(kLastLines);
       std::_Exit(kExitFailure);
     } else {
-      isStopping = true;
-      aStop();
+      carobtide::Log(carobtide::LogLevel::Info,
+                     { "signal.repeated", {}, {}, {}, "already stopping" });
     }
   }
 }
