A reload signal that comes early does not end a daemon

Processes ended with signal 1 if SIGHUP came before the settings were read: 11 of 60 starts with a SIGHUP within 30 ms. The signals were blocked only after the settings had been parsed; until then SIGHUP has its default effect. They are blocked first thing in main now. What remains is the time before main.

--- a/main/carobtided.cpp
+++ b/main/carobtided.cpp
@@ -89,14 +89,13 @@
 }
 
 /** The daemon of deployments with bundles. */
-int RunDaemon(const std::string& aPath)
+int RunDaemon(const std::string& aPath, const sigset_t& aSignals)
 {
   auto settings = LoadSettings<carobtide::DaemonSettings>(
     aPath, carobtide::ParseDaemonSettings);
   if (!settings) {
     return kExitFaults;
   }
-  const sigset_t signals = BlockSignals();
   carobtide::InitLogging(settings->mName.Text(), settings->mLogLevel);
   carobtide::Daemon daemon(std::move(*settings));
   const auto started = daemon.Start();
@@ -106,7 +105,7 @@
     return kExitFailure;
   }
   std::thread(
-    HandleSignals, signals, [&daemon] { daemon.RequestStop(); }, [] {})
+    HandleSignals, aSignals, [&daemon] { daemon.RequestStop(); }, [] {})
     .detach();
   daemon.Wait();
   carobtide::FlushLogs(kLastLines);
@@ -124,7 +123,7 @@
 }
 
 /** A daemon of deployments with catalogs. */
-int RunNode(const std::string& aPath)
+int RunNode(const std::string& aPath, const sigset_t& aSignals)
 {
   auto settings =
     LoadSettings<carobtide::NodeSettings>(aPath, carobtide::ParseNodeSettings);
@@ -137,7 +136,6 @@
               << "'\n";
     return kExitFaults;
   }
-  const sigset_t signals = BlockSignals();
   carobtide::InitLogging(settings->mName.Text(), settings->mLogLevel);
   const auto node =
     carobtide::MakeNode(std::move(*settings), std::move(dialect));
@@ -148,7 +146,7 @@
     return kExitFailure;
   }
   std::thread(
-    HandleSignals, signals, [&node] { node->RequestStop(); },
+    HandleSignals, aSignals, [&node] { node->RequestStop(); },
     [&node, aPath] { Reload(*node, aPath); })
     .detach();
   node->Run();
@@ -161,6 +159,9 @@
 
 int main(int argc, char** argv)
 {
+  // Before anything that takes time: a signal that comes early must not end the
+  // process.
+  const sigset_t signals = BlockSignals();
   CLI::App app{ "carobtided, the daemon of carobtide" };
   std::string path;
   bool isNode = false;
@@ -169,5 +170,5 @@
                "The settings are those of a deployment with catalogs");
   app.add_option("settings", path, "Settings file (YAML)")->required();
   CLI11_PARSE(app, argc, argv);
-  return isNode ? RunNode(path) : RunDaemon(path);
+  return isNode ? RunNode(path, signals) : RunDaemon(path, signals);
 }
