A daemon that cannot start yet tries again for 30 s

With a port in use for 3 s, 55 processes ended by themselves; the same holds for a disk that refuses writes for a moment. Any failure of the start ended the process at once, and the supervisor started the next one into the same failure.

--- a/main/carobtided.cpp
+++ b/main/carobtided.cpp
@@ -4,10 +4,13 @@
 
 #include <CLI/CLI.hpp>
 
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <functional>
 #include <iostream>
+#include <memory>
 #include <optional>
 #include <sstream>
 #include <string>
@@ -21,6 +24,10 @@
 constexpr int kExitFaults = 2;
 /** Most that the end of the process waits for its last log lines. */
 constexpr carobtide::Duration kLastLines = std::chrono::milliseconds(300);
+/** Pause before another try to start. */
+constexpr carobtide::Duration kStartInterval = std::chrono::milliseconds(250);
+/** The supervisor is told after this long that there is no start. */
+constexpr carobtide::Duration kStartPatience = std::chrono::seconds(30);
 
 template<class Settings>
 using Parser = std::variant<Settings, std::vector<carobtide::YamlFault>> (*)(
@@ -88,6 +95,70 @@
   }
 }
 
+/**
+ * Waits before the next try to start; false if the process is to stop instead.
+ * Precondition: the signals are blocked.
+ */
+bool WaitToStart(const sigset_t& aSignals)
+{
+  const auto end = std::chrono::steady_clock::now() + kStartInterval;
+  while (true) {
+    const auto left = end - std::chrono::steady_clock::now();
+    if (left <= left.zero()) {
+      return true;
+    }
+    const auto nanos =
+      std::chrono::duration_cast<std::chrono::nanoseconds>(left).count();
+    const timespec timeout{ 0, static_cast<long>(nanos) };
+    const int signal = sigtimedwait(&aSignals, nullptr, &timeout);
+    // The settings are read again for each try.
+    if (signal == SIGTERM || signal == SIGINT) {
+      return false;
+    }
+  }
+}
+
+/** What became of the start of a daemon. */
+template<class Daemon>
+struct Started
+{
+  /** Null if the process ends. */
+  std::unique_ptr<Daemon> mDaemon;
+  int mExit = 0;
+};
+
+/**
+ * Makes and starts a daemon until one starts: an address may be in use and a
+ * disk may fail for a while. aMake returns null if the settings are faulty.
+ */
+template<class Daemon>
+Started<Daemon> StartDaemon(
+  const sigset_t& aSignals,
+  const std::function<std::unique_ptr<Daemon>()>& aMake)
+{
+  const auto end = std::chrono::steady_clock::now() + kStartPatience;
+  while (true) {
+    auto daemon = aMake();
+    if (!daemon) {
+      return { nullptr, kExitFaults };
+    }
+    const auto started = daemon->Start();
+    if (started) {
+      return { std::move(daemon), 0 };
+    }
+    carobtide::LogError(started.GetError());
+    daemon.reset();
+    if (std::chrono::steady_clock::now() >= end) {
+      carobtide::FlushLogs(kLastLines);
+      return { nullptr, kExitFailure };
+    }
+    if (!WaitToStart(aSignals)) {
+      carobtide::FlushLogs(kLastLines);
+      return { nullptr, 0 };
+    }
+  }
+}
+
 /** The daemon of deployments with bundles. */
 int RunDaemon(const std::string& aPath, const sigset_t& aSignals)
 {
@@ -97,13 +168,13 @@
     return kExitFaults;
   }
   carobtide::InitLogging(settings->mName.Text(), settings->mLogLevel);
-  carobtide::Daemon daemon(std::move(*settings));
-  const auto started = daemon.Start();
-  if (!started) {
-    carobtide::LogError(started.GetError());
-    carobtide::FlushLogs(kLastLines);
-    return kExitFailure;
+  const auto started = StartDaemon<carobtide::Daemon>(aSignals, [&settings] {
+    return std::make_unique<carobtide::Daemon>(*settings);
+  });
+  if (!started.mDaemon) {
+    return started.mExit;
   }
+  carobtide::Daemon& daemon = *started.mDaemon;
   std::thread(
     HandleSignals, aSignals, [&daemon] { daemon.RequestStop(); }, [] {})
     .detach();
@@ -130,26 +201,33 @@
   if (!settings) {
     return kExitFaults;
   }
-  auto dialect = carobtide::MakePlatformDialect();
-  if (settings->mDialect != dialect->Name()) {
+  if (settings->mDialect != carobtide::MakePlatformDialect()->Name()) {
     std::cerr << aPath << ": dialect: unknown name '" << settings->mDialect
               << "'\n";
     return kExitFaults;
   }
   carobtide::InitLogging(settings->mName.Text(), settings->mLogLevel);
-  const auto node =
-    carobtide::MakeNode(std::move(*settings), std::move(dialect));
-  const auto started = node->Start();
-  if (!started) {
-    carobtide::LogError(started.GetError());
-    carobtide::FlushLogs(kLastLines);
-    return kExitFailure;
+  bool isFirstTry = true;
+  const auto started = StartDaemon<carobtide::Node>(
+    aSignals, [&]() -> std::unique_ptr<carobtide::Node> {
+      // They may have changed, and a reload that came meanwhile was taken.
+      if (!std::exchange(isFirstTry, false)) {
+        settings = LoadSettings<carobtide::NodeSettings>(
+          aPath, carobtide::ParseNodeSettings);
+      }
+      return settings ? carobtide::MakeNode(*settings,
+                                            carobtide::MakePlatformDialect())
+                      : nullptr;
+    });
+  if (!started.mDaemon) {
+    return started.mExit;
   }
+  carobtide::Node& node = *started.mDaemon;
   std::thread(
-    HandleSignals, aSignals, [&node] { node->RequestStop(); },
-    [&node, aPath] { Reload(*node, aPath); })
+    HandleSignals, aSignals, [&node] { node.RequestStop(); },
+    [&node, aPath] { Reload(node, aPath); })
     .detach();
-  node->Run();
+  node.Run();
   carobtide::FlushLogs(kLastLines);
   // The signal thread still refers to the node.
   std::_Exit(0);
