A control daemon with a damaged log joins again as an empty replica

A byte too many at the end of one control daemon's identity file, and it ended 94 times in 5 s and never started. Damage that a checksum finds was an error of the start. A replica whose disk is lost is replaced by the group already; a damaged log is the same loss, so its files are moved to a folder beside it and the daemon starts with a new identity, never as a founder. Agreement bears it: the old identity is never used again, and a majority of damaged logs leaves a group without a majority, not one with less than was acknowledged. Files whose checksums match and that this build cannot read are another error (Unsupported) and are left alone, or an older build would set a newer one's log aside.

--- a/packages/consensus/src/log_files.cpp
+++ b/packages/consensus/src/log_files.cpp
@@ -52,4 +52,10 @@
                   std::string(aWhy) };
 }
 
+Error MakeUnsupported(const std::string& aPath, std::string_view aWhy)
+{
+  return Error{ ErrorCode::Unsupported, "log.recover", aPath,
+                std::string(aWhy) };
+}
+
 } // namespace carobtide
--- a/packages/consensus/src/log_files.hpp
+++ b/packages/consensus/src/log_files.hpp
@@ -77,4 +77,7 @@
 Error MakeCorrupt(const std::string& aPath, std::uint64_t aOffset,
                   std::string_view aWhy);
 
+/** What is stored is whole, and of a format that this build does not read. */
+Error MakeUnsupported(const std::string& aPath, std::string_view aWhy);
+
 } // namespace carobtide
--- a/packages/consensus/src/log_recovery.cpp
+++ b/packages/consensus/src/log_recovery.cpp
@@ -32,7 +32,7 @@
   }
   auto value = Decode<T>(frame.mPayload, aPath);
   if (!value) {
-    return MakeCorrupt(aPath, 0, value.GetError().mDetail);
+    return MakeUnsupported(aPath, value.GetError().mDetail);
   }
   return value;
 }
@@ -76,8 +76,10 @@
       return MakeCorrupt(mPath, 0, "segment header is damaged");
     }
     const auto header = Decode<SegmentHeader>(aFrame.mPayload, mPath);
-    if (!header || header->mVersion != kFormatVersion ||
-        header->mNumber != aNumber) {
+    if (!header || header->mVersion != kFormatVersion) {
+      return MakeUnsupported(mPath, "segment header of another format");
+    }
+    if (header->mNumber != aNumber) {
       return MakeCorrupt(mPath, 0, "segment header does not fit this file");
     }
     RecoveredState& state = mLog.mState;
@@ -93,7 +95,7 @@
   {
     auto stored = Decode<StoredBatch>(aPayload, mPath);
     if (!stored) {
-      return MakeCorrupt(mPath, aOffset, stored.GetError().mDetail);
+      return MakeUnsupported(mPath, stored.GetError().mDetail);
     }
     PersistBatch batch;
     batch.mHardState = stored->mHardState;
--- a/packages/consensus/tests/file_storage_crash_test.cpp
+++ b/packages/consensus/tests/file_storage_crash_test.cpp
@@ -2,7 +2,9 @@
 // disk; each byte of a small log against damage.
 
 #include "../src/file_log_storage.hpp"
+#include "../src/frame.hpp"
 #include "../src/stored_state.hpp"
+#include "carobtide/consensus/damaged_log.hpp"
 #include "simulated_disk.hpp"
 
 #include <catch2/catch.hpp>
@@ -449,3 +451,61 @@
     }
   }
 }
+
+TEST_CASE("a log that is set aside leaves an empty disk, whenever that is cut")
+{
+  SimulatedDisk whole;
+  REQUIRE(RunScript(whole).mDone == Script().size());
+  const auto names = whole.Names();
+  const auto damage = [&](SimulatedDisk& aDisk) {
+    for (const auto& [path, file] : names) {
+      aDisk.Names()[path] = std::make_shared<SimulatedDisk::File>(*file);
+    }
+    aDisk.Names()[kFolder + "/identity"]->mContent += 'x';
+    aDisk.Names()[kFolder + "/identity"]->mSynced += 'x';
+    aDisk.SyncNames();
+  };
+  constexpr int kMostOperations = 64;
+  for (std::uint64_t at = 0; at <= kMostOperations; ++at) {
+    for (int fate = 0; fate < 3; ++fate) {
+      CAPTURE(at, fate);
+      SimulatedDisk disk;
+      damage(disk);
+      disk.Inject(DiskFault::CrashAfter, at);
+      try {
+        auto files = MakeSimulatedFileSystem(disk);
+        const auto found = MakeStorage(disk, kSmallSegments).Recover();
+        CHECK(found.Code() == ErrorCode::Corrupt);
+        const auto moved = SetLogAside(*files, kFolder);
+        CHECK(moved);
+      } catch (const SimulatedCrash&) {
+        disk.Crash(UnsyncedFate::Lost, static_cast<NamesFate>(fate));
+      }
+      disk.Inject(DiskFault::None, 0);
+      auto files = MakeSimulatedFileSystem(disk);
+      auto state = MakeStorage(disk, kSmallSegments).Recover();
+      if (!state) {
+        REQUIRE(state.Code() == ErrorCode::Corrupt);
+        REQUIRE(SetLogAside(*files, kFolder));
+        state = MakeStorage(disk, kSmallSegments).Recover();
+      }
+      REQUIRE(state);
+      CHECK(IsSame(*state, RecoveredState{}));
+      const auto isAside = HasSetLogAside(*files, kFolder);
+      REQUIRE(isAside);
+      CHECK(*isAside);
+      // Nothing is thrown away.
+      CHECK(disk.Names().contains(kFolder + "/damaged/identity"));
+    }
+  }
+}
+
+TEST_CASE("files of another format are not taken for damaged ones")
+{
+  SimulatedDisk disk;
+  REQUIRE(RunScript(disk).mDone == Script().size());
+  auto& content = disk.Names()[kFolder + "/identity"]->mContent;
+  content = MakeFrame("later format", 0, 0);
+  CHECK(MakeStorage(disk, kSmallSegments).Recover().Code() ==
+        ErrorCode::Unsupported);
+}
--- a/packages/consensus/tests/simulated_disk.cpp
+++ b/packages/consensus/tests/simulated_disk.cpp
@@ -121,10 +121,15 @@
 
   Result<std::vector<std::string>> List(const std::string& aFolder) override
   {
+    const std::string prefix = aFolder + "/";
     std::vector<std::string> names;
     for (const auto& [path, file] : mDisk.Names()) {
-      names.push_back(path.substr(aFolder.size() + 1));
+      if (path.starts_with(prefix)) {
+        const std::string rest = path.substr(prefix.size());
+        names.push_back(rest.substr(0, rest.find('/')));
+      }
     }
+    names.erase(std::unique(names.begin(), names.end()), names.end());
     return names;
   }
 
--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -1,6 +1,7 @@
 #include "control_node.hpp"
 
 #include "carobtide/base/codec.hpp"
+#include "carobtide/consensus/damaged_log.hpp"
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
 #include "metrics.hpp"
@@ -181,21 +182,38 @@
 {
   std::error_code ec;
   std::filesystem::create_directories(mSettings.mDataDir, ec);
-  const auto found = mReplica.Open(mSettings.mDataDir);
+  auto found = mReplica.Open(mSettings.mDataDir);
+  const auto files = MakePosixFileSystem();
+  if (found.Code() == ErrorCode::Corrupt) {
+    LogError(found.GetError());
+    if (auto moved = SetLogAside(*files, mSettings.mDataDir); !moved) {
+      return moved;
+    }
+    Log(LogLevel::Error, { "log.set-aside",
+                           mSettings.mDataDir,
+                           {},
+                           {},
+                           "the replica starts as one without a log" });
+    found = mReplica.Open(mSettings.mDataDir);
+  }
   if (!found) {
     return found.GetError();
   }
+  const auto wasDamaged = HasSetLogAside(*files, mSettings.mDataDir);
+  if (!wasDamaged) {
+    return wasDamaged.GetError();
+  }
   mReplicaId = *found;
-  RestoreSoftware();
+  const bool isFirstStart = mSettings.mFirstStart && !*wasDamaged;
+  RestoreSoftware(isFirstStart);
   const auto seeds = SeedPeers();
   const bool isSeed =
     std::ranges::find(seeds, mSettings.mPeerAddress) != seeds.end();
   if (mReplicaId == ReplicaId()) {
     // Only the very first start founds a group; an empty disk later on is a
     // lost one and joins as somebody new.
-    mReplicaId = mSettings.mFirstStart && isSeed
-                   ? FounderId(mSettings.mPeerAddress)
-                   : ReplicaId(mRandom() | 1U);
+    mReplicaId = isFirstStart && isSeed ? FounderId(mSettings.mPeerAddress)
+                                        : ReplicaId(mRandom() | 1U);
     if (auto stored = mReplica.SetIdentity(mReplicaId); !stored) {
       return stored;
     }
--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -61,7 +61,7 @@
   void RunMembership(Instant aNow);
 
   // control_node_software.cpp: what has served and what began open streams.
-  void RestoreSoftware();
+  void RestoreSoftware(bool aIsFirstStart);
   void UpdateSoftware(Instant aNow);
   void ObserveSoftware(const FleetRecord& aRecord);
   /** Writes what changed since it was last written. */
--- a/packages/daemon/src/control_node_software.cpp
+++ b/packages/daemon/src/control_node_software.cpp
@@ -26,11 +26,11 @@
 
 } // namespace
 
-void ControlNode::RestoreSoftware()
+void ControlNode::RestoreSoftware(bool aIsFirstStart)
 {
   const StoredSoftware stored = mSoftwareStore.Load();
   const Instant now = SteadyNow();
-  if (mSettings.mFirstStart) {
+  if (aIsFirstStart) {
     // Nothing has served before a deployment's first start.
     mSoftware.SetComplete();
   }
