A planned stop waits for requests that are still arriving

A request counted as open only once it had been read whole, so an edge took itself for idle while one arrived, took it afterwards and ended 150 ms later. Control daemons ended 500 ms after SIGTERM whatever was open.

One notion of open now: from the first byte of a request to the last one of its answer, or to the close of the connection that the answer ends. Admission, the count for the stop and the decision to end use it. Class: a count that began later than the work that it stands for.

--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -5,6 +5,7 @@
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
 #include "metrics.hpp"
+#include "server_close.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -102,6 +103,7 @@
   , mRandom(mEpoch ^ ComputeChecksum(mSettings.mName.Text()))
   , mWorkers(1)
   , mExecutor(mWorkers.At(0))
+  , mStop(mSettings.mGracePeriod)
   , mPeers(mSettings.mPeerAddress)
   , mTargets(MakeDirectoryOptions(mSettings))
   , mReplica(
@@ -271,13 +273,23 @@
 
 awaitable<void> ControlNode::StopWhenAsked()
 {
-  if (std::exchange(mStopping, true)) {
+  if (!mStop.Begin(SteadyNow())) {
     co_return;
   }
   Log(LogLevel::Info, { "control.stop", {}, {}, {}, "leadership handed over" });
   mReplica.HandOver();
-  asio::steady_timer timer(mExecutor, kHandOverTime);
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  mServer.EndConnections();
+  const Instant handedOver = SteadyNow() + kHandOverTime;
+  asio::steady_timer timer(mExecutor);
+  do {
+    timer.expires_after(kTickInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  } while (SteadyNow() < mStop.Latest() &&
+           (SteadyNow() < handedOver || mServer.OpenExchanges() > 0));
+  mStop.End();
+  auto closing = CloseServers({ &mServer });
+  co_await std::move(closing);
+  Log(LogLevel::Info, { "control.stopped", {}, {}, {}, {} });
   mWorkers.Stop();
 }
 
@@ -317,7 +329,7 @@
         SendToPeers(FleetMessageType::CrashNotice, mContents.AllBlocks(now));
       }
     }
-    if (mReplica.IsLeading() && !mStopping) {
+    if (mReplica.IsLeading() && !mStop.IsStopping()) {
       StepPlanner();
       if (now >= mNextMembership) {
         mNextMembership = now + kMembershipInterval;
--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -14,6 +14,7 @@
 #include "metrics_endpoint.hpp"
 #include "replica_host.hpp"
 #include "software_store.hpp"
+#include "stop_schedule.hpp"
 #include "watch_board.hpp"
 
 #include <map>
@@ -125,6 +126,7 @@
   RandomEngine mRandom;
   WorkerPool mWorkers;
   Executor mExecutor;
+  StopSchedule mStop;
   PeerDirectory mPeers;
   TargetDirectory mTargets;
   CatalogRegister mCatalogs;
@@ -158,7 +160,6 @@
   std::uint64_t mTotalSequence = 0;
   WatchBoard mNews;
   WatchBoard mAdapterNews;
-  bool mStopping = false;
   ControlMetrics mMetrics;
   bool mWasLeader = false;
   PeerNetwork mNetwork;
--- a/packages/daemon/src/control_node_calls.cpp
+++ b/packages/daemon/src/control_node_calls.cpp
@@ -42,6 +42,9 @@
 
 awaitable<HttpResponse> ControlNode::Answer(const HttpRequest& aRequest)
 {
+  if (mStop.HasEnded()) {
+    co_return MakeAnswer(kUnavailable);
+  }
   const ControlCall call = mDialect->ReadControlCall(aRequest);
   switch (call.mKind) {
     case ControlCallKind::Heartbeat:
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -338,7 +338,8 @@
   // The balancer sees /readyz fail before connections are refused.
   std::this_thread::sleep_for(kDrainDelay);
   mCallerServer.StopAccepting();
-  while (mCallerServer.OpenExchanges() > 0) {
+  // Idle connections are still being closed: a request may come first.
+  while (mCallerServer.Connections() > 0) {
     std::this_thread::sleep_for(kDrainPoll);
   }
   mOperatorServer.StopAccepting();
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -4,6 +4,7 @@
 #include "clock.hpp"
 #include "edge_request.hpp"
 #include "metrics.hpp"
+#include "server_close.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -13,6 +14,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <array>
 #include <numeric>
 #include <random>
 #include <utility>
@@ -28,8 +30,6 @@
 constexpr std::uint16_t kNotFound = 404;
 constexpr std::uint16_t kUnavailable = 503;
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
-/** Time for the answers to what is given up at the end. */
-constexpr Duration kLastAnswers = std::chrono::milliseconds(150);
 /** Pause asked of callers while no catalog is known. */
 constexpr Duration kNoCatalogPause = std::chrono::milliseconds(500);
 constexpr std::size_t kMostIdlePerTarget = 64;
@@ -293,6 +293,22 @@
     mExecutor, [this] { return StopWhenDone(); }, asio::detached);
 }
 
+void EdgeNode::LogStopEnd() const
+{
+  const std::array inputs{
+    LogInput{ "open", static_cast<std::int64_t>(OpenExchanges()) },
+    LogInput{ "in_progress", static_cast<std::int64_t>(mOpen.size()) },
+    LogInput{ "connections",
+              static_cast<std::int64_t>(mCallers.Connections()) },
+  };
+  LogFields fields;
+  fields.mStep = "edge.stop-ends";
+  fields.mMessage =
+    SteadyNow() >= mStop.Latest() ? "grace period over" : "idle";
+  fields.mInputs = inputs;
+  Log(LogLevel::Info, fields);
+}
+
 awaitable<void> EdgeNode::StopWhenDone()
 {
   if (!mStop.Begin(SteadyNow())) {
@@ -312,19 +328,16 @@
     timer.expires_after(kStopPoll);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  mCallers.StopAccepting();
-  mRelayed.StopAccepting();
+  LogStopEnd();
+  mStop.End();
   for (const auto& [key, request] : mOpen) {
     if (const auto open = request.lock()) {
       open->GiveUp();
     }
   }
   mRoom.Notify();
-  const Instant end = SteadyNow() + kLastAnswers;
-  do {
-    timer.expires_after(kStopPoll);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  } while (OpenExchanges() > 0 && SteadyNow() < end);
+  auto closing = CloseServers({ &mCallers, &mRelayed });
+  co_await std::move(closing);
   Log(LogLevel::Info, { "edge.stopped", {}, {}, {}, {} });
   mWorkers.Stop();
 }
--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -112,6 +112,8 @@
   void ReportStreams();
   boost::asio::awaitable<void> SendStreams();
   boost::asio::awaitable<void> StopWhenDone();
+  /** Tells what is open when the daemon decides to end. */
+  void LogStopEnd() const;
   std::string RenderMetrics() const;
   bool IsReady() const { return mRoutes != nullptr && !mStop.IsStopping(); }
 
--- a/packages/daemon/src/stop_schedule.cpp
+++ b/packages/daemon/src/stop_schedule.cpp
@@ -53,6 +53,9 @@
 
 bool StopSchedule::IsTooLateFor(Instant aNow, const Route& aRoute) const
 {
+  if (mHasEnded) {
+    return true;
+  }
   if (!mStartedAt || aNow < IdleUntil()) {
     return false;
   }
--- a/packages/daemon/src/stop_schedule.hpp
+++ b/packages/daemon/src/stop_schedule.hpp
@@ -33,6 +33,10 @@
 
   bool IsStopping() const { return mStartedAt.has_value(); }
 
+  /** The process is about to end: from now on nothing is taken. */
+  void End() { mHasEnded = true; }
+  bool HasEnded() const { return mHasEnded; }
+
   /** True if a request of this route might outlive the process. */
   bool IsTooLateFor(Instant aNow, const Route& aRoute) const;
 
@@ -57,6 +61,7 @@
 private:
   Duration mGracePeriod;
   std::optional<Instant> mStartedAt;
+  bool mHasEnded = false;
 };
 
 } // namespace carobtide
--- a/packages/transport/include/carobtide/transport/http_server.hpp
+++ b/packages/transport/include/carobtide/transport/http_server.hpp
@@ -111,12 +111,25 @@
    */
   void EndConnections();
 
-  /** Stops accepting and closes idle connections; open exchanges go on. */
+  /** New connections are refused from now on; open ones stay usable. */
+  void StopListening();
+
+  /**
+   * Stops listening and closes idle connections; open exchanges go on, and each
+   * answer ends its connection. Nothing is read any more once Connections()
+   * is 0.
+   */
   void StopAccepting();
 
-  /** Number of exchanges whose handler has not returned. */
+  /**
+   * Exchanges that are open: from the first byte of a request until its answer
+   * is written, or until the connection is closed where the answer ends it.
+   */
   std::size_t OpenExchanges() const;
 
+  /** Connections that are not closed yet, idle ones too. */
+  std::size_t Connections() const;
+
 private:
   class Impl;
   std::shared_ptr<Impl> mImpl;
--- a/packages/transport/src/http_connection.cpp
+++ b/packages/transport/src/http_connection.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include <poll.h>
 #include <sys/socket.h>
@@ -89,9 +90,17 @@
 HttpServerConnection::~HttpServerConnection()
 {
   HoldBody(0);
+  SetOpen(false);
   --mCounters->mConnections;
 }
 
+void HttpServerConnection::SetOpen(bool aIsOpen)
+{
+  if (std::exchange(mIsOpen, aIsOpen) != aIsOpen) {
+    mCounters->mExchanges += aIsOpen ? 1 : -1;
+  }
+}
+
 bool HttpServerConnection::HoldBody(std::size_t aBytes)
 {
   const auto bytes = static_cast<std::int64_t>(aBytes);
@@ -111,11 +120,14 @@
       break;
     }
     mIdle = false;
+    SetOpen(true);
     const bool valid = co_await ReadRequest();
     if (!valid) {
       break;
     }
     co_await RunHandler();
+    // The answer that ends a connection is whole once the connection is closed.
+    SetOpen(!mKeepAlive);
   }
   co_await CloseGracefully();
 }
@@ -199,7 +211,6 @@
 awaitable<void> HttpServerConnection::RunHandler()
 {
   mAnswer = AnswerState::None;
-  ++mCounters->mExchanges;
   mStream.expires_never();
   bool failed = false;
   try {
@@ -219,7 +230,6 @@
   }
   mRequest = HttpRequest{};
   HoldBody(0);
-  --mCounters->mExchanges;
 }
 
 awaitable<void> HttpServerConnection::RefuseRequest(const Error& aError)
@@ -394,7 +404,7 @@
 {
   asio::post(mStream.get_executor(), [self = shared_from_this()] {
     if (self->mIdle) {
-      self->mStream.close();
+      self->mStream.cancel();
     }
   });
 }
--- a/packages/transport/src/http_connection.hpp
+++ b/packages/transport/src/http_connection.hpp
@@ -27,6 +27,7 @@
 struct HttpServerCounters
 {
   std::atomic<std::size_t> mConnections{ 0 };
+  /** From the first byte of a request to the last one of its answer. */
   std::atomic<std::size_t> mExchanges{ 0 };
   /** Bytes of large bodies. */
   std::atomic<std::int64_t> mHeldBytes{ 0 };
@@ -92,7 +93,9 @@
   boost::asio::awaitable<void> WatchClient();
   void StopWatching();
   void TakeRequest();
-  /** Counts a body of this size; false if that is too much in sum. */
+  /** Counts the connection's exchange as open, or not any more. */
+  void SetOpen(bool aIsOpen);
+  /** Takes room for a body of which this much is read; false if none. */
   bool HoldBody(std::size_t aBytes);
   Error LibraryError(const boost::beast::error_code& aCode,
                      std::string_view aStep);
@@ -111,6 +114,7 @@
   AnswerState mAnswer = AnswerState::None;
   bool mKeepAlive = true;
   bool mIdle = true;
+  bool mIsOpen = false;
   bool mWatching = false;
   std::function<void()> mClientGone;
   boost::asio::cancellation_signal mStopWatch;
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -42,6 +42,7 @@
 
   Result<Unit> Listen(const Endpoint& aAddress);
   void EndConnections() { mCounters->mEnding = true; }
+  void StopListening();
   void StopAccepting();
 
   tcp::acceptor& Acceptor() { return mAcceptor; }
@@ -101,7 +102,7 @@
     tcp::socket socket(mPickExecutor());
     co_await mAcceptor.async_accept(
       socket, asio::redirect_error(asio::use_awaitable, ec));
-    if (ec == asio::error::operation_aborted) {
+    if (ec == asio::error::operation_aborted || !mAcceptor.is_open()) {
       co_return;
     }
     if (ec) {
@@ -134,13 +135,19 @@
     asio::detached);
 }
 
-void HttpServer::Impl::StopAccepting()
+void HttpServer::Impl::StopListening()
 {
   mCounters->mStopping = true;
   asio::post(mAcceptor.get_executor(), [self = shared_from_this()] {
     boost::system::error_code ec;
     self->mAcceptor.close(ec);
   });
+}
+
+void HttpServer::Impl::StopAccepting()
+{
+  mCounters->mStopping = true;
+  StopListening();
   const std::lock_guard lock(mMutex);
   for (auto& [key, weak] : mConnections) {
     if (const auto connection = weak.lock()) {
@@ -188,6 +195,11 @@
   mImpl->EndConnections();
 }
 
+void HttpServer::StopListening()
+{
+  mImpl->StopListening();
+}
+
 void HttpServer::StopAccepting()
 {
   mImpl->StopAccepting();
@@ -198,4 +210,9 @@
   return mImpl->Counters().mExchanges;
 }
 
+std::size_t HttpServer::Connections() const
+{
+  return mImpl->Counters().mConnections;
+}
+
 } // namespace carobtide
