What a daemon holds for others has one account

Edges were killed for memory, and what they had open ended without an answer: by 60 callers of whole answers of 15 MB, by 40 of chunks without end, by 4,000 connections with 63 KB of a body each (also control daemons). Each answer and body had a bound, their sum had none, and no line said what was held.

Room is taken on one account before bytes are read: request bodies and long heads (refused at once with 503, not run), long heads of answers, answers (not read on until there is room: TCP holds them back; the request's time limit ends the wait, and it is never told that it did not run), long events. Pools by size let small ones pass; a hold waits only for a later pool, so that none waits for itself; no target, client or service gets all of a pool. Metrics and decision lines (memory.delayed, granted, refused) say what waits for whom. Request bodies are no longer copied twice on their way to a target, large blocks go back to the system, ports without bodies take 4 KiB and 256 connections, a control daemon 4 MiB of body (a larger configuration could not be replicated).

--- a/main/carobtided.cpp
+++ b/main/carobtided.cpp
@@ -18,6 +18,8 @@
 #include <utility>
 #include <variant>
 
+#include <malloc.h>
+
 namespace {
 
 constexpr int kExitFailure = 1;
@@ -56,6 +58,16 @@
   return std::nullopt;
 }
 
+/**
+ * Has the allocator return large blocks to the system when they are freed. By
+ * default it keeps up to 32 MiB of them, and other blocks between them.
+ */
+void GiveLargeBlocksBack()
+{
+  constexpr int kLargeBlockBytes = 256 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
+}
+
 /** Blocks the signals that a thread of its own waits for. */
 sigset_t BlockSignals()
 {
@@ -240,6 +252,7 @@
   // Before anything that takes time: a signal that comes early must not end the
   // process.
   const sigset_t signals = BlockSignals();
+  GiveLargeBlocksBack();
   CLI::App app{ "carobtided, the daemon of carobtide" };
   std::string path;
   bool isNode = false;
--- a/packages/daemon/include/carobtide/daemon/dialect.hpp
+++ b/packages/daemon/include/carobtide/daemon/dialect.hpp
@@ -122,7 +122,10 @@
 
   // Targets.
 
-  /** The request for a target; method, path and body stay as they are. */
+  /**
+   * The request for a target without its body, which is sent as it is; method
+   * and path stay as well.
+   */
   virtual HttpRequest MakeTargetRequest(const HttpRequest& aRequest,
                                         const TargetCall& aCall) const = 0;
   virtual TargetHead ReadTargetHead(const HttpResponseHead& aHead,
--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -41,6 +41,10 @@
 constexpr Duration kEdgeTimeout = std::chrono::seconds(5);
 /** Heartbeats missed before a target counts as silent. */
 constexpr int kMissedHeartbeats = 3;
+/** What is read from a body takes many times its size until it is checked. */
+constexpr Bytes kMaxBodyBytes = 4 * kMiB;
+/** Leaves descriptors to peers and to the log's files. */
+constexpr std::size_t kMaxConnections = 3072;
 
 /**
  * A lease and elections that a core at a third of its speed, stopped for a
@@ -58,6 +62,15 @@
   return options;
 }
 
+HttpLimits MakeLimits(std::shared_ptr<MemoryRoom> aMemory)
+{
+  HttpLimits limits;
+  limits.mMemory = std::move(aMemory);
+  limits.mMaxBodyBytes = kMaxBodyBytes;
+  limits.mMaxConnections = kMaxConnections;
+  return limits;
+}
+
 MembershipPolicy MakePolicy(const NodeSettings& aSettings)
 {
   MembershipPolicy policy;
@@ -150,7 +163,7 @@
              const std::string& aPeer) {
         OnPeerMessage(aType, aPayload, aPeer);
       })
-  , mServer(mWorkers, HttpLimits{},
+  , mServer(mWorkers, MakeLimits(mMemory),
             [this](HttpExchange& aExchange) { return HandleCall(aExchange); })
   , mMetricsServer(mWorkers, [this] { return RenderMetrics(); })
 {
@@ -376,7 +389,7 @@
   std::ostringstream disk;
   disk << "# TYPE carobtide_disk_seconds histogram\n";
   mReplica.DiskTimes().Render(disk, "disk_seconds", "");
-  return mMetrics.Render() + disk.str() +
+  return mMetrics.Render() + disk.str() + RenderGauges(MemoryGauges(*mMemory)) +
          RenderGauges({
            { "leading", mReplica.IsLeading() ? 1.0 : 0.0 },
            { "term", static_cast<double>(log.Term()) },
--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -11,6 +11,7 @@
 #include "carobtide/transport.hpp"
 #include "control_messages.hpp"
 #include "control_metrics.hpp"
+#include "memory_log.hpp"
 #include "metrics_endpoint.hpp"
 #include "replica_host.hpp"
 #include "software_store.hpp"
@@ -126,6 +127,7 @@
   RandomEngine mRandom;
   WorkerPool mWorkers;
   Executor mExecutor;
+  std::shared_ptr<MemoryRoom> mMemory = MakeMemoryRoom();
   StopSchedule mStop;
   PeerDirectory mPeers;
   TargetDirectory mTargets;
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -55,6 +55,12 @@
   HttpLimits limits;
   limits.mMaxHeaderBytes = aSettings.mMaxHeaderBytes;
   limits.mMaxBodyBytes = aSettings.mMaxBodyBytes;
+  HoldAccountOptions memory;
+  for (Bytes* bytes :
+       { &memory.mTierBytes.back(), &memory.mRequestRoom.back() }) {
+    *bytes = std::max(*bytes, aSettings.mMaxBodyBytes);
+  }
+  limits.mMemory = std::make_shared<MemoryRoom>(memory);
   limits.mReadTimeout = aSettings.mReadTimeout;
   return limits;
 }
--- a/packages/daemon/src/edge_context.hpp
+++ b/packages/daemon/src/edge_context.hpp
@@ -17,6 +17,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string_view>
 
@@ -53,6 +54,8 @@
   /** Takes note of what began a stream. */
   std::function<void(StreamKey, const StreamOrigin&)> mStreamBegun;
   RequestMetrics& mMetrics;
+  /** Account of what requests and answers hold; null: nothing is counted. */
+  std::shared_ptr<MemoryRoom> mMemory;
   /** Version of the catalog in force here. */
   std::uint64_t mCatalogVersion = 0;
   /** Requests left out of the log since the last one that was written. */
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -32,15 +32,25 @@
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 /** Pause asked of callers while no catalog is known. */
 constexpr Duration kNoCatalogPause = std::chrono::milliseconds(500);
+/** A VM has 4,200 descriptors; each connection keeps some KiB. */
+constexpr std::size_t kMaxConnections = 4096;
 constexpr std::size_t kMostIdlePerTarget = 64;
 /** Targets close idle connections; ours end sooner. */
 constexpr Duration kMaxIdleTime = std::chrono::seconds(4);
 /** Added to the limit of a caller's head by the daemon before. */
 constexpr Bytes kMaxRelayHeaderBytes = 32 * kKiB;
 
-HttpLimits RelayLimits()
+HttpLimits MakeLimits(std::shared_ptr<MemoryRoom> aMemory)
 {
   HttpLimits limits;
+  limits.mMemory = std::move(aMemory);
+  limits.mMaxConnections = kMaxConnections;
+  return limits;
+}
+
+HttpLimits RelayLimits(std::shared_ptr<MemoryRoom> aMemory)
+{
+  HttpLimits limits = MakeLimits(std::move(aMemory));
   limits.mMaxHeaderBytes += kMaxRelayHeaderBytes;
   return limits;
 }
@@ -94,17 +104,18 @@
       OnStreamBegun(aStream, aOrigin);
     },
     mMetrics,
+    mMemory,
     0,
     0,
     &mStop
   }
-  , mCallers(mWorkers, HttpLimits{},
+  , mCallers(mWorkers, MakeLimits(mMemory),
              [this](HttpExchange& aExchange) { return Handle(aExchange); })
   , mRelayed(
-      mWorkers, RelayLimits(),
+      mWorkers, RelayLimits(mMemory),
       [this](HttpExchange& aExchange) { return HandleRelayed(aExchange); })
   , mReadiness(
-      mWorkers, HttpLimits{},
+      mWorkers, HttpLimits::ForSmallRequests(),
       [this](HttpExchange& aExchange) { return HandleReadiness(aExchange); })
   , mMetricsServer(mWorkers, [this] { return RenderMetrics(); })
 {
@@ -190,7 +201,7 @@
   const auto seconds = [](Duration aTime) {
     return std::chrono::duration<double>(aTime).count();
   };
-  return mMetrics.Render() +
+  return mMetrics.Render() + RenderGauges(MemoryGauges(*mMemory)) +
          RenderGauges({
            { "ready", IsReady() ? 1.0 : 0.0 },
            { "catalog_version", static_cast<double>(mCatalogVersion) },
--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -8,6 +8,7 @@
 #include "carobtide/daemon/node.hpp"
 #include "carobtide/transport.hpp"
 #include "edge_context.hpp"
+#include "memory_log.hpp"
 #include "metrics_endpoint.hpp"
 #include "stop_schedule.hpp"
 
@@ -152,6 +153,7 @@
   HttpPool mPool;
   WatchBoard mRoom;
   RequestMetrics mMetrics;
+  std::shared_ptr<MemoryRoom> mMemory = MakeMemoryRoom();
   EdgeContext mContext;
   /** Requests that other daemons handed to this one. */
   std::uint64_t mTakenForOthers = 0;
--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -75,6 +75,8 @@
     mFrames.StartAfter(aRelayed->mAfterEvent);
   }
   mDue = (arrived + mRoute.mObjective).time_since_epoch().count();
+  mEventHold =
+    MemoryHold(mContext.mMemory, HoldKind::Event, PartiesOf(TargetName()));
 }
 
 Duration EdgeRequest::Left() const
@@ -82,12 +84,18 @@
   return std::max(mDeadline - kAnswerMargin - SteadyNow(), Duration(1));
 }
 
-void EdgeRequest::OnCallerGone()
+void EdgeRequest::CancelWork()
 {
-  mIsGone = true;
   if (mConnection != nullptr) {
     mConnection->Cancel();
   }
+  mEventHold.CancelWait();
+}
+
+void EdgeRequest::OnCallerGone()
+{
+  mIsGone = true;
+  CancelWork();
   mContext.mRoom.Notify();
 }
 
@@ -104,9 +112,7 @@
 {
   mIsGivenUp = true;
   mDeadline = std::min(mDeadline, SteadyNow());
-  if (mConnection != nullptr) {
-    mConnection->Cancel();
-  }
+  CancelWork();
 }
 
 bool EdgeRequest::IsTooLateToSend() const
@@ -347,10 +353,12 @@
     co_return Attempt{ SendEnd::Withheld, false };
   }
   mConnection = connection->get();
+  mConnection->HoldIn(mContext.mMemory, PartiesOf(aSend.mTarget));
   auto exchanging = Exchange(aSend, **connection);
   Attempt attempt = co_await std::move(exchanging);
   attempt.mFraming = (*connection)->Framing();
   mConnection = nullptr;
+  (*connection)->ReleaseMemory();
   mContext.mPool.Release(aSend.mAddress, std::move(*connection));
   co_return attempt;
 }
@@ -367,7 +375,7 @@
   call.mAfterEvent = mFrames.LastId();
   const HttpRequest request =
     mContext.mDialect.MakeTargetRequest(mExchange.Request(), call);
-  auto sending = aConnection.Send(request, Left());
+  auto sending = aConnection.Send(request, mExchange.Request().mBody, Left());
   auto first = co_await std::move(sending);
   if (!first) {
     LogError(first.GetError());
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -106,6 +106,9 @@
   /** Sends the head to the caller unless an earlier attempt has. */
   boost::asio::awaitable<Result<Unit>> BeginStream(
     const HttpResponseHead& aHead);
+  HoldParties PartiesOf(const TargetName& aTarget) const;
+  /** Takes room for a long event; gives it back if there is none any more. */
+  boost::asio::awaitable<Result<Unit>> HoldEvents(std::size_t aBytes);
   /** Sends whole events to the caller; false if it is gone. */
   boost::asio::awaitable<bool> PassOn(const HttpResponseHead& aHead,
                                       std::string_view aEvents);
@@ -137,6 +140,8 @@
   /** True if the daemon may end before a target has answered. */
   bool IsTooLateToSend() const;
   void OnCallerGone();
+  /** Ends whatever the request is waiting for. */
+  void CancelWork();
   void OnFirstByte(const SendTo& aSend);
   /** Takes note of what an answer's head says of the target. */
   void NoteTarget(const SendTo& aSend, const TargetHead& aSaid);
@@ -154,6 +159,8 @@
   /** Rank among those that wait for room: the earliest objective first. */
   std::int64_t mDue = 0;
   EventFrames mFrames;
+  /** Room for a long event of a stream. */
+  MemoryHold mEventHold;
   /** Not null while a target works on the request. */
   HttpConnection* mConnection = nullptr;
   /** What works on it is another daemon. */
--- a/packages/daemon/src/edge_request_answer.cpp
+++ b/packages/daemon/src/edge_request_answer.cpp
@@ -26,6 +26,11 @@
 constexpr int kMostStrayAnswers = 2;
 /** Largest answer that is not a stream. */
 constexpr Bytes kMaxAnswerBytes = 16 * kMiB;
+/** Events that need no room of the memory account. */
+constexpr std::size_t kFreeEventBytes = 16UL * 1024;
+constexpr Bytes kSmallEventBytes = 64 * kKiB;
+/** The longest part of an event beside as much of whole ones. */
+constexpr Bytes kMaxHeldEventBytes = 2 * EventFrames::kMaxEventBytes;
 
 bool IsPromise(std::uint16_t aStatus)
 {
@@ -170,6 +175,31 @@
   co_return begun;
 }
 
+HoldParties EdgeRequest::PartiesOf(const TargetName& aTarget) const
+{
+  const std::string& peer = mExchange.PeerName();
+  HoldParties parties;
+  parties.mGiver = aTarget.Text();
+  parties.mReceiver = peer.substr(0, peer.rfind(':'));
+  parties.mService = mState.mFacts.mService.Text();
+  return parties;
+}
+
+awaitable<Result<Unit>> EdgeRequest::HoldEvents(std::size_t aBytes)
+{
+  if (aBytes <= kFreeEventBytes) {
+    mEventHold.Release();
+    co_return Success();
+  }
+  const auto bytes = static_cast<Bytes>(aBytes);
+  auto growing = mEventHold.Grow(bytes <= kSmallEventBytes
+                                   ? kSmallEventBytes
+                                   : std::max(kMaxHeldEventBytes, bytes),
+                                 Left());
+  auto grown = co_await std::move(growing);
+  co_return grown;
+}
+
 EdgeRequest::AwaitAttempt EdgeRequest::RelayStream(SendTo aSend,
                                                    HttpConnection& aConnection,
                                                    HttpResponseHead aHead)
@@ -196,6 +226,13 @@
     }
     mContext.mDispatcher.OnBytes(SteadyNow(), aSend.mSend);
     const std::string events = mFrames.Take(bytes);
+    auto holding = HoldEvents(mFrames.RestBytes() + events.size());
+    const auto held = co_await std::move(holding);
+    if (!held) {
+      LogError(held.GetError());
+      aConnection.Cancel();
+      co_return Attempt{ EndOf(held.GetError()), false };
+    }
     if (mFrames.IsTooLong()) {
       LogError(MakeError(ErrorCode::TooLarge, "edge.read-event", mLastTarget,
                          "no end of an event"));
--- a/packages/daemon/src/edge_request_relay.cpp
+++ b/packages/daemon/src/edge_request_relay.cpp
@@ -44,7 +44,6 @@
   HttpRequest request;
   request.mMethod = asked.mMethod;
   request.mTarget = asked.mTarget;
-  request.mBody = asked.mBody;
   request.mHeaders = EndToEndHeaders(asked.mHeaders);
   RelayCall call;
   call.mCatalogVersion = mContext.mCatalogVersion;
@@ -116,12 +115,15 @@
                                     : RelayEnd::ConnectFailed };
   }
   mConnection = connection->get();
+  mConnection->HoldIn(mContext.mMemory,
+                      PartiesOf(TargetName(aRelay.mRelay.ToString())));
   mIsAtRelay = true;
   auto exchanging = ExchangeWithRelay(aRelay, **connection);
   RelayAttempt attempt = co_await std::move(exchanging);
   attempt.mFraming = (*connection)->Framing();
   mIsAtRelay = false;
   mConnection = nullptr;
+  (*connection)->ReleaseMemory();
   mContext.mPool.Release(aRelay.mRelay, std::move(*connection));
   co_return attempt;
 }
@@ -130,7 +132,7 @@
   RelayTo aRelay, HttpConnection& aConnection)
 {
   const HttpRequest request = MakeRelayRequest();
-  auto sending = aConnection.Send(request, Left());
+  auto sending = aConnection.Send(request, mExchange.Request().mBody, Left());
   auto first = co_await std::move(sending);
   if (!first) {
     LogError(first.GetError());
--- a/packages/daemon/src/event_frames.hpp
+++ b/packages/daemon/src/event_frames.hpp
@@ -5,6 +5,8 @@
  * Cuts a stream of server-sent events into whole events.
  */
 
+#include "carobtide/base.hpp"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -32,7 +34,10 @@
   }
 
   /** True if the part of an event is longer than any event may be. */
-  bool IsTooLong() const { return mRest.size() > kMaxEventBytes; }
+  bool IsTooLong() const
+  {
+    return static_cast<Bytes>(mRest.size()) > kMaxEventBytes;
+  }
 
   /** Forgets a part of an event: the stream goes on with a whole one. */
   void DropRest() { mRest.clear(); }
@@ -43,9 +48,11 @@
   /** The id of the last whole event given out; empty if none had one. */
   const std::string& LastId() const { return mLastId; }
 
-private:
-  static constexpr std::size_t kMaxEventBytes = 256UL * 1024;
+  std::size_t RestBytes() const { return mRest.size(); }
+
+  static constexpr Bytes kMaxEventBytes = 256 * kKiB;
 
+private:
   void NoteIds(std::string_view aEvents);
 
   std::string mRest;
--- a/packages/daemon/src/metrics_endpoint.cpp
+++ b/packages/daemon/src/metrics_endpoint.cpp
@@ -16,7 +16,7 @@
 MetricsEndpoint::MetricsEndpoint(WorkerPool& aWorkers,
                                  std::function<std::string()> aRender)
   : mRender(std::move(aRender))
-  , mServer(aWorkers, HttpLimits{},
+  , mServer(aWorkers, HttpLimits::ForSmallRequests(),
             [this](HttpExchange& aExchange) { return Handle(aExchange); })
 {
 }
--- a/packages/transport/include/carobtide/transport/http_client.hpp
+++ b/packages/transport/include/carobtide/transport/http_client.hpp
@@ -6,6 +6,7 @@
  */
 
 #include "carobtide/transport/http_types.hpp"
+#include "carobtide/transport/memory_hold.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -14,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace carobtide {
 
@@ -49,9 +51,29 @@
 public:
   virtual ~HttpConnection() = default;
 
-  /** Sends a request and reads the head of the response. */
+  /**
+   * Sends a request with a body in place of its own, and reads the head of the
+   * response. The bytes must stay valid until it returns.
+   */
   virtual boost::asio::awaitable<Result<HttpResponseHead>> Send(
-    const HttpRequest& aRequest, Duration aTimeout) = 0;
+    const HttpRequest& aRequest, std::string_view aBody, Duration aTimeout) = 0;
+
+  /** Sends a request and reads the head of the response. */
+  boost::asio::awaitable<Result<HttpResponseHead>> Send(
+    const HttpRequest& aRequest, Duration aTimeout)
+  {
+    return Send(aRequest, aRequest.mBody, aTimeout);
+  }
+
+  /**
+   * Answers are held on this account from now on: what has no room there is
+   * not read, within the time that each call has. ReleaseMemory ends it.
+   */
+  virtual void HoldIn(const std::shared_ptr<MemoryRoom>& aRoom,
+                      const HoldParties& aParties) = 0;
+
+  /** Gives room back: what was read is not held any more. */
+  virtual void ReleaseMemory() = 0;
 
   /**
    * Reads the head of one more response: the one before belonged to another
--- a/packages/transport/include/carobtide/transport/http_server.hpp
+++ b/packages/transport/include/carobtide/transport/http_server.hpp
@@ -6,6 +6,7 @@
  */
 
 #include "carobtide/transport/http_types.hpp"
+#include "carobtide/transport/memory_hold.hpp"
 #include "carobtide/transport/worker_pool.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -21,15 +22,19 @@
 /** Bounds on what a client may send, and how slowly. */
 struct HttpLimits
 {
+  /** For requests without a body, of few clients. */
+  static HttpLimits ForSmallRequests();
+
   Bytes mMaxHeaderBytes = 16 * kKiB;
   Bytes mMaxBodyBytes = 8 * kMiB;
   /**
-   * Bodies above mSmallBodyBytes that requests may hold in sum, from their
-   * first byte to the end of their handlers. Beyond it a request gets 503, not
-   * run.
+   * Account of what requests hold, from their first byte to the end of their
+   * handlers. A request without room gets 503, not run. Null: the server makes
+   * one of its own.
    */
-  Bytes mMaxHeldBytes = 32 * kMiB;
-  Bytes mSmallBodyBytes = 64 * kKiB;
+  std::shared_ptr<MemoryRoom> mMemory;
+  /** What needs no room of the account. */
+  Bytes mFreeBodyBytes = 4 * kKiB;
   /** A request must arrive whole within this time from its first byte. */
   Duration mReadTimeout = std::chrono::seconds(30);
   /** An idle connection is closed after this time. */
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/beast/http/span_body.hpp>
 
 #include <algorithm>
 #include <array>
@@ -32,6 +33,8 @@
 
 constexpr unsigned kHttpVersion = 11;
 constexpr std::size_t kBodyChunkBytes = 8192;
+/** A body up to this size needs no room of an account. */
+constexpr std::size_t kFreeBodyBytes = 2 * kBodyChunkBytes;
 constexpr std::uint32_t kMaxResponseHeaderBytes = 65536;
 
 class BeastConnection final : public HttpConnection
@@ -46,7 +49,11 @@
   }
 
   awaitable<Result<HttpResponseHead>> Send(const HttpRequest& aRequest,
+                                           std::string_view aBody,
                                            Duration aTimeout) override;
+  void HoldIn(const std::shared_ptr<MemoryRoom>& aRoom,
+              const HoldParties& aParties) override;
+  void ReleaseMemory() override;
   awaitable<Result<HttpResponseHead>> ReadHead(Duration aTimeout) override;
   awaitable<Result<bool>> ReadSome(std::string& aOut,
                                    Duration aTimeout) override;
@@ -60,8 +67,15 @@
 
 private:
   using Parser = http::response_parser<http::buffer_body>;
+  using Message = http::request<http::span_body<const char>>;
 
-  http::request<http::string_body> MakeMessage(const HttpRequest& aRequest);
+  Message MakeMessage(const HttpRequest& aRequest, std::string_view aBody);
+  void SetTimeout(Duration aTimeout);
+  /** The body's length if its head states one. */
+  std::optional<Bytes> StatedLength() const;
+  /** Takes room for a body of which this much is read, and some more. */
+  awaitable<Result<Unit>> MakeRoom(Bytes aRead, Bytes aLimit,
+                                   Duration aTimeout);
   HttpResponseHead TakeHead();
   Error LibraryError(const beast::error_code& aCode,
                      std::string_view aStep) const
@@ -74,15 +88,35 @@
   HttpReader mReader;
   std::optional<Parser> mParser;
   std::array<char, kBodyChunkBytes> mChunk;
+  MemoryHold mBodyHold;
   BodyFraming mFraming = BodyFraming::None;
   bool mCancelled = false;
   bool mSkipBody = false;
 };
 
-http::request<http::string_body> BeastConnection::MakeMessage(
-  const HttpRequest& aRequest)
+void BeastConnection::SetTimeout(Duration aTimeout)
 {
-  http::request<http::string_body> message;
+  mStream.expires_after(aTimeout);
+  mReader.SetDeadline(std::chrono::steady_clock::now() + aTimeout);
+}
+
+void BeastConnection::HoldIn(const std::shared_ptr<MemoryRoom>& aRoom,
+                             const HoldParties& aParties)
+{
+  mReader.HoldIn(MemoryHold(aRoom, HoldKind::Head, aParties), true);
+  mBodyHold = MemoryHold(aRoom, HoldKind::Answer, aParties);
+}
+
+void BeastConnection::ReleaseMemory()
+{
+  mBodyHold.Release();
+  mReader.ReleaseMemory();
+}
+
+BeastConnection::Message BeastConnection::MakeMessage(
+  const HttpRequest& aRequest, std::string_view aBody)
+{
+  Message message;
   message.version(kHttpVersion);
   message.method_string(aRequest.mMethod);
   message.target(aRequest.mTarget);
@@ -92,7 +126,7 @@
   for (const auto& [name, value] : aRequest.mHeaders.All()) {
     message.insert(name, value);
   }
-  message.body() = aRequest.mBody;
+  message.body() = { aBody.data(), aBody.size() };
   message.prepare_payload();
   return message;
 }
@@ -112,12 +146,12 @@
 }
 
 awaitable<Result<HttpResponseHead>> BeastConnection::Send(
-  const HttpRequest& aRequest, Duration aTimeout)
+  const HttpRequest& aRequest, std::string_view aBody, Duration aTimeout)
 {
   beast::error_code ec;
-  const auto message = MakeMessage(aRequest);
+  const auto message = MakeMessage(aRequest, aBody);
   mFraming = BodyFraming::None;
-  mStream.expires_after(aTimeout);
+  SetTimeout(aTimeout);
   co_await http::async_write(mStream, message,
                              redirect_error(use_awaitable, ec));
   if (ec) {
@@ -132,12 +166,14 @@
 awaitable<Result<HttpResponseHead>> BeastConnection::ReadHead(Duration aTimeout)
 {
   mFraming = BodyFraming::None;
+  // The body before is not held any more.
+  mBodyHold.Release();
   mParser.emplace();
   mParser->header_limit(kMaxResponseHeaderBytes);
   mParser->body_limit(boost::none);
   mParser->skip(mSkipBody);
   mReader.BeginMessage();
-  mStream.expires_after(aTimeout);
+  SetTimeout(aTimeout);
   while (!mParser->is_header_done()) {
     auto advancing = mReader.Advance(*mParser, "http.read-response");
     auto advanced = co_await std::move(advancing);
@@ -152,7 +188,7 @@
                                                   Duration aTimeout)
 {
   aOut.clear();
-  mStream.expires_after(aTimeout);
+  SetTimeout(aTimeout);
   while (!mParser->is_done() && aOut.empty()) {
     auto& body = mParser->get().body();
     body.data = mChunk.data();
@@ -169,17 +205,55 @@
   co_return !mParser->is_done();
 }
 
+std::optional<Bytes> BeastConnection::StatedLength() const
+{
+  const auto length = mParser->content_length();
+  return length ? std::optional(static_cast<Bytes>(*length)) : std::nullopt;
+}
+
+awaitable<Result<Unit>> BeastConnection::MakeRoom(Bytes aRead, Bytes aLimit,
+                                                  Duration aTimeout)
+{
+  const auto stated = StatedLength();
+  const Bytes wanted =
+    std::min(stated.value_or(aRead + Bytes{ kBodyChunkBytes }), aLimit);
+  if (wanted <= Bytes{ kFreeBodyBytes } || wanted <= mBodyHold.Size()) {
+    co_return Success();
+  }
+  auto growing = stated ? mBodyHold.Grow(wanted, aTimeout)
+                        : mBodyHold.GrowToTier(wanted, aTimeout);
+  auto grown = co_await std::move(growing);
+  co_return grown;
+}
+
 awaitable<Result<std::string>> BeastConnection::ReadAll(Bytes aLimit,
                                                         Duration aTimeout)
 {
   std::string all;
   std::string part;
+  const auto stated = StatedLength();
+  if (stated.value_or(0) > aLimit) {
+    mStream.close();
+    co_return carobtide::MakeError(ErrorCode::TooLarge, "http.read-body",
+                                   mPeerName);
+  }
   // One deadline for the whole body: each part alone might always be in time.
   const auto deadline = std::chrono::steady_clock::now() + aTimeout;
   for (bool more = true; more;) {
     const auto left = std::chrono::duration_cast<Duration>(
       deadline - std::chrono::steady_clock::now());
-    auto read = co_await ReadSome(part, std::max(left, Duration(1)));
+    const Duration patience = std::max(left, Duration(1));
+    auto making = MakeRoom(static_cast<Bytes>(all.size()), aLimit, patience);
+    const auto made = co_await std::move(making);
+    if (!made) {
+      mStream.close();
+      co_return made.GetError();
+    }
+    // Grown by the string itself, its memory could be twice what is held.
+    const Bytes expected =
+      std::min(stated.value_or(0), Bytes{ kFreeBodyBytes });
+    all.reserve(static_cast<std::size_t>(std::max(mBodyHold.Size(), expected)));
+    auto read = co_await ReadSome(part, patience);
     if (!read) {
       co_return read.GetError();
     }
@@ -236,6 +310,8 @@
 void BeastConnection::Cancel()
 {
   mCancelled = true;
+  mBodyHold.CancelWait();
+  mReader.CancelWait();
   mStream.close();
 }
 
--- a/packages/transport/src/http_connection.cpp
+++ b/packages/transport/src/http_connection.cpp
@@ -85,11 +85,15 @@
       remote.address().to_string() + ":" + std::to_string(remote.port());
   }
   ++mCounters->mConnections;
+  HoldParties parties;
+  parties.mReceiver = remote.address().to_string();
+  mReader.HoldIn(MemoryHold(mLimits.mMemory, HoldKind::Request, parties),
+                 false);
+  mBodyHold = MemoryHold(mLimits.mMemory, HoldKind::Request, parties);
 }
 
 HttpServerConnection::~HttpServerConnection()
 {
-  HoldBody(0);
   SetOpen(false);
   --mCounters->mConnections;
 }
@@ -103,11 +107,14 @@
 
 bool HttpServerConnection::HoldBody(std::size_t aBytes)
 {
-  const auto bytes = static_cast<std::int64_t>(aBytes);
-  const std::int64_t held = bytes > mLimits.mSmallBodyBytes ? bytes : 0;
-  const std::int64_t more = held - std::exchange(mHeldBytes, held);
-  const std::int64_t sum = mCounters->mHeldBytes += more;
-  return more <= 0 || sum <= mLimits.mMaxHeldBytes;
+  const auto read = static_cast<Bytes>(aBytes);
+  if (read <= mLimits.mFreeBodyBytes || mLimits.mMemory == nullptr) {
+    return true;
+  }
+  const Bytes length = static_cast<Bytes>(mParser->content_length().value_or(
+    static_cast<std::uint64_t>(mLimits.mMaxBodyBytes)));
+  return mBodyHold.TryGrow(
+    std::min(mLimits.mMemory->TierBytesFor(read), std::max(length, read)));
 }
 
 awaitable<void> HttpServerConnection::Run()
@@ -182,7 +189,7 @@
     if (!HoldBody(size)) {
       mKeepAlive = false;
       mParser.reset();
-      HoldBody(0);
+      mBodyHold.Release();
       const Error error = MakeError(ErrorCode::Overloaded, "http.read-request",
                                     mPeerName, "too many large bodies at once");
       auto refusing = RefuseRequest(error);
@@ -229,7 +236,8 @@
     mKeepAlive = false;
   }
   mRequest = HttpRequest{};
-  HoldBody(0);
+  mBodyHold.Release();
+  mReader.ReleaseMemory();
 }
 
 awaitable<void> HttpServerConnection::RefuseRequest(const Error& aError)
--- a/packages/transport/src/http_connection.hpp
+++ b/packages/transport/src/http_connection.hpp
@@ -29,8 +29,6 @@
   std::atomic<std::size_t> mConnections{ 0 };
   /** From the first byte of a request to the last one of its answer. */
   std::atomic<std::size_t> mExchanges{ 0 };
-  /** Bytes of large bodies. */
-  std::atomic<std::int64_t> mHeldBytes{ 0 };
   std::atomic<bool> mStopping{ false };
   /** Every answer ends its connection. */
   std::atomic<bool> mEnding{ false };
@@ -109,8 +107,8 @@
   std::shared_ptr<HttpServerCounters> mCounters;
   std::optional<Parser> mParser;
   HttpRequest mRequest;
-  /** What the current body counts in mHeldBytes. */
-  std::int64_t mHeldBytes = 0;
+  /** Room for the body of the current request. */
+  MemoryHold mBodyHold;
   AnswerState mAnswer = AnswerState::None;
   bool mKeepAlive = true;
   bool mIdle = true;
--- a/packages/transport/src/http_pool.cpp
+++ b/packages/transport/src/http_pool.cpp
@@ -37,10 +37,17 @@
   }
 
   awaitable<Result<HttpResponseHead>> Send(const HttpRequest& aRequest,
+                                           std::string_view aBody,
                                            Duration aTimeout) override
   {
-    return mInner->Send(aRequest, aTimeout);
+    return mInner->Send(aRequest, aBody, aTimeout);
   }
+  void HoldIn(const std::shared_ptr<MemoryRoom>& aRoom,
+              const HoldParties& aParties) override
+  {
+    mInner->HoldIn(aRoom, aParties);
+  }
+  void ReleaseMemory() override { mInner->ReleaseMemory(); }
   awaitable<Result<HttpResponseHead>> ReadHead(Duration aTimeout) override
   {
     return mInner->ReadHead(aTimeout);
--- a/packages/transport/src/http_reader.cpp
+++ b/packages/transport/src/http_reader.cpp
@@ -44,12 +44,47 @@
   return bounds;
 }
 
+void HttpReader::HoldIn(MemoryHold aHold, bool aWaits)
+{
+  mHold = std::move(aHold);
+  mWaitsForRoom = aWaits;
+}
+
+void HttpReader::ReleaseMemory()
+{
+  if (mBuffer.size() == 0) {
+    mBuffer.shrink_to_fit();
+    mHold.Release();
+  }
+}
+
 void HttpReader::BeginMessage()
 {
   mTaken = 0;
   mBodyBytes = 0;
 }
 
+awaitable<Result<Unit>> HttpReader::MakeRoom(std::string_view aStep)
+{
+  const auto bytes = static_cast<Bytes>(mBounds.mMaxKept);
+  if (mBuffer.size() < mBounds.mFreeBytes || mHold.Size() >= bytes) {
+    co_return Success();
+  }
+  if (!mWaitsForRoom) {
+    if (mHold.TryGrow(bytes)) {
+      co_return Success();
+    }
+    const Error error =
+      MakeError(ErrorCode::Overloaded, aStep, mPeerName, "no room for a head");
+    co_return error;
+  }
+  const auto left = std::chrono::duration_cast<Duration>(
+    mDeadline - std::chrono::steady_clock::now());
+  auto growing = mHold.Grow(bytes, std::max(left, Duration(1)));
+  auto grown = co_await std::move(growing);
+  co_return grown;
+}
+
 awaitable<beast::error_code> HttpReader::ReadOnce()
 {
   beast::error_code ec;
@@ -127,6 +162,11 @@
       const Error error = MakeOverrun(aStep, "no end of a line", IsRequest);
       co_return error;
     }
+    auto making = MakeRoom(aStep);
+    const auto made = co_await std::move(making);
+    if (!made) {
+      co_return made.GetError();
+    }
     auto reading = ReadOnce();
     ec = co_await std::move(reading);
     if (ec == asio::error::eof && aParser.got_some()) {
--- a/packages/transport/src/http_reader.hpp
+++ b/packages/transport/src/http_reader.hpp
@@ -6,12 +6,14 @@
  */
 
 #include "carobtide/base.hpp"
+#include "carobtide/transport/memory_hold.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -27,6 +29,8 @@
 
   /** Bytes kept until the parser has made sense of them. */
   std::size_t mMaxKept = 0;
+  /** Of those, what needs no room of an account. */
+  std::size_t mFreeBytes = 8 * 1024;
   /** Bytes of one message that are not of its body, for an empty body. */
   std::size_t mMaxOverhead = 0;
   /** What each byte of the body adds to that: short chunks are sound. */
@@ -55,6 +59,20 @@
   {
   }
 
+  /**
+   * Takes room of an account for what is kept beyond mFreeBytes. A claim
+   * without room waits until the time of SetDeadline, or fails at once.
+   */
+  void HoldIn(MemoryHold aHold, bool aWaits);
+  void SetDeadline(std::chrono::steady_clock::time_point aDeadline)
+  {
+    mDeadline = aDeadline;
+  }
+  /** Ends a wait for room. */
+  void CancelWait() { mHold.CancelWait(); }
+  /** Gives memory back that the messages so far needed. */
+  void ReleaseMemory();
+
   /** The next message begins with the next byte. */
   void BeginMessage();
 
@@ -79,6 +97,8 @@
 
 private:
   boost::asio::awaitable<boost::beast::error_code> ReadOnce();
+  /** Takes room for what is read next. */
+  boost::asio::awaitable<Result<Unit>> MakeRoom(std::string_view aStep);
   /**
    * True if what is buffered may be a last chunk that has not arrived whole.
    * Fed again with less than that, the parser's assertions end the process.
@@ -97,6 +117,10 @@
   /** Bytes of this message that the parser has taken, its body included. */
   std::uint64_t mTaken = 0;
   std::uint64_t mBodyBytes = 0;
+  MemoryHold mHold;
+  bool mWaitsForRoom = false;
+  std::chrono::steady_clock::time_point mDeadline =
+    std::chrono::steady_clock::time_point::max();
 };
 
 } // namespace carobtide
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -27,6 +27,16 @@
 
 } // namespace
 
+HttpLimits HttpLimits::ForSmallRequests()
+{
+  HttpLimits limits;
+  limits.mMaxHeaderBytes = 4 * kKiB;
+  limits.mMaxBodyBytes = 4 * kKiB;
+  limits.mReadTimeout = std::chrono::seconds(5);
+  limits.mMaxConnections = 256;
+  return limits;
+}
+
 class HttpServer::Impl : public std::enable_shared_from_this<Impl>
 {
 public:
@@ -38,6 +48,9 @@
     , mHandler(std::move(aHandler))
     , mAcceptor(mPickExecutor())
   {
+    if (mLimits.mMemory == nullptr) {
+      mLimits.mMemory = std::make_shared<MemoryRoom>();
+    }
   }
 
   Result<Unit> Listen(const Endpoint& aAddress);
@@ -137,7 +150,6 @@
 
 void HttpServer::Impl::StopListening()
 {
-  mCounters->mStopping = true;
   asio::post(mAcceptor.get_executor(), [self = shared_from_this()] {
     boost::system::error_code ec;
     self->mAcceptor.close(ec);
--- a/packages/transport/tests/endless_bytes_test.cpp
+++ b/packages/transport/tests/endless_bytes_test.cpp
@@ -241,8 +241,11 @@
 {
   constexpr std::size_t kLargeBytes = 1'000'000;
   constexpr std::size_t kClients = 8;
+  HoldAccountOptions memory;
+  memory.mRequestRoom = { kMiB, 3'500'000, 0, 0 };
+  memory.mReceiverShare = 1;
   HttpLimits limits;
-  limits.mMaxHeldBytes = 3'500'000;
+  limits.mMemory = std::make_shared<MemoryRoom>(memory);
   WorkerPool workers(1);
   HttpServer server(workers, limits, Echo);
   workers.Start();
