A stream does not go on at a target whose process is not known

A target's version is that of its last heartbeat, also after its connections have broken; a process that restarts in place is taken for the old one until it is heard of.

A broken or failed connection now puts the target's process in doubt for three heartbeats. A stream that goes on asks the target first, on the connection that it will be sent on, when its process started (engines always, since an edge without connections sees no restart); another process, or one that does not say while it is in doubt, gets no such stream until it is heard of. New streams go on at once and avoid targets in doubt.

--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -34,6 +34,8 @@
 constexpr Duration kNoCatalogPause = std::chrono::milliseconds(500);
 /** A VM has 4,200 descriptors; each connection keeps some KiB. */
 constexpr std::size_t kMaxConnections = 4096;
+/** A target that restarts in place is heard of within so many heartbeats. */
+constexpr int kMissedHeartbeats = 3;
 constexpr std::size_t kMostIdlePerTarget = 64;
 /** Targets close idle connections; ours end sooner. */
 constexpr Duration kMaxIdleTime = std::chrono::seconds(4);
@@ -70,7 +72,8 @@
       RetryBudget{ mSettings.mRetryShare, mSettings.mRetrySlack,
                    mSettings.mRetryWindow },
       mRandom(),
-      [this](const Endpoint& aAddress) { return mPool.HasIdle(aAddress); } })
+      [this](const Endpoint& aAddress) { return mPool.HasIdle(aAddress); },
+      kMissedHeartbeats * mSettings.mHeartbeatInterval })
   , mHomes(mSettings.mPeerAddress, mSettings.mFailureDomain)
   , mNetwork(
       mWorkers,
--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace carobtide {
@@ -25,6 +26,10 @@
 
 /** A lost opening packet is sent again after a second: another target first. */
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+/** A report needs no slot: it comes within milliseconds. */
+constexpr Duration kProcessCheckTimeout = std::chrono::milliseconds(400);
+constexpr Bytes kMaxReportBytes = kMiB;
+constexpr int kMaxConnectionsPerSend = 2;
 /** Time for the answer to reach the caller before its time is over. */
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(5);
 
@@ -332,37 +337,114 @@
                                             : SendEnd::Broken;
 }
 
-EdgeRequest::AwaitAttempt EdgeRequest::Send(SendTo aSend)
+EdgeRequest::AwaitConnection EdgeRequest::Connect(const Endpoint& aAddress)
 {
-  auto acquiring =
-    mContext.mPool.Acquire(aSend.mAddress, std::min(kConnectTimeout, Left()),
-                           ComputeChecksum(mCaller.mId));
+  auto acquiring = mContext.mPool.Acquire(
+    aAddress, std::min(kConnectTimeout, Left()), ComputeChecksum(mCaller.mId));
   auto connection = co_await std::move(acquiring);
   if (!connection) {
     LogError(connection.GetError());
-    co_return Attempt{ mIsGone ? SendEnd::CallerGone : SendEnd::ConnectFailed,
-                       false };
+    co_return nullptr;
   }
+  co_return std::move(*connection);
+}
+
+std::optional<SendEnd> EdgeRequest::FindObstacle(const SendTo& aSend) const
+{
   if (mIsGone) {
-    mContext.mPool.Release(aSend.mAddress, std::move(*connection));
-    co_return Attempt{ SendEnd::CallerGone, false };
+    return SendEnd::CallerGone;
   }
   // Connecting takes time, in which the target may have said more.
-  if (mIsGivenUp || !mContext.mDispatcher.MaySend(SteadyNow(), aSend)) {
-    mContext.mPool.Release(aSend.mAddress, std::move(*connection));
-    co_return Attempt{ SendEnd::Withheld, false };
+  if (mIsGivenUp || !mContext.mDispatcher.MaySend(SteadyNow(), aSend, mState)) {
+    return SendEnd::Withheld;
   }
-  mConnection = connection->get();
+  return std::nullopt;
+}
+
+EdgeRequest::AwaitAttempt EdgeRequest::Send(SendTo aSend)
+{
+  Attempt attempt;
+  std::unique_ptr<HttpConnection> connection;
+  // A target that is asked which process it is may end the connection.
+  for (int tries = 0; tries < kMaxConnectionsPerSend; ++tries) {
+    auto connecting = Connect(aSend.mAddress);
+    connection = co_await std::move(connecting);
+    if (connection == nullptr) {
+      co_return Attempt{ mIsGone ? SendEnd::CallerGone : SendEnd::ConnectFailed,
+                         false };
+    }
+    if (const auto obstacle = FindObstacle(aSend)) {
+      mContext.mPool.Release(aSend.mAddress, std::move(connection));
+      co_return Attempt{ *obstacle, false };
+    }
+    if (!mContext.mDispatcher.MustCheckProcess(SteadyNow(), aSend, mState)) {
+      break;
+    }
+    mConnection = connection.get();
+    auto checking = CheckProcess(aSend, *connection);
+    const auto check = co_await std::move(checking);
+    mConnection = nullptr;
+    const bool mayGo = check && mContext.mDispatcher.OnProcessChecked(
+                                  SteadyNow(), aSend, mState, *check);
+    if (mIsGone || !mayGo) {
+      co_return Attempt{ mIsGone  ? SendEnd::CallerGone
+                         : !check ? SendEnd::ConnectFailed
+                                  : SendEnd::Withheld,
+                         false };
+    }
+    if (connection->IsReusable()) {
+      break;
+    }
+    connection.reset();
+  }
+  if (connection == nullptr) {
+    co_return Attempt{ SendEnd::ConnectFailed, false };
+  }
+  if (const auto obstacle = FindObstacle(aSend)) {
+    mContext.mPool.Release(aSend.mAddress, std::move(connection));
+    co_return Attempt{ *obstacle, false };
+  }
+  mConnection = connection.get();
   mConnection->HoldIn(mContext.mMemory, PartiesOf(aSend.mTarget));
-  auto exchanging = Exchange(aSend, **connection);
-  Attempt attempt = co_await std::move(exchanging);
-  attempt.mFraming = (*connection)->Framing();
+  auto exchanging = Exchange(aSend, *connection);
+  attempt = co_await std::move(exchanging);
+  attempt.mFraming = connection->Framing();
   mConnection = nullptr;
-  (*connection)->ReleaseMemory();
-  mContext.mPool.Release(aSend.mAddress, std::move(*connection));
+  connection->ReleaseMemory();
+  mContext.mPool.Release(aSend.mAddress, std::move(connection));
   co_return attempt;
 }
 
+awaitable<std::optional<ProcessCheck>> EdgeRequest::CheckProcess(
+  SendTo aSend, HttpConnection& aConnection)
+{
+  const Duration patience = std::min(kProcessCheckTimeout, Left());
+  const HttpRequest request =
+    mContext.mDialect.MakeReportRequest(aSend.mTarget);
+  auto sending = aConnection.Send(request, patience);
+  auto head = co_await std::move(sending);
+  if (!head) {
+    LogError(head.GetError());
+    co_return std::nullopt;
+  }
+  auto reading = aConnection.ReadAll(kMaxReportBytes, patience);
+  const auto body = co_await std::move(reading);
+  if (!body) {
+    LogError(body.GetError());
+    co_return std::nullopt;
+  }
+  ProcessCheck check = ProcessCheck::Unstated;
+  if (IsSuccess(head->mStatus)) {
+    const auto report = mContext.mDialect.ReadReport(*body);
+    if (report && report->mIncarnation != Incarnation()) {
+      check = report->mIncarnation == aSend.mIncarnation ? ProcessCheck::Same
+                                                         : ProcessCheck::Other;
+    }
+  }
+  mTrail.OnProcessChecked(aSend, check);
+  co_return check;
+}
+
 EdgeRequest::AwaitAttempt EdgeRequest::Exchange(SendTo aSend,
                                                 HttpConnection& aConnection)
 {
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -75,6 +75,8 @@
   };
 
   using AwaitAttempt = boost::asio::awaitable<Attempt>;
+  using AwaitConnection =
+    boost::asio::awaitable<std::unique_ptr<HttpConnection>>;
   using AwaitRelay = boost::asio::awaitable<RelayAttempt>;
 
   // edge_request_relay.cpp: requests between daemons.
@@ -93,6 +95,16 @@
   static bool IsSuccess(std::uint16_t aStatus);
 
   AwaitAttempt Send(SendTo aSend);
+  /** A connection to a target; null if there is none. */
+  AwaitConnection Connect(const Endpoint& aAddress);
+  /** Why the request must not be sent any more, if so. */
+  std::optional<SendEnd> FindObstacle(const SendTo& aSend) const;
+  /**
+   * Asks the target which process it is, on the connection for the request;
+   * nothing if the connection fails.
+   */
+  boost::asio::awaitable<std::optional<ProcessCheck>> CheckProcess(
+    SendTo aSend, HttpConnection& aConnection);
   AwaitAttempt Exchange(SendTo aSend, HttpConnection& aConnection);
   AwaitAttempt TakeAnswer(SendTo aSend, HttpConnection& aConnection,
                           HttpResponseHead aHead);
--- a/packages/daemon/src/request_trail.cpp
+++ b/packages/daemon/src/request_trail.cpp
@@ -90,6 +90,13 @@
   entry.mSnapshot.mHolders = static_cast<std::uint32_t>(aRelay.mHolders.size());
 }
 
+void RequestTrail::OnProcessChecked(const SendTo& aSend, ProcessCheck aCheck)
+{
+  Entry& entry = Add(TrailStep::ProcessChecked);
+  entry.mTarget = aSend.mTarget;
+  entry.mDetail = kProcessChecks.Name(aCheck);
+}
+
 void RequestTrail::OnRelayEnded(const RelayTo& aRelay, RelayEnd aEnd,
                                 bool aMayRepeat)
 {
@@ -113,6 +120,9 @@
       break;
     case TrailStep::AdapterAsked:
       break;
+    case TrailStep::ProcessChecked:
+      inputs.push_back({ "process", std::string_view(aEntry.mDetail) });
+      break;
     case TrailStep::Resumed:
       inputs.push_back({ "after_event", std::string_view(aEntry.mDetail) });
       [[fallthrough]];
--- a/packages/daemon/src/request_trail.hpp
+++ b/packages/daemon/src/request_trail.hpp
@@ -26,18 +26,20 @@
   AdapterAsked,
   Routed,
   Resumed,
+  ProcessChecked,
   SendEnded,
   Refused,
   HandedOn,
   RelayEnded,
 };
 
-inline constexpr EnumTable<TrailStep, 9> kTrailSteps{ { {
+inline constexpr EnumTable<TrailStep, 10> kTrailSteps{ { {
   { TrailStep::OriginFound, "request.origin-found" },
   { TrailStep::Waiting, "request.waiting" },
   { TrailStep::AdapterAsked, "request.adapter-asked" },
   { TrailStep::Routed, "request.routed" },
   { TrailStep::Resumed, "request.resumed" },
+  { TrailStep::ProcessChecked, "request.process-checked" },
   { TrailStep::SendEnded, "request.send-ended" },
   { TrailStep::Refused, "request.refused" },
   { TrailStep::HandedOn, "request.handed-on" },
@@ -76,6 +78,8 @@
   void OnAdapterAsked();
   /** `aAfterEvent` is not empty if an answer goes on after that event. */
   void OnRouted(const SendTo& aSend, std::string_view aAfterEvent);
+  /** The target said which process it is, before the request was sent. */
+  void OnProcessChecked(const SendTo& aSend, ProcessCheck aCheck);
   /** `aFraming` is that of the target's answer. */
   void OnSendEnded(const SendTo& aSend, SendEnd aEnd, BodyFraming aFraming,
                    bool aMayRepeat);
--- a/packages/placement/include/carobtide/placement/engine_tracker.hpp
+++ b/packages/placement/include/carobtide/placement/engine_tracker.hpp
@@ -71,6 +71,8 @@
 /** State that an engine reports of itself; it may be slightly outdated. */
 struct EngineReport
 {
+  /** The process that reports; zero if it is not stated. */
+  Incarnation mIncarnation;
   /** A model load or unload is being executed. */
   bool mBusy = false;
   /** Number of orders accepted since the engine started. */
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -8,6 +8,7 @@
 
 #include "carobtide/catalog.hpp"
 #include "carobtide/fleet.hpp"
+#include "carobtide/routing/process_doubt.hpp"
 #include "carobtide/routing/refusal_limit.hpp"
 #include "carobtide/routing/relay_table.hpp"
 #include "carobtide/routing/retry_allowance.hpp"
@@ -194,6 +195,8 @@
   std::uint64_t mSeed = 1;
   /** True if an open connection to the address awaits its next request. */
   std::function<bool(const Endpoint&)> mHasIdleConnection;
+  /** For so long a process that has just started may not be known here. */
+  Duration mProcessDoubt = std::chrono::milliseconds(3600);
 };
 
 /** Counters since construction, for metrics and tests. */
@@ -287,8 +290,24 @@
   bool OnStatedRefusals(Instant aNow, const SendTo& aSend,
                         std::optional<double> aPerSecond);
 
-  /** False if what the target said since Choose forbids to send to it. */
-  bool MaySend(Instant aNow, const SendTo& aSend) const;
+  /** False if what is known since Choose forbids to send the request there. */
+  bool MaySend(Instant aNow, const SendTo& aSend,
+               const DispatchState& aState) const;
+
+  /**
+   * True if the target must say on the connection for the request which process
+   * it is: a stream may go on at one software version only, and the version
+   * that is known here is that of a process.
+   */
+  bool MustCheckProcess(Instant aNow, const SendTo& aSend,
+                        const DispatchState& aState) const;
+
+  /**
+   * Records what a target said of its process. False if the request must not
+   * be sent there.
+   */
+  bool OnProcessChecked(Instant aNow, const SendTo& aSend,
+                        const DispatchState& aState, ProcessCheck aCheck);
 
   /** Replaces the daemons that requests can be handed to. */
   void SetRelays(const std::vector<RelayPeer>& aRelays);
@@ -353,11 +372,17 @@
   /** Reports kept: more than are sent within the lifetime of a load. */
   static constexpr std::size_t kMaxKeptReports = 64;
 
+  struct Target;
+  /** True if the request may not go to a process that is not known. */
+  static bool IsUnknownProcess(Instant aNow, const Target& aTarget,
+                               const DispatchState& aState);
+
   struct Target
   {
     RoutedTarget mState;
     TargetHealth mHealth;
     TargetPath mPath;
+    ProcessDoubt mDoubt;
     /** Daemons that do not reach it either, and until when that counts. */
     std::map<Endpoint, Instant> mUselessRelays;
     std::uint32_t mInFlight = 0;
--- /dev/null
+++ b/packages/routing/include/carobtide/routing/process_doubt.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+/**
+ * @file
+ * Whether the process that serves at a target's address is the one that its
+ * last heartbeat was from.
+ */
+
+#include "carobtide/base.hpp"
+
+#include <cstdint>
+
+namespace carobtide {
+
+/** What a target said of its process when it was asked on a connection. */
+enum class ProcessCheck : std::uint8_t
+{
+  /** It is the process that is known. */
+  Same,
+  /** Another process serves there now. */
+  Other,
+  /** It does not say when its process started. */
+  Unstated,
+};
+
+inline constexpr EnumTable<ProcessCheck, 3> kProcessChecks{ { {
+  { ProcessCheck::Same, "same" },
+  { ProcessCheck::Other, "other" },
+  { ProcessCheck::Unstated, "unstated" },
+} } };
+
+/**
+ * Doubt about a target's process, from the end of a connection until the target
+ * is heard of again as another process, or until its heartbeats would have
+ * stopped for so long that it counts as silent. Sans-I/O.
+ *
+ * Answers: targets that restart in place, under their name and address, with
+ * other software; connections that are reset while their target lives.
+ *
+ * Thread safety: none; the owner synchronizes access.
+ */
+class ProcessDoubt
+{
+public:
+  /** A connection broke, or none could be made. */
+  void OnConnectionLost(Instant aNow, Duration aWindow);
+
+  void OnCheck(Instant aNow, ProcessCheck aCheck, Duration aWindow);
+
+  /** True if another process may serve at the address. */
+  bool IsDoubted(Instant aNow) const { return aNow < mUntil; }
+
+  /** True if asking the target may settle it. */
+  bool MayAsk() const { return mStatesProcess; }
+
+private:
+  Instant mUntil = Instant::min();
+  bool mStatesProcess = true;
+};
+
+} // namespace carobtide
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -367,13 +367,52 @@
   return wasBrittle != refusals.Current(aNow).has_value();
 }
 
-bool Dispatcher::MaySend(Instant aNow, const SendTo& aSend) const
+bool Dispatcher::IsUnknownProcess(Instant aNow, const Target& aTarget,
+                                  const DispatchState& aState)
+{
+  return aState.mFacts.mKind == RequestKind::ResumableStream &&
+         !aTarget.mDoubt.MayAsk() && aTarget.mDoubt.IsDoubted(aNow);
+}
+
+bool Dispatcher::MaySend(Instant aNow, const SendTo& aSend,
+                         const DispatchState& aState) const
 {
   const auto it = mTargets.find(aSend.mTarget);
   return it != mTargets.end() &&
          it->second.mState.mLast.mIncarnation == aSend.mIncarnation &&
          it->second.mState.TakesWork() && !it->second.mLeaves &&
-         it->second.mPause.IsOver(aNow);
+         it->second.mPause.IsOver(aNow) &&
+         !(aState.mSoftware && IsUnknownProcess(aNow, it->second, aState));
+}
+
+bool Dispatcher::MustCheckProcess(Instant aNow, const SendTo& aSend,
+                                  const DispatchState& aState) const
+{
+  const auto it = mTargets.find(aSend.mTarget);
+  if (it == mTargets.end() ||
+      aState.mFacts.mKind != RequestKind::ResumableStream ||
+      !it->second.mDoubt.MayAsk()) {
+    return false;
+  }
+  // A target that this daemon has no connection to may restart unnoticed.
+  const bool goesOn = aState.mSoftware.has_value();
+  return it->second.mDoubt.IsDoubted(aNow) ||
+         (goesOn && it->second.mState.mLast.mEngine);
+}
+
+bool Dispatcher::OnProcessChecked(Instant aNow, const SendTo& aSend,
+                                  const DispatchState& aState,
+                                  ProcessCheck aCheck)
+{
+  Target* target = FindProcess(aSend.mTarget, aSend.mIncarnation);
+  if (target == nullptr) {
+    return false;
+  }
+  target->mDoubt.OnCheck(aNow, aCheck, mOptions.mProcessDoubt);
+  const bool goesOn = aState.mSoftware.has_value();
+  return aCheck == ProcessCheck::Same ||
+         (aCheck == ProcessCheck::Unstated &&
+          !(goesOn && target->mDoubt.IsDoubted(aNow)));
 }
 
 void Dispatcher::OnFirstByte(Instant aNow, SendId aSend)
@@ -467,6 +506,9 @@
       target->second.mRefusals.OnRefused(
         aNow, KnownLoadAt(aNow, target->second), *refusals);
     }
+    if (aEnd == SendEnd::ConnectFailed || aEnd == SendEnd::Broken) {
+      target->second.mDoubt.OnConnectionLost(aNow, mOptions.mProcessDoubt);
+    }
     TargetPath& path = target->second.mPath;
     if (aEnd == SendEnd::ConnectFailed) {
       path.OnConnectFailed(aNow);
--- a/packages/routing/src/dispatcher_choice.cpp
+++ b/packages/routing/src/dispatcher_choice.cpp
@@ -23,6 +23,8 @@
 constexpr double kHangPenalty = 1.0;
 /** Penalty for a target without recent heartbeats at any daemon. */
 constexpr double kSilencePenalty = 0.4;
+/** Penalty for a target that may have restarted with other software. */
+constexpr double kUnknownProcessPenalty = 2.0;
 /** Bonus for a target that was recently sent the same shared prefix. */
 constexpr double kSharedPrefixBonus = 0.06;
 /** Random tie break, so that daemons do not all choose the same target. */
@@ -263,6 +265,10 @@
       continue;
     }
     search.mSoftwareServes = true;
+    const bool isUnknownProcess = IsUnknownProcess(aNow, target, aState);
+    if (isUnknownProcess && aState.mSoftware) {
+      continue;
+    }
     const Instant sendableAt = SendableAt(aNow, target);
     const bool isHeldBack = sendableAt > aNow;
     const bool isReachable = IsReachable(target);
@@ -323,7 +329,9 @@
                                                *refusals, mRandom))) {
       continue;
     }
-    const double score = ScoreOf(aNow, target, aPool, facts, total);
+    // What begins there might be taken for a stream of another version.
+    const double score = ScoreOf(aNow, target, aPool, facts, total) +
+                         (isUnknownProcess ? kUnknownProcessPenalty : 0);
     if (search.mBest == nullptr || score < search.mScore) {
       search.mBest = &target;
       search.mScore = score;
--- a/packages/routing/tests/leaving_and_pauses_test.cpp
+++ b/packages/routing/tests/leaving_and_pauses_test.cpp
@@ -108,7 +108,7 @@
   DispatchState state = Daemon::Arrive(kStart);
   const auto decision = daemon.mDispatcher.Choose(kStart, state);
   const auto& send = std::get<SendTo>(decision);
-  CHECK(daemon.mDispatcher.MaySend(kStart, send));
+  CHECK(daemon.mDispatcher.MaySend(kStart, send, {}));
   SECTION("it leaves")
   {
     daemon.mDispatcher.OnLeaving(kFirst, Incarnation(1));
@@ -127,7 +127,7 @@
   {
     daemon.mDispatcher.OnTarget(kStart, MakeTarget("t0", 2));
   }
-  CHECK_FALSE(daemon.mDispatcher.MaySend(kStart, send));
+  CHECK_FALSE(daemon.mDispatcher.MaySend(kStart, send, {}));
   CHECK(daemon.mDispatcher.OnEnd(kStart, send.mSend, SendEnd::Withheld, state));
   CHECK(state.mRuns == 0);
   CHECK(state.mDelivered == 0);
--- a/packages/routing/tests/software_version_test.cpp
+++ b/packages/routing/tests/software_version_test.cpp
@@ -116,4 +116,86 @@
   CHECK(dispatcher.WaitingStreams().empty());
 }
 
+// Guards against streams that go on at a target which has restarted in place
+// with other software and has not been heard of since.
+TEST_CASE("a stream does not go on at a target whose process is not known")
+{
+  Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
+  dispatcher.OnTarget(kNow, MakeTarget("t0", kOld));
+  dispatcher.OnTarget(kNow, MakeTarget("t1", kOld));
+  DispatchState begun = MakeStream();
+  const auto first = dispatcher.Choose(kNow, begun);
+  const auto* lost = std::get_if<SendTo>(&first);
+  REQUIRE(lost != nullptr);
+  CHECK_FALSE(dispatcher.MustCheckProcess(kNow, *lost, begun));
+  begun.mSoftware = kOld;
+  REQUIRE(dispatcher.OnEnd(kNow, lost->mSend, SendEnd::Broken, begun));
+  const auto chooseFor = [&](Instant aNow, bool aGoesOn) {
+    DispatchState state = MakeStream();
+    if (aGoesOn) {
+      state.mSoftware = kOld;
+    }
+    const auto decision = dispatcher.Choose(aNow, state);
+    const auto* send = std::get_if<SendTo>(&decision);
+    REQUIRE(send != nullptr);
+    const bool mustCheck = dispatcher.MustCheckProcess(aNow, *send, state);
+    if (send->mTarget == lost->mTarget && aNow < kNow + 3600ms) {
+      CHECK(mustCheck);
+    }
+    dispatcher.OnEnd(aNow, send->mSend, SendEnd::Withheld, state);
+    return *send;
+  };
+  DispatchState goesOn = MakeStream();
+  goesOn.mSoftware = kOld;
+  SECTION("it is another process: streams go elsewhere until it is heard of")
+  {
+    CHECK_FALSE(
+      dispatcher.OnProcessChecked(kNow, *lost, goesOn, ProcessCheck::Other));
+    for (int n = 0; n < 20; ++n) {
+      CHECK(chooseFor(kNow + 1s, true).mTarget != lost->mTarget);
+      CHECK(chooseFor(kNow + 1s, false).mTarget != lost->mTarget);
+    }
+    RoutedTarget restarted = MakeTarget(lost->mTarget.Text(), kNew);
+    restarted.mLast.mIncarnation = Incarnation(2);
+    dispatcher.OnTarget(kNow + 2s, restarted);
+    DispatchState other = MakeStream();
+    other.mSoftware = kNew;
+    const auto decision = dispatcher.Choose(kNow + 2s, other);
+    REQUIRE(std::holds_alternative<SendTo>(decision));
+    CHECK(std::get<SendTo>(decision).mTarget == lost->mTarget);
+  }
+  SECTION("it does not say: the stream is not sent there for a while")
+  {
+    CHECK_FALSE(
+      dispatcher.OnProcessChecked(kNow, *lost, goesOn, ProcessCheck::Unstated));
+    CHECK(dispatcher.OnProcessChecked(kNow, *lost, MakeStream(),
+                                      ProcessCheck::Unstated));
+    // Also one that was chosen before another request found out.
+    CHECK_FALSE(dispatcher.MaySend(kNow, *lost, goesOn));
+    CHECK(dispatcher.MaySend(kNow, *lost, MakeStream()));
+    for (int n = 0; n < 20; ++n) {
+      CHECK(chooseFor(kNow + 3500ms, true).mTarget != lost->mTarget);
+    }
+    // It would have been heard of by now; and the other one leaves.
+    RoutedTarget other =
+      MakeTarget(lost->mTarget == TargetName("t0") ? "t1" : "t0", kOld);
+    other.mLast.mPhase = TargetPhase::Draining;
+    dispatcher.OnTarget(kNow + 3700ms, other);
+    CHECK(chooseFor(kNow + 3700ms, true).mTarget == lost->mTarget);
+  }
+  SECTION("it is the same process: its connection was reset, and streams go on")
+  {
+    CHECK(dispatcher.OnProcessChecked(kNow, *lost, goesOn, ProcessCheck::Same));
+    const SendTo send = chooseFor(kNow, false);
+    CHECK_FALSE(dispatcher.MustCheckProcess(kNow, send, MakeStream()));
+  }
+  SECTION(
+    "an engine is asked before each stream that goes on, a service is not")
+  {
+    const SendTo send = chooseFor(kNow + 5s, true);
+    CHECK(dispatcher.MustCheckProcess(kNow + 5s, send, goesOn));
+    CHECK_FALSE(dispatcher.MustCheckProcess(kNow + 5s, send, MakeStream()));
+  }
+}
+
 } // namespace carobtide
