A damaged log is set aside identity first, and a start survives exceptions

A loss of power could keep the move of a damaged segment and lose that of the identity; the rest of the log then looked whole under the old identity, without what it had acknowledged. The identity is moved and synced before anything else. The data folder is made durably. A start that throws (no descriptor, no thread) is tried again like one that fails, and settings that cannot be read at a later try leave the ones before.

Test: "no file of a damaged log is moved before its identity is, for good"; not run without the change.

--- a/main/carobtided.cpp
+++ b/main/carobtided.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdio>
+#include <exception>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -139,9 +140,29 @@
   int mExit = 0;
 };
 
+/** Makes and starts a daemon once. */
+template<class Daemon>
+carobtide::Result<std::unique_ptr<Daemon>> TryToStart(
+  const std::function<std::unique_ptr<Daemon>()>& aMake)
+{
+  try {
+    auto daemon = aMake();
+    const auto started = daemon->Start();
+    if (!started) {
+      return started.GetError();
+    }
+    return daemon;
+  } catch (const std::exception& error) {
+    // E.g. no descriptor or thread is left.
+    return carobtide::Error{
+      carobtide::ErrorCode::Internal, "daemon.start", {}, error.what()
+    };
+  }
+}
+
 /**
  * Makes and starts a daemon until one starts: an address may be in use and a
- * disk may fail for a while. aMake returns null if the settings are faulty.
+ * disk may fail for a while.
  */
 template<class Daemon>
 Started<Daemon> StartDaemon(
@@ -150,16 +171,11 @@
 {
   const auto end = std::chrono::steady_clock::now() + kStartPatience;
   while (true) {
-    auto daemon = aMake();
-    if (!daemon) {
-      return { nullptr, kExitFaults };
-    }
-    const auto started = daemon->Start();
+    auto started = TryToStart(aMake);
     if (started) {
-      return { std::move(daemon), 0 };
+      return { std::move(*started), 0 };
     }
     carobtide::LogError(started.GetError());
-    daemon.reset();
     if (std::chrono::steady_clock::now() >= end) {
       carobtide::FlushLogs(kLastLines);
       return { nullptr, kExitFailure };
@@ -224,12 +240,11 @@
     aSignals, [&]() -> std::unique_ptr<carobtide::Node> {
       // They may have changed, and a reload that came meanwhile was taken.
       if (!std::exchange(isFirstTry, false)) {
-        settings = LoadSettings<carobtide::NodeSettings>(
+        auto changed = LoadSettings<carobtide::NodeSettings>(
           aPath, carobtide::ParseNodeSettings);
+        settings = changed ? std::move(changed) : std::move(settings);
       }
-      return settings ? carobtide::MakeNode(*settings,
-                                            carobtide::MakePlatformDialect())
-                      : nullptr;
+      return carobtide::MakeNode(*settings, carobtide::MakePlatformDialect());
     });
   if (!started.mDaemon) {
     return started.mExit;
--- a/packages/consensus/src/damaged_log.cpp
+++ b/packages/consensus/src/damaged_log.cpp
@@ -20,6 +20,28 @@
          aName.starts_with(kSnapshotPrefix);
 }
 
+/** Moves those of the files that are there, durably. */
+Result<Unit> Move(FileSystem& aFiles, const std::string& aFolder,
+                  const std::vector<std::string>& aMoved)
+{
+  const std::string aside = DamagedFolderIn(aFolder);
+  const auto left = aFiles.List(aFolder);
+  if (!left) {
+    return left.GetError();
+  }
+  for (const std::string& name : aMoved) {
+    if (!IsLogFile(name) || std::ranges::find(*left, name) == left->end()) {
+      continue;
+    }
+    auto moved = aFiles.Rename(aFolder + "/" + name, aside + "/" + name);
+    if (!moved) {
+      return moved;
+    }
+  }
+  auto synced = aFiles.SyncFolder(aside);
+  return synced ? aFiles.SyncFolder(aFolder) : synced;
+}
+
 } // namespace
 
 Result<Unit> SetLogAside(FileSystem& aFiles, const std::string& aFolder)
@@ -47,17 +69,10 @@
       return removed;
     }
   }
-  for (const std::string& name : *names) {
-    if (!IsLogFile(name)) {
-      continue;
-    }
-    auto moved = aFiles.Rename(aFolder + "/" + name, aside + "/" + name);
-    if (!moved) {
-      return moved;
-    }
-  }
-  auto synced = aFiles.SyncFolder(aside);
-  return synced ? aFiles.SyncFolder(aFolder) : synced;
+  // The identity goes first and for good: what a loss of power leaves of the
+  // rest must not start again under it.
+  auto moved = Move(aFiles, aFolder, { std::string(kIdentityName) });
+  return moved ? Move(aFiles, aFolder, *names) : moved;
 }
 
 Result<bool> HasSetLogAside(FileSystem& aFiles, const std::string& aFolder)
--- a/packages/consensus/tests/file_storage_crash_test.cpp
+++ b/packages/consensus/tests/file_storage_crash_test.cpp
@@ -500,6 +500,39 @@
   }
 }
 
+// Guards against a loss of power that keeps the move of a damaged segment and
+// loses that of the identity: the rest of the log looked whole.
+TEST_CASE("no file of a damaged log is moved before its identity is, for good")
+{
+  SimulatedDisk disk;
+  REQUIRE(RunScript(disk).mDone == Script().size());
+  auto files = MakeSimulatedFileSystem(disk);
+  disk.SyncNames();
+  std::vector<std::string> segments;
+  for (const auto& [path, file] : disk.Names()) {
+    if (path.starts_with(kFolder + "/segment-")) {
+      segments.push_back(path);
+    }
+  }
+  REQUIRE(segments.size() > 1);
+  disk.Names()[segments.back()]->mContent[10] ^= '\x10';
+  disk.Names()[segments.back()]->mSynced[10] ^= '\x10';
+  for (std::uint64_t at = 1; at < 16; ++at) {
+    CAPTURE(at);
+    SimulatedDisk copy = disk;
+    auto copied = MakeSimulatedFileSystem(copy);
+    copy.Inject(DiskFault::CrashAfter, at);
+    try {
+      const auto moved = SetLogAside(*copied, kFolder);
+      CHECK(moved);
+    } catch (const SimulatedCrash&) {
+      const bool isMoved = !copy.Names().contains(segments.back());
+      copy.Crash(UnsyncedFate::Lost, NamesFate::Lost);
+      CHECK((!isMoved || !copy.Names().contains(kFolder + "/identity")));
+    }
+  }
+}
+
 TEST_CASE("files of another format are not taken for damaged ones")
 {
   SimulatedDisk disk;
--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -15,7 +15,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <filesystem>
 #include <sstream>
 #include <utility>
 
@@ -195,10 +194,12 @@
 
 Result<Unit> ControlNode::OpenReplica()
 {
-  std::error_code ec;
-  std::filesystem::create_directories(mSettings.mDataDir, ec);
-  auto found = mReplica.Open(mSettings.mDataDir);
   const auto files = MakePosixFileSystem();
+  // Durably: a folder that is lost takes the log along.
+  if (auto made = files->MakeFolder(mSettings.mDataDir); !made) {
+    return made;
+  }
+  auto found = mReplica.Open(mSettings.mDataDir);
   if (found.Code() == ErrorCode::Corrupt) {
     LogError(found.GetError());
     if (auto moved = SetLogAside(*files, mSettings.mDataDir); !moved) {
