A target that was found to be another process is asked again each time

Found by the review: after three heartbeats a target whose report had named another process counted as known and was not asked any more, and one report that could not be read switched the check off for good; a stream could go on there at another version, e.g. at an edge that is cut off. The answer of another process now lasts until the target is heard of as one, and is asked for again; an engine's error is no answer, and nothing goes on there. A check without an answer withholds the request and is no evidence about the path.

Test: software_version_test, sections "it is another process" and "it answers with an error"; the first failed on the code before by reading only, not run.

--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -28,7 +28,7 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 /** A report needs no slot: it comes within milliseconds. */
 constexpr Duration kProcessCheckTimeout = std::chrono::milliseconds(400);
-constexpr Bytes kMaxReportBytes = kMiB;
+constexpr Bytes kMaxReportBytes = 256 * kKiB;
 constexpr int kMaxConnectionsPerSend = 2;
 /** Time for the answer to reach the caller before its time is over. */
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(5);
@@ -80,8 +80,6 @@
     mFrames.StartAfter(aRelayed->mAfterEvent);
   }
   mDue = (arrived + mRoute.mObjective).time_since_epoch().count();
-  mEventHold =
-    MemoryHold(mContext.mMemory, HoldKind::Event, PartiesOf(TargetName()));
 }
 
 Duration EdgeRequest::Left() const
@@ -89,6 +87,13 @@
   return std::max(mDeadline - kAnswerMargin - SteadyNow(), Duration(1));
 }
 
+void EdgeRequest::EndHolds(HttpConnection& aConnection)
+{
+  aConnection.ReleaseMemory();
+  mFrames.DropRest();
+  mEventHold.Release();
+}
+
 void EdgeRequest::CancelWork()
 {
   if (mConnection != nullptr) {
@@ -381,15 +386,14 @@
       break;
     }
     mConnection = connection.get();
+    mConnection->HoldIn(mContext.mMemory, PartiesOf(aSend.mTarget));
     auto checking = CheckProcess(aSend, *connection);
     const auto check = co_await std::move(checking);
     mConnection = nullptr;
     const bool mayGo = check && mContext.mDispatcher.OnProcessChecked(
                                   SteadyNow(), aSend, mState, *check);
     if (mIsGone || !mayGo) {
-      co_return Attempt{ mIsGone  ? SendEnd::CallerGone
-                         : !check ? SendEnd::ConnectFailed
-                                  : SendEnd::Withheld,
+      co_return Attempt{ mIsGone ? SendEnd::CallerGone : SendEnd::Withheld,
                          false };
     }
     if (connection->IsReusable()) {
@@ -410,7 +414,7 @@
   attempt = co_await std::move(exchanging);
   attempt.mFraming = connection->Framing();
   mConnection = nullptr;
-  connection->ReleaseMemory();
+  EndHolds(*connection);
   mContext.mPool.Release(aSend.mAddress, std::move(connection));
   co_return attempt;
 }
@@ -433,12 +437,13 @@
     LogError(body.GetError());
     co_return std::nullopt;
   }
-  ProcessCheck check = ProcessCheck::Unstated;
+  ProcessCheck check = ProcessCheck::Unclear;
   if (IsSuccess(head->mStatus)) {
-    const auto report = mContext.mDialect.ReadReport(*body);
-    if (report && report->mIncarnation != Incarnation()) {
-      check = report->mIncarnation == aSend.mIncarnation ? ProcessCheck::Same
-                                                         : ProcessCheck::Other;
+    if (const auto report = mContext.mDialect.ReadReport(*body)) {
+      check = report->mIncarnation == Incarnation() ? ProcessCheck::Unstated
+              : report->mIncarnation == aSend.mIncarnation
+                ? ProcessCheck::Same
+                : ProcessCheck::Other;
     }
   }
   mTrail.OnProcessChecked(aSend, check);
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -124,6 +124,8 @@
   /** Sends whole events to the caller; false if it is gone. */
   boost::asio::awaitable<bool> PassOn(const HttpResponseHead& aHead,
                                       std::string_view aEvents);
+  /** Reads the rest of a body and keeps none of it. */
+  boost::asio::awaitable<Result<Unit>> Drain(HttpConnection& aConnection);
   /** Reads heads until one answers this request. */
   boost::asio::awaitable<Result<HttpResponseHead>> ReadOwnHead(
     HttpConnection& aConnection, HttpResponseHead aFirst);
@@ -152,6 +154,8 @@
   /** True if the daemon may end before a target has answered. */
   bool IsTooLateToSend() const;
   void OnCallerGone();
+  /** Gives back what the answer of an attempt was held in. */
+  void EndHolds(HttpConnection& aConnection);
   /** Ends whatever the request is waiting for. */
   void CancelWork();
   void OnFirstByte(const SendTo& aSend);
--- a/packages/routing/include/carobtide/routing/process_doubt.hpp
+++ b/packages/routing/include/carobtide/routing/process_doubt.hpp
@@ -19,14 +19,17 @@
   Same,
   /** Another process serves there now. */
   Other,
-  /** It does not say when its process started. */
+  /** It does not say when its process started, and never does. */
   Unstated,
+  /** Its answer cannot be read, or is an error. */
+  Unclear,
 };
 
-inline constexpr EnumTable<ProcessCheck, 3> kProcessChecks{ { {
+inline constexpr EnumTable<ProcessCheck, 4> kProcessChecks{ { {
   { ProcessCheck::Same, "same" },
   { ProcessCheck::Other, "other" },
   { ProcessCheck::Unstated, "unstated" },
+  { ProcessCheck::Unclear, "unclear" },
 } } };
 
 /**
@@ -53,8 +56,15 @@
   /** True if asking the target may settle it. */
   bool MayAsk() const { return mStatesProcess; }
 
+  /** True if another process serves there, or may and does not say so. */
+  bool IsUnknown(Instant aNow) const
+  {
+    return IsDoubted(aNow) && (mIsOther || !mStatesProcess);
+  }
+
 private:
   Instant mUntil = Instant::min();
+  bool mIsOther = false;
   bool mStatesProcess = true;
 };
 
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -371,7 +371,7 @@
                                   const DispatchState& aState)
 {
   return aState.mFacts.mKind == RequestKind::ResumableStream &&
-         !aTarget.mDoubt.MayAsk() && aTarget.mDoubt.IsDoubted(aNow);
+         aTarget.mDoubt.IsUnknown(aNow);
 }
 
 bool Dispatcher::MaySend(Instant aNow, const SendTo& aSend,
@@ -408,11 +408,17 @@
   if (target == nullptr) {
     return false;
   }
-  target->mDoubt.OnCheck(aNow, aCheck, mOptions.mProcessDoubt);
+  // Only engines report; the error of another target is all that it says.
+  const ProcessCheck check =
+    aCheck == ProcessCheck::Unclear && !target->mState.mLast.mEngine
+      ? ProcessCheck::Unstated
+      : aCheck;
+  target->mDoubt.OnCheck(aNow, check, mOptions.mProcessDoubt);
   const bool goesOn = aState.mSoftware.has_value();
-  return aCheck == ProcessCheck::Same ||
-         (aCheck == ProcessCheck::Unstated &&
-          !(goesOn && target->mDoubt.IsDoubted(aNow)));
+  return check == ProcessCheck::Same ||
+         (check == ProcessCheck::Unstated &&
+          !(goesOn && target->mDoubt.IsDoubted(aNow))) ||
+         (check == ProcessCheck::Unclear && !goesOn);
 }
 
 void Dispatcher::OnFirstByte(Instant aNow, SendId aSend)
--- a/packages/routing/src/process_doubt.cpp
+++ b/packages/routing/src/process_doubt.cpp
@@ -12,14 +12,18 @@
   switch (aCheck) {
     case ProcessCheck::Same:
       mUntil = Instant::min();
+      mIsOther = false;
       break;
     case ProcessCheck::Other:
+      // It is asked again after that, until it is heard of as this process.
       mUntil = aNow + aWindow;
-      mStatesProcess = false;
+      mIsOther = true;
       break;
     case ProcessCheck::Unstated:
       mStatesProcess = false;
       break;
+    case ProcessCheck::Unclear:
+      break;
   }
 }
 
--- a/packages/routing/tests/software_version_test.cpp
+++ b/packages/routing/tests/software_version_test.cpp
@@ -155,6 +155,13 @@
       CHECK(chooseFor(kNow + 1s, true).mTarget != lost->mTarget);
       CHECK(chooseFor(kNow + 1s, false).mTarget != lost->mTarget);
     }
+    // Not heard of in time, e.g. by a daemon that is cut off: asked each time.
+    for (int n = 0; n < 20; ++n) {
+      const SendTo send = chooseFor(kNow + 60s, true);
+      CHECK(dispatcher.MustCheckProcess(kNow + 60s, send, goesOn));
+    }
+    CHECK_FALSE(dispatcher.OnProcessChecked(kNow + 60s, *lost, goesOn,
+                                            ProcessCheck::Other));
     RoutedTarget restarted = MakeTarget(lost->mTarget.Text(), kNew);
     restarted.mLast.mIncarnation = Incarnation(2);
     dispatcher.OnTarget(kNow + 2s, restarted);
@@ -164,6 +171,15 @@
     REQUIRE(std::holds_alternative<SendTo>(decision));
     CHECK(std::get<SendTo>(decision).mTarget == lost->mTarget);
   }
+  SECTION(
+    "it answers with an error: nothing goes on there, and it is asked again")
+  {
+    CHECK_FALSE(
+      dispatcher.OnProcessChecked(kNow, *lost, goesOn, ProcessCheck::Unclear));
+    CHECK(dispatcher.MustCheckProcess(kNow + 60s, *lost, goesOn));
+    CHECK_FALSE(dispatcher.OnProcessChecked(kNow + 60s, *lost, goesOn,
+                                            ProcessCheck::Unclear));
+  }
   SECTION("it does not say: the stream is not sent there for a while")
   {
     CHECK_FALSE(
