--- a/packages/daemon/src/control_node_leader.cpp
+++ b/packages/daemon/src/control_node_leader.cpp
@@ -25,7 +25,7 @@
 /** An order or a report without an answer for this long is lost. */
 constexpr Duration kTargetTimeout = std::chrono::milliseconds(400);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
-constexpr Bytes kMaxAnswerBytes = 4 * kMiB;
+constexpr Bytes kMaxAnswerBytes = kMiB;
 /** An adapter is usable this long after its order was accepted. */
 constexpr Duration kAdapterLoadTime = std::chrono::milliseconds(10);
 /** Residency without new orders is compared this often. */
@@ -206,6 +206,7 @@
   auto connection = co_await std::move(acquiring);
   if (connection) {
     const HttpRequest request = mDialect->MakeReportRequest(aAsk.mTarget);
+    (*connection)->HoldIn(mMemory, { aAsk.mTarget.Text(), {}, {} });
     auto sending = (*connection)->Send(request, kTargetTimeout);
     const auto head = co_await std::move(sending);
     if (head) {
@@ -218,6 +219,7 @@
                              : Result<EngineReport>(body.GetError());
       if (read) {
         report = *read;
+        (*connection)->ReleaseMemory();
         mPool.Release(aAsk.mAddress, std::move(*connection));
       } else {
         LogError(read.GetError());
@@ -247,6 +249,7 @@
     if (!dropping) {
       LogError(dropping.GetError());
     }
+    (*connection)->HoldIn(mMemory, { aOrder.mTarget.Text(), {}, {} });
     auto sending = (*connection)->Send(request, kTargetTimeout);
     const auto head = co_await std::move(sending);
     if (head) {
@@ -255,6 +258,7 @@
       auto reading = (*connection)->ReadAll(kMaxAnswerBytes, kTargetTimeout);
       const auto body = co_await std::move(reading);
       if (body && (*connection)->SetDropsUnsent(false)) {
+        (*connection)->ReleaseMemory();
         mPool.Release(aOrder.mAddress, std::move(*connection));
       }
     } else {
--- a/packages/daemon/src/edge_request_answer.cpp
+++ b/packages/daemon/src/edge_request_answer.cpp
@@ -47,6 +47,29 @@
   return aStatus >= kFirst && aStatus <= kLast;
 }
 
+awaitable<Result<Unit>> EdgeRequest::Drain(HttpConnection& aConnection)
+{
+  const Instant end = SteadyNow() + Left();
+  std::string part;
+  Bytes read = 0;
+  for (bool more = true; more;) {
+    auto reading =
+      aConnection.ReadSome(part, std::max(end - SteadyNow(), Duration(1)));
+    const auto result = co_await std::move(reading);
+    if (!result) {
+      co_return result.GetError();
+    }
+    more = *result;
+    read += static_cast<Bytes>(part.size());
+    if (read > kMaxAnswerBytes) {
+      aConnection.Cancel();
+      co_return MakeError(ErrorCode::TooLarge, "edge.drain-answer",
+                          mLastTarget);
+    }
+  }
+  co_return Success();
+}
+
 awaitable<Result<HttpResponseHead>> EdgeRequest::ReadOwnHead(
   HttpConnection& aConnection, HttpResponseHead aFirst)
 {
@@ -55,7 +78,7 @@
     if (mContext.mDialect.ReadTargetHead(head, mCaller).mIsForRequest) {
       co_return head;
     }
-    auto draining = aConnection.ReadAll(kMaxAnswerBytes, Left());
+    auto draining = Drain(aConnection);
     const auto drained = co_await std::move(draining);
     if (!drained) {
       co_return drained.GetError();
@@ -79,7 +102,7 @@
   const bool isSuccess = IsSuccess(aHead.mStatus);
   NoteTarget(aSend, said);
   if (said.mNotRun) {
-    auto draining = aConnection.ReadAll(kMaxAnswerBytes, Left());
+    auto draining = Drain(aConnection);
     const auto drained = co_await std::move(draining);
     if (!drained) {
       LogError(drained.GetError());
@@ -213,6 +236,8 @@
   std::string bytes;
   bool isFirst = true;
   mFrames.DropRest();
+  mEventHold =
+    MemoryHold(mContext.mMemory, HoldKind::Event, PartiesOf(aSend.mTarget));
   for (bool more = true; more;) {
     auto reading = aConnection.ReadSome(bytes, Left());
     const auto read = co_await std::move(reading);
--- a/packages/daemon/src/edge_request_relay.cpp
+++ b/packages/daemon/src/edge_request_relay.cpp
@@ -123,7 +123,7 @@
   attempt.mFraming = (*connection)->Framing();
   mIsAtRelay = false;
   mConnection = nullptr;
-  (*connection)->ReleaseMemory();
+  EndHolds(**connection);
   mContext.mPool.Release(aRelay.mRelay, std::move(*connection));
   co_return attempt;
 }
--- a/packages/daemon/src/event_frames.cpp
+++ b/packages/daemon/src/event_frames.cpp
@@ -26,7 +26,8 @@
   mRest.append(aBytes);
   const std::size_t end = EndOfLastEvent(mRest);
   std::string events = mRest.substr(0, end);
-  mRest.erase(0, end);
+  // A long event must not keep its memory until the stream ends.
+  mRest = mRest.substr(end);
   NoteIds(events);
   return events;
 }
--- a/packages/daemon/src/event_frames.hpp
+++ b/packages/daemon/src/event_frames.hpp
@@ -40,7 +40,7 @@
   }
 
   /** Forgets a part of an event: the stream goes on with a whole one. */
-  void DropRest() { mRest.clear(); }
+  void DropRest() { mRest = std::string(); }
 
   /** The stream goes on behind this event, which the caller has. */
   void StartAfter(std::string aId) { mLastId = std::move(aId); }
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -16,6 +16,7 @@
 #include <array>
 #include <charconv>
 #include <chrono>
+#include <iterator>
 #include <optional>
 
 #include <sys/socket.h>
@@ -181,6 +182,12 @@
       co_return advanced.GetError();
     }
   }
+  const auto& head = mParser->get();
+  if (!mReader.MayHaveFields(std::distance(head.begin(), head.end()))) {
+    mStream.close();
+    co_return carobtide::MakeError(ErrorCode::TooLarge, "http.read-response",
+                                   mPeerName, "too many header fields");
+  }
   co_return TakeHead();
 }
 
@@ -240,10 +247,12 @@
   // One deadline for the whole body: each part alone might always be in time.
   const auto deadline = std::chrono::steady_clock::now() + aTimeout;
   for (bool more = true; more;) {
-    const auto left = std::chrono::duration_cast<Duration>(
-      deadline - std::chrono::steady_clock::now());
-    const Duration patience = std::max(left, Duration(1));
-    auto making = MakeRoom(static_cast<Bytes>(all.size()), aLimit, patience);
+    const auto left = [&deadline] {
+      const auto time = std::chrono::duration_cast<Duration>(
+        deadline - std::chrono::steady_clock::now());
+      return std::max(time, Duration(1));
+    };
+    auto making = MakeRoom(static_cast<Bytes>(all.size()), aLimit, left());
     const auto made = co_await std::move(making);
     if (!made) {
       mStream.close();
@@ -253,7 +262,7 @@
     const Bytes expected =
       std::min(stated.value_or(0), Bytes{ kFreeBodyBytes });
     all.reserve(static_cast<std::size_t>(std::max(mBodyHold.Size(), expected)));
-    auto read = co_await ReadSome(part, patience);
+    auto read = co_await ReadSome(part, left());
     if (!read) {
       co_return read.GetError();
     }
--- a/packages/transport/src/http_connection.cpp
+++ b/packages/transport/src/http_connection.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 
 #include <poll.h>
@@ -197,6 +198,15 @@
       co_return false;
     }
   }
+  const auto& head = mParser->get();
+  if (!mReader.MayHaveFields(std::distance(head.begin(), head.end()))) {
+    mKeepAlive = false;
+    const Error error = MakeError(ErrorCode::TooLarge, "http.read-request",
+                                  mPeerName, "too many header fields");
+    auto refusing = RefuseRequest(error);
+    co_await std::move(refusing);
+    co_return false;
+  }
   TakeRequest();
   co_return true;
 }
--- a/packages/transport/src/http_reader.hpp
+++ b/packages/transport/src/http_reader.hpp
@@ -29,7 +29,9 @@
 
   /** Bytes kept until the parser has made sense of them. */
   std::size_t mMaxKept = 0;
-  /** Of those, what needs no room of an account. */
+  /** A field takes many times its bytes once the head is parsed. */
+  std::ptrdiff_t mMaxFields = 256;
+  /** Of mMaxKept, what needs no room of an account. */
   std::size_t mFreeBytes = 8 * 1024;
   /** Bytes of one message that are not of its body, for an empty body. */
   std::size_t mMaxOverhead = 0;
@@ -89,6 +91,12 @@
     boost::beast::http::basic_parser<IsRequest>& aParser,
     std::string_view aStep);
 
+  /** True if a head of so many fields is within the bounds. */
+  bool MayHaveFields(std::ptrdiff_t aFields) const
+  {
+    return aFields <= mBounds.mMaxFields;
+  }
+
   /** Bytes of the body that were taken from the parser, since BeginMessage. */
   void SetBodyBytes(std::uint64_t aBytes) { mBodyBytes = aBytes; }
   std::uint64_t BodyBytes() const { return mBodyBytes; }
--- a/packages/transport/tests/endless_bytes_test.cpp
+++ b/packages/transport/tests/endless_bytes_test.cpp
@@ -351,4 +351,17 @@
   }
 }
 
+// A field of four bytes takes many times that once it is parsed.
+TEST_CASE("heads of very many short fields are refused")
+{
+  const std::string fields = Repeated("a:\r\n", 12'000);
+  const ServerAnswer answer =
+    AskWith({ "GET / HTTP/1.1\r\n" + fields + "\r\n", "" });
+  CHECK(answer.mText.starts_with("HTTP/1.1 431"));
+  CHECK_FALSE(FetchFrom({ "HTTP/1.1 200 OK\r\n" + fields + "\r\n", "" }));
+  const std::string sound = Repeated("a: b\r\n", 1'000);
+  CHECK(AskWith({ "GET / HTTP/1.1\r\n" + sound + "\r\n", "" })
+          .mText.starts_with("HTTP/1.1 200"));
+}
+
 } // namespace carobtide
