An outdated software record does not survive a loss of power

Seen by callers: a resumable stream could go on at a target of another software version after a loss of power, if the disk had refused the record of a new version shortly before. The control daemon then answered queries about streams from a record that lacked this version.

Cause: SoftwareStore removed the outdated record without a sync of its folder, so the removal could be undone. Where the removal itself failed, or where the new record was renamed and the folder's sync failed, the outdated file stayed as well.

Fix: the record's file is opened before it is replaced. If the write fails, both this file and the one that now has the name are emptied and synced, the name is removed and the folder is synced. An empty file is no record, so either step suffices.

Evidence: the new test has three sections (a full disk, one that refuses removals too, and a folder that is not synced). Each failed before:

software_store_test.cpp:486: FAILED: CHECK_FALSE( live([](SoftwareStore&) {}).mRecord )

A disk that refuses everything still keeps the outdated record.

--- a/packages/daemon/src/software_store.cpp
+++ b/packages/daemon/src/software_store.cpp
@@ -228,21 +228,46 @@
   }
 }
 
+std::unique_ptr<AppendFile> SoftwareStore::OpenRecord()
+{
+  const auto names = mFiles->List(mFolder);
+  if (!names || std::ranges::find(*names, kRecordName) == names->end()) {
+    return nullptr;
+  }
+  auto file = mFiles->Open(mFolder + "/" + std::string(kRecordName));
+  return file ? std::move(*file) : nullptr;
+}
+
 Result<Unit> SoftwareStore::WriteRecord(const std::string& aBytes)
 {
   // The disk may have been full when the store was loaded.
   auto written = mFiles->MakeFolder(mFolder);
+  const auto outdated = OpenRecord();
   written = written
               ? ReplaceFile(*mFiles, mFolder, std::string(kRecordName), aBytes)
               : std::move(written);
   if (!written) {
-    // An outdated record would vouch for versions that it lacks. There may be
-    // none to remove.
-    static_cast<void>(mFiles->Remove(mFolder + "/" + std::string(kRecordName)));
+    DiscardRecord(outdated.get());
   }
   return written;
 }
 
+void SoftwareStore::DiscardRecord(AppendFile* aOutdated)
+{
+  // Either of emptying the file and removing its name suffices, and a broken
+  // disk may refuse one of them. The name may already be that of a new file,
+  // and a loss of power may give it back to the old one.
+  const auto named = OpenRecord();
+  for (AppendFile* file : { aOutdated, named.get() }) {
+    if (file != nullptr && file->Truncate(0)) {
+      static_cast<void>(file->Sync());
+    }
+  }
+  static_cast<void>(mFiles->Remove(mFolder + "/" + std::string(kRecordName)));
+  // Also if there was none: an earlier removal may not have been synced.
+  static_cast<void>(mFiles->SyncFolder(mFolder));
+}
+
 Result<Unit> SoftwareStore::WriteStreams(const std::string& aBytes)
 {
   if (mWindowBytes + aBytes.size() > kMaxWindowBytes) {
--- a/packages/daemon/src/software_store.hpp
+++ b/packages/daemon/src/software_store.hpp
@@ -35,7 +35,7 @@
  * for the disk: a thread of its own writes and syncs, what comes meanwhile is
  * written together. Callers whose stream was not written in time are refused
  * later; a record that cannot be written is removed, so that an outdated one is
- * never found.
+ * never found, also after a loss of power.
  *
  * Streams go into numbered files. A new one begins with each window, and those
  * before the last window are removed: their streams are over.
@@ -89,6 +89,13 @@
   /** What could not be written and has to be tried again. */
   Work Perform(Work aWork);
   Result<Unit> WriteRecord(const std::string& aBytes);
+  /** Null if there is none or it cannot be opened. */
+  std::unique_ptr<AppendFile> OpenRecord();
+  /**
+   * An outdated record would vouch for versions that it lacks. Takes the file
+   * that was the record before a write failed, or null.
+   */
+  void DiscardRecord(AppendFile* aOutdated);
   Result<Unit> WriteStreams(const std::string& aBytes);
   /** What is appended next goes into a new file. */
   void BeginFile();
--- a/packages/daemon/tests/software_store_test.cpp
+++ b/packages/daemon/tests/software_store_test.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <map>
 
 #include <unistd.h>
 
@@ -171,6 +172,137 @@
   std::shared_ptr<std::atomic<bool>> mIsLost;
 };
 
+/**
+ * A folder in memory that outlives its store. A loss of power undoes what was
+ * not synced: bytes of a file, and names of the folder.
+ *
+ * Thread safety: none; tests use it while no store runs.
+ */
+class MemoryDisk
+{
+public:
+  struct File
+  {
+    std::string mContent;
+    std::string mSynced;
+  };
+
+  /** What the disk refuses. */
+  bool mRefusesWrites = false;
+  bool mRefusesRemovals = false;
+  bool mRefusesFolderSyncs = false;
+
+  std::map<std::string, std::shared_ptr<File>> mNames;
+  std::map<std::string, std::shared_ptr<File>> mSyncedNames;
+
+  void LosePower()
+  {
+    mNames = mSyncedNames;
+    for (auto& [name, file] : mNames) {
+      file->mContent = file->mSynced;
+    }
+  }
+};
+
+class MemoryFileSystem final : public FileSystem
+{
+public:
+  explicit MemoryFileSystem(MemoryDisk& aDisk)
+    : mDisk(aDisk)
+  {
+  }
+
+  Result<Unit> MakeFolder(const std::string& /*aFolder*/) override
+  {
+    return Success();
+  }
+  Result<std::vector<std::string>> List(const std::string& aFolder) override
+  {
+    std::vector<std::string> names;
+    for (const auto& [path, file] : mDisk.mNames) {
+      names.push_back(path.substr(aFolder.size() + 1));
+    }
+    return names;
+  }
+  Result<std::string> Read(const std::string& aPath) override
+  {
+    const auto it = mDisk.mNames.find(aPath);
+    if (it == mDisk.mNames.end()) {
+      return MakeError(ErrorCode::Io, "file.read", aPath);
+    }
+    return it->second->mContent;
+  }
+  Result<std::unique_ptr<AppendFile>> Open(const std::string& aPath) override
+  {
+    auto& file = mDisk.mNames[aPath];
+    if (file == nullptr) {
+      file = std::make_shared<MemoryDisk::File>();
+    }
+    return std::unique_ptr<AppendFile>(
+      std::make_unique<OpenFile>(mDisk, aPath, file));
+  }
+  Result<Unit> Rename(const std::string& aFrom, const std::string& aTo) override
+  {
+    mDisk.mNames[aTo] = mDisk.mNames.at(aFrom);
+    mDisk.mNames.erase(aFrom);
+    return Success();
+  }
+  Result<Unit> Remove(const std::string& aPath) override
+  {
+    if (mDisk.mRefusesRemovals || mDisk.mNames.erase(aPath) == 0) {
+      return MakeError(ErrorCode::Io, "file.remove", aPath);
+    }
+    return Success();
+  }
+  Result<Unit> SyncFolder(const std::string& aFolder) override
+  {
+    if (mDisk.mRefusesFolderSyncs) {
+      return MakeError(ErrorCode::Io, "file.sync-folder", aFolder);
+    }
+    mDisk.mSyncedNames = mDisk.mNames;
+    return Success();
+  }
+
+private:
+  class OpenFile final : public AppendFile
+  {
+  public:
+    OpenFile(MemoryDisk& aDisk, std::string aPath,
+             std::shared_ptr<MemoryDisk::File> aFile)
+      : mDisk(aDisk)
+      , mPath(std::move(aPath))
+      , mFile(std::move(aFile))
+    {
+    }
+
+    Result<Unit> Write(std::string_view aBytes) override
+    {
+      if (mDisk.mRefusesWrites) {
+        return MakeError(ErrorCode::DiskFull, "file.write", mPath);
+      }
+      mFile->mContent += aBytes;
+      return Success();
+    }
+    Result<Unit> Sync() override
+    {
+      mFile->mSynced = mFile->mContent;
+      return Success();
+    }
+    Result<Unit> Truncate(std::uint64_t aSize) override
+    {
+      mFile->mContent.resize(aSize);
+      return Success();
+    }
+
+  private:
+    MemoryDisk& mDisk;
+    std::string mPath;
+    std::shared_ptr<MemoryDisk::File> mFile;
+  };
+
+  MemoryDisk& mDisk;
+};
+
 SoftwareRecord MakeRecord()
 {
   SoftwareRecord record;
@@ -321,6 +453,39 @@
   CHECK_FALSE(LoadAgain(folder).mRecord);
 }
 
+// Fault: a loss of power brought an outdated record back.
+TEST_CASE("a record that the disk refuses stays away after a loss of power")
+{
+  MemoryDisk disk;
+  const auto live = [&disk](auto aUse) {
+    SoftwareStore store(std::make_unique<MemoryFileSystem>(disk), "software",
+                        [](const Error&) {});
+    StoredSoftware stored = store.Load();
+    store.Start();
+    aUse(store);
+    return stored;
+  };
+  const auto save = [](SoftwareStore& aStore) { aStore.Save(MakeRecord()); };
+  live(save);
+  disk.LosePower();
+  SECTION("which removes the outdated one")
+  {
+    disk.mRefusesWrites = true;
+  }
+  SECTION("which keeps the outdated one's name")
+  {
+    disk.mRefusesWrites = true;
+    disk.mRefusesRemovals = true;
+  }
+  SECTION("which does not sync its names")
+  {
+    disk.mRefusesFolderSyncs = true;
+  }
+  CHECK(live(save).mRecord == MakeRecord());
+  disk.LosePower();
+  CHECK_FALSE(live([](SoftwareStore&) {}).mRecord);
+}
+
 // Also where the disk was full already when the daemon started.
 TEST_CASE("a record that a full disk refused is written once there is room")
 {
