Streams are appended only to a file whose name is synced

Seen by callers: after a loss of power, streams that a control daemon had synced to disk could be unknown to it and were refused (503), up to a whole window of them.

Cause: SoftwareStore kept a new file of streams open also if the sync of its folder failed. Later streams were written to it without another attempt, on file systems where a file's own sync does not cover its name.

Fix: the file is kept open only once the folder was synced; the next streams open it again and sync the folder first.

Evidence: the new test failed before:

software_store_test.cpp:508: FAILED: CHECK( Streams(store.Load()) == std::vector<StreamKey>{ 2 } ) with expansion: { } == { 2 }

--- a/packages/daemon/src/software_store.cpp
+++ b/packages/daemon/src/software_store.cpp
@@ -282,10 +282,10 @@
     if (!file) {
       return file.GetError();
     }
-    mFile = std::move(*file);
     if (auto synced = mFiles->SyncFolder(mFolder); !synced) {
       return synced;
     }
+    mFile = std::move(*file);
   }
   mWindowBytes += aBytes.size();
   auto written = mFile->Write(aBytes);
--- a/packages/daemon/tests/software_store_test.cpp
+++ b/packages/daemon/tests/software_store_test.cpp
@@ -190,7 +190,7 @@
   /** What the disk refuses. */
   bool mRefusesWrites = false;
   bool mRefusesRemovals = false;
-  bool mRefusesFolderSyncs = false;
+  std::atomic<bool> mRefusesFolderSyncs = false;
 
   std::map<std::string, std::shared_ptr<File>> mNames;
   std::map<std::string, std::shared_ptr<File>> mSyncedNames;
@@ -486,6 +486,28 @@
   CHECK_FALSE(live([](SoftwareStore&) {}).mRecord);
 }
 
+// Fault: a file whose name was not synced was appended to all the same.
+TEST_CASE("streams go into a file whose name is synced")
+{
+  MemoryDisk disk;
+  disk.mRefusesFolderSyncs = true;
+  std::promise<void> failed;
+  {
+    SoftwareStore store(std::make_unique<MemoryFileSystem>(disk), "software",
+                        [&](const Error&) { failed.set_value(); });
+    store.Load();
+    store.Start();
+    store.Append(Begun(kOld, 1));
+    failed.get_future().wait();
+    disk.mRefusesFolderSyncs = false;
+    store.Append(Begun(kOld, 2));
+  }
+  disk.LosePower();
+  SoftwareStore store(std::make_unique<MemoryFileSystem>(disk), "software",
+                      [](const Error&) {});
+  CHECK(Streams(store.Load()) == std::vector<StreamKey>{ 2 });
+}
+
 // Also where the disk was full already when the daemon started.
 TEST_CASE("a record that a full disk refused is written once there is room")
 {
