A software record that is missing at a start stays away

Seen by callers: as with the outdated record before, a stream could go on at another software version: a control daemon ended after it removed its record and before the removal was synced, started without one, and lost power.

Cause: SoftwareStore read the folder as the system's cache showed it. A daemon that finds no record writes none until it observes a version, so nothing synced the folder.

Fix: Load syncs the folder after it lists it, as the log's recovery does.

Evidence: the new test failed before:

software_store_test.cpp:516: FAILED: CHECK_FALSE( live(rest).mRecord ) with expansion: !{?}

The test "streams go into a file whose name is synced" makes the folder's syncs fail only after Load, since Load now reports such a failure itself. It checks the same and still fails without the fix it was written for.

--- a/packages/daemon/src/software_store.cpp
+++ b/packages/daemon/src/software_store.cpp
@@ -104,6 +104,10 @@
     mOnFailure(names.GetError());
     return stored;
   }
+  // The last process may have ended before it synced its changes.
+  if (auto synced = mFiles->SyncFolder(mFolder); !synced) {
+    mOnFailure(synced.GetError());
+  }
   if (std::ranges::find(*names, kRecordName) != names->end()) {
     const std::string path = mFolder + "/" + std::string(kRecordName);
     const auto bytes = mFiles->Read(path);
--- a/packages/daemon/tests/software_store_test.cpp
+++ b/packages/daemon/tests/software_store_test.cpp
@@ -190,6 +190,7 @@
   /** What the disk refuses. */
   bool mRefusesWrites = false;
   bool mRefusesRemovals = false;
+  bool mRefusesFileSyncs = false;
   std::atomic<bool> mRefusesFolderSyncs = false;
 
   std::map<std::string, std::shared_ptr<File>> mNames;
@@ -285,6 +286,9 @@
     }
     Result<Unit> Sync() override
     {
+      if (mDisk.mRefusesFileSyncs) {
+        return MakeError(ErrorCode::Io, "file.sync", mPath);
+      }
       mFile->mSynced = mFile->mContent;
       return Success();
     }
@@ -486,16 +490,42 @@
   CHECK_FALSE(live([](SoftwareStore&) {}).mRecord);
 }
 
+// Fault: a process ended before its removal of the record was synced, and the
+// next one started without a record that a loss of power then brought back.
+TEST_CASE("what is missing at a start stays away after a loss of power")
+{
+  MemoryDisk disk;
+  const auto live = [&disk](auto aUse) {
+    SoftwareStore store(std::make_unique<MemoryFileSystem>(disk), "software",
+                        [](const Error&) {});
+    StoredSoftware stored = store.Load();
+    store.Start();
+    aUse(store);
+    return stored;
+  };
+  const auto save = [](SoftwareStore& aStore) { aStore.Save(MakeRecord()); };
+  const auto rest = [](SoftwareStore&) {};
+  live(save);
+  disk.mRefusesFileSyncs = true;
+  disk.mRefusesFolderSyncs = true;
+  CHECK(live(save).mRecord);
+  disk.mRefusesFileSyncs = false;
+  disk.mRefusesFolderSyncs = false;
+  CHECK_FALSE(live(rest).mRecord);
+  disk.LosePower();
+  CHECK_FALSE(live(rest).mRecord);
+}
+
 // Fault: a file whose name was not synced was appended to all the same.
 TEST_CASE("streams go into a file whose name is synced")
 {
   MemoryDisk disk;
-  disk.mRefusesFolderSyncs = true;
   std::promise<void> failed;
   {
     SoftwareStore store(std::make_unique<MemoryFileSystem>(disk), "software",
                         [&](const Error&) { failed.set_value(); });
     store.Load();
+    disk.mRefusesFolderSyncs = true;
     store.Start();
     store.Append(Begun(kOld, 1));
     failed.get_future().wait();
