--- a/packages/daemon/src/software_store.cpp
+++ b/packages/daemon/src/software_store.cpp
@@ -104,6 +104,10 @@
     mOnFailure(names.GetError());
     return stored;
   }
+  // The last process may have ended before it synced its changes.
+  if (auto synced = mFiles->SyncFolder(mFolder); !synced) {
+    mOnFailure(synced.GetError());
+  }
   if (std::ranges::find(*names, kRecordName) != names->end()) {
     const std::string path = mFolder + "/" + std::string(kRecordName);
     const auto bytes = mFiles->Read(path);
@@ -228,21 +232,46 @@
   }
 }
 
+std::unique_ptr<AppendFile> SoftwareStore::OpenRecord()
+{
+  const auto names = mFiles->List(mFolder);
+  if (!names || std::ranges::find(*names, kRecordName) == names->end()) {
+    return nullptr;
+  }
+  auto file = mFiles->Open(mFolder + "/" + std::string(kRecordName));
+  return file ? std::move(*file) : nullptr;
+}
+
 Result<Unit> SoftwareStore::WriteRecord(const std::string& aBytes)
 {
   // The disk may have been full when the store was loaded.
   auto written = mFiles->MakeFolder(mFolder);
+  const auto outdated = OpenRecord();
   written = written
               ? ReplaceFile(*mFiles, mFolder, std::string(kRecordName), aBytes)
               : std::move(written);
   if (!written) {
-    // An outdated record would vouch for versions that it lacks. There may be
-    // none to remove.
-    static_cast<void>(mFiles->Remove(mFolder + "/" + std::string(kRecordName)));
+    DiscardRecord(outdated.get());
   }
   return written;
 }
 
+void SoftwareStore::DiscardRecord(AppendFile* aOutdated)
+{
+  // Either of emptying the file and removing its name suffices, and a broken
+  // disk may refuse one of them. The name may already be that of a new file,
+  // and a loss of power may give it back to the old one.
+  const auto named = OpenRecord();
+  for (AppendFile* file : { aOutdated, named.get() }) {
+    if (file != nullptr && file->Truncate(0)) {
+      static_cast<void>(file->Sync());
+    }
+  }
+  static_cast<void>(mFiles->Remove(mFolder + "/" + std::string(kRecordName)));
+  // Also if there was none: an earlier removal may not have been synced.
+  static_cast<void>(mFiles->SyncFolder(mFolder));
+}
+
 Result<Unit> SoftwareStore::WriteStreams(const std::string& aBytes)
 {
   if (mWindowBytes + aBytes.size() > kMaxWindowBytes) {
@@ -257,10 +286,10 @@
     if (!file) {
       return file.GetError();
     }
-    mFile = std::move(*file);
     if (auto synced = mFiles->SyncFolder(mFolder); !synced) {
       return synced;
     }
+    mFile = std::move(*file);
   }
   mWindowBytes += aBytes.size();
   auto written = mFile->Write(aBytes);
