--- a/packages/consensus/src/damaged_log.cpp
+++ b/packages/consensus/src/damaged_log.cpp
@@ -9,9 +9,17 @@
 
 namespace {
 
+std::string PathOf(const std::string& aFolder, std::string_view aName)
+{
+  std::string path = aFolder;
+  path += '/';
+  path += aName;
+  return path;
+}
+
 std::string DamagedFolderIn(const std::string& aFolder)
 {
-  return aFolder + "/" + std::string(kDamagedLogFolder);
+  return PathOf(aFolder, kDamagedLogFolder);
 }
 
 bool IsLogFile(std::string_view aName)
@@ -33,7 +41,7 @@
     if (!IsLogFile(name) || std::ranges::find(*left, name) == left->end()) {
       continue;
     }
-    auto moved = aFiles.Rename(aFolder + "/" + name, aside + "/" + name);
+    auto moved = aFiles.Rename(PathOf(aFolder, name), PathOf(aside, name));
     if (!moved) {
       return moved;
     }
@@ -65,7 +73,7 @@
     if (!hasIdentity) {
       break;
     }
-    if (auto removed = aFiles.Remove(aside + "/" + name); !removed) {
+    if (auto removed = aFiles.Remove(PathOf(aside, name)); !removed) {
       return removed;
     }
   }
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -13,6 +13,7 @@
 
 #include <mutex>
 #include <unordered_map>
+#include <utility>
 
 namespace carobtide {
 
@@ -44,7 +45,7 @@
 
   Impl(ExecutorPicker aPicker, HttpLimits aLimits, HttpHandler aHandler)
     : mPickExecutor(std::move(aPicker))
-    , mLimits(aLimits)
+    , mLimits(std::move(aLimits))
     , mHandler(std::move(aHandler))
     , mAcceptor(mPickExecutor())
   {
@@ -174,14 +175,14 @@
       [aExecutor]() -> asio::any_io_executor {
         return asio::make_strand(aExecutor);
       },
-      aLimits, std::move(aHandler)))
+      std::move(aLimits), std::move(aHandler)))
 {
 }
 
 HttpServer::HttpServer(WorkerPool& aWorkers, HttpLimits aLimits,
                        HttpHandler aHandler)
   : mImpl(std::make_shared<Impl>([&aWorkers] { return aWorkers.Next(); },
-                                 aLimits, std::move(aHandler)))
+                                 std::move(aLimits), std::move(aHandler)))
 {
 }
 
--- a/packages/transport/tests/endless_bytes_test.cpp
+++ b/packages/transport/tests/endless_bytes_test.cpp
@@ -16,6 +16,7 @@
 #include <iterator>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace carobtide {
@@ -115,7 +116,7 @@
 ServerAnswer AskWith(const Script& aRequest, HttpLimits aLimits = {})
 {
   WorkerPool workers(1);
-  HttpServer server(workers, aLimits, Echo);
+  HttpServer server(workers, std::move(aLimits), Echo);
   workers.Start();
   REQUIRE(server.Listen(Endpoint{ "127.0.0.1", 0 }));
   asio::io_context context;
--- a/packages/transport/tests/hold_account_test.cpp
+++ b/packages/transport/tests/hold_account_test.cpp
@@ -120,6 +120,7 @@
   HoldAccount account(SmallOptions());
   std::map<Ticket, Bytes> sizes;
   std::vector<Ticket> running;
+  running.reserve(kHolds);
   for (int n = 0; n < kHolds; ++n) {
     running.push_back(account.Open(HoldKind::Answer, Distinct(n % 9)));
   }
--- a/packages/transport/tests/open_exchanges_test.cpp
+++ b/packages/transport/tests/open_exchanges_test.cpp
@@ -67,7 +67,7 @@
                  asio::transfer_exactly(size - mRead.size()), ec);
     }
     CHECK_FALSE(ec);
-    const std::string answer = mRead.substr(0, size);
+    std::string answer = mRead.substr(0, size);
     mRead.erase(0, size);
     return answer;
   }
