The doubt about a process begins anew when its address listens again

A path that works again starts the doubt anew.

The line of a check says "check": its value stood in the place of the process's name.

Test: "the doubt about a process begins anew when its address listens again".

--- a/packages/daemon/src/request_trail.cpp
+++ b/packages/daemon/src/request_trail.cpp
@@ -121,7 +121,7 @@
     case TrailStep::AdapterAsked:
       break;
     case TrailStep::ProcessChecked:
-      inputs.push_back({ "process", std::string_view(aEntry.mDetail) });
+      inputs.push_back({ "check", std::string_view(aEntry.mDetail) });
       break;
     case TrailStep::Resumed:
       inputs.push_back({ "after_event", std::string_view(aEntry.mDetail) });
--- a/packages/routing/src/dispatcher_relay.cpp
+++ b/packages/routing/src/dispatcher_relay.cpp
@@ -142,6 +142,8 @@
   }
   if (target->mPath.IsOpen()) {
     target->mUselessRelays.clear();
+    // What listens there again may be a process that just started.
+    target->mDoubt.OnConnectionLost(aNow, mOptions.mProcessDoubt);
   } else {
     SpreadDoubt(aNow);
   }
--- a/packages/routing/tests/software_version_test.cpp
+++ b/packages/routing/tests/software_version_test.cpp
@@ -214,4 +214,36 @@
   }
 }
 
+// Guards against a target that is down for longer than its process is in doubt:
+// streams went on there before it was heard of as another process.
+TEST_CASE(
+  "the doubt about a process begins anew when its address listens again")
+{
+  Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
+  RoutedTarget plain = MakeTarget("t0", kOld);
+  plain.mLast.mEngine = false;
+  dispatcher.OnTarget(kNow, plain);
+  DispatchState begun = MakeStream();
+  const auto first = dispatcher.Choose(kNow, begun);
+  REQUIRE(std::holds_alternative<SendTo>(first));
+  const SendTo lost = std::get<SendTo>(first);
+  begun.mSoftware = kOld;
+  dispatcher.OnEnd(kNow, lost.mSend, SendEnd::ConnectFailed, begun);
+  CHECK_FALSE(
+    dispatcher.OnProcessChecked(kNow, lost, begun, ProcessCheck::Unstated));
+  Instant now = kNow;
+  const auto check = [&](Instant aUntil, PathEvidence aEvidence) {
+    for (; now < aUntil; now += 50ms) {
+      for (const PathCheck& path : dispatcher.TakePathChecks(now)) {
+        dispatcher.OnPathChecked(now, path, aEvidence);
+      }
+    }
+  };
+  check(kNow + 5s, PathEvidence::Refused);
+  check(kNow + 7s, PathEvidence::Accepted);
+  // It accepted at 5 s or a little later; 3.6 s of doubt begin there.
+  CHECK_FALSE(dispatcher.MaySend(kNow + 8500ms, lost, begun));
+  CHECK(dispatcher.MaySend(kNow + 11s, lost, begun));
+}
+
 } // namespace carobtide
