An answer to HEAD needs no room for the body that it names

Found by reading the diff: the account took the length that such an answer states for one that comes; beyond 16 MiB the answer failed, and below it waited for room. Its parser is done with the head, so the length is 0.

Test: held_answers_test, failed before (one check), passes now.

--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -214,6 +214,10 @@
 
 std::optional<Bytes> BeastConnection::StatedLength() const
 {
+  // An answer to HEAD states the length of a body that does not come.
+  if (mParser->is_done()) {
+    return 0;
+  }
   const auto length = mParser->content_length();
   return length ? std::optional(static_cast<Bytes>(*length)) : std::nullopt;
 }
--- a/packages/transport/tests/held_answers_test.cpp
+++ b/packages/transport/tests/held_answers_test.cpp
@@ -240,4 +240,22 @@
   CHECK(room->Stats(HoldKind::Answer).mWaiting == 0);
 }
 
+TEST_CASE("an answer to HEAD needs no room for the body that it names")
+{
+  const Peer peer("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n");
+  WorkerPool workers(1);
+  workers.Start();
+  const auto ask = [](Endpoint aPeer) -> awaitable<Result<HttpResponse>> {
+    HttpRequest request;
+    request.mMethod = "HEAD";
+    auto fetching = FetchOnce(aPeer, std::move(request), kPatience);
+    auto response = co_await std::move(fetching);
+    co_return response;
+  };
+  const auto response =
+    asio::co_spawn(workers.At(0), ask(peer.Address()), asio::use_future).get();
+  REQUIRE(response);
+  CHECK(response->mBody.empty());
+}
+
 } // namespace carobtide
