--- a/packages/transport/tests/http_test.cpp
+++ b/packages/transport/tests/http_test.cpp
@@ -31,7 +31,7 @@
 {
 public:
   explicit Fixture(HttpHandler aHandler, HttpLimits aLimits = {})
-    : mServer(mWorkers, aLimits, std::move(aHandler))
+    : mServer(mWorkers, std::move(aLimits), std::move(aHandler))
   {
     mWorkers.Start();
     REQUIRE(mServer.Listen(Endpoint{ "127.0.0.1", 0 }));
