A target that ends idle connections early may be another process by now

Cause: the doubt about a target's process began only with a request whose connection broke. Idle connections of the pool that the old process took along were dropped in silence, though their end says the same.

Change: a connection carries the id of the process that its user took it to lead to (PeerProcess); HttpPool tells which processes ended idle connections before their time (the stated idle time; 5 s if none is stated; only connections that the peer had kept over a request before, so that peers without persistent connections cause no doubt). The edge logs target.connection-ended and the dispatcher doubts that process, if the target is still known as it.

Tests: http_pool_test, software_version_test; both use what is new here and were not run without it. What remains: an edge without any connection to a service that does not report its process.

--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -2,6 +2,7 @@
 
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
+#include "target_log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -374,6 +375,7 @@
   for (int tries = 0; tries < kMaxConnectionsPerSend; ++tries) {
     auto connecting = Connect(aSend.mAddress);
     connection = co_await std::move(connecting);
+    NoteEndedConnections(aSend);
     if (connection == nullptr) {
       co_return Attempt{ mIsGone ? SendEnd::CallerGone : SendEnd::ConnectFailed,
                          false };
@@ -385,6 +387,7 @@
     if (!mContext.mDispatcher.MustCheckProcess(SteadyNow(), aSend, mState)) {
       break;
     }
+    connection->SetPeer({ aSend.mIncarnation.Value(), false });
     mConnection = connection.get();
     mConnection->HoldIn(mContext.mMemory, PartiesOf(aSend.mTarget));
     auto checking = CheckProcess(aSend, *connection);
@@ -408,6 +411,7 @@
     mContext.mPool.Release(aSend.mAddress, std::move(connection));
     co_return Attempt{ *obstacle, false };
   }
+  connection->SetPeer({ aSend.mIncarnation.Value(), false });
   mConnection = connection.get();
   mConnection->HoldIn(mContext.mMemory, PartiesOf(aSend.mTarget));
   auto exchanging = Exchange(aSend, *connection);
@@ -419,6 +423,17 @@
   co_return attempt;
 }
 
+void EdgeRequest::NoteEndedConnections(const SendTo& aSend)
+{
+  for (const std::uint64_t id : mContext.mPool.TakeEnded(aSend.mAddress)) {
+    const Incarnation process(id);
+    if (mContext.mDispatcher.OnConnectionEnded(SteadyNow(), aSend.mTarget,
+                                               process)) {
+      LogConnectionEnded(aSend.mTarget, process, mCaller.mId);
+    }
+  }
+}
+
 awaitable<std::optional<ProcessCheck>> EdgeRequest::CheckProcess(
   SendTo aSend, HttpConnection& aConnection)
 {
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -97,6 +97,8 @@
   AwaitAttempt Send(SendTo aSend);
   /** A connection to a target; null if there is none. */
   AwaitConnection Connect(const Endpoint& aAddress);
+  /** Tells the dispatcher of the target's idle connections that have ended. */
+  void NoteEndedConnections(const SendTo& aSend);
   /** Why the request must not be sent any more, if so. */
   std::optional<SendEnd> FindObstacle(const SendTo& aSend) const;
   /**
--- a/packages/daemon/src/target_log.cpp
+++ b/packages/daemon/src/target_log.cpp
@@ -53,4 +53,18 @@
   Log(LogLevel::Info, fields);
 }
 
+void LogConnectionEnded(const TargetName& aTarget, Incarnation aProcess,
+                        std::string_view aCall)
+{
+  const std::array inputs{
+    LogInput{ "process", static_cast<std::int64_t>(aProcess.Value()) },
+  };
+  LogFields fields;
+  fields.mStep = "target.connection-ended";
+  fields.mPeer = aTarget.Text();
+  fields.mCall = aCall;
+  fields.mInputs = inputs;
+  Log(LogLevel::Info, fields);
+}
+
 } // namespace carobtide
--- a/packages/daemon/src/target_log.hpp
+++ b/packages/daemon/src/target_log.hpp
@@ -34,4 +34,11 @@
 void LogBrittle(const ServiceName& aService, const TargetName& aTarget,
                 double aRefusals, std::string_view aCall);
 
+/**
+ * Writes that a process of a target ended an idle connection before its time,
+ * so that another one may serve at its address. Thread safety: any thread.
+ */
+void LogConnectionEnded(const TargetName& aTarget, Incarnation aProcess,
+                        std::string_view aCall);
+
 } // namespace carobtide
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -309,6 +309,13 @@
   bool OnProcessChecked(Instant aNow, const SendTo& aSend,
                         const DispatchState& aState, ProcessCheck aCheck);
 
+  /**
+   * Records that a process of a target ended an idle connection before its
+   * time. True if the target is still known as that process.
+   */
+  bool OnConnectionEnded(Instant aNow, const TargetName& aTarget,
+                         Incarnation aIncarnation);
+
   /** Replaces the daemons that requests can be handed to. */
   void SetRelays(const std::vector<RelayPeer>& aRelays);
 
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -400,6 +400,17 @@
          (goesOn && it->second.mState.mLast.mEngine);
 }
 
+bool Dispatcher::OnConnectionEnded(Instant aNow, const TargetName& aTarget,
+                                   Incarnation aIncarnation)
+{
+  Target* target = FindProcess(aTarget, aIncarnation);
+  if (target == nullptr) {
+    return false;
+  }
+  target->mDoubt.OnConnectionLost(aNow, mOptions.mProcessDoubt);
+  return true;
+}
+
 bool Dispatcher::OnProcessChecked(Instant aNow, const SendTo& aSend,
                                   const DispatchState& aState,
                                   ProcessCheck aCheck)
--- a/packages/routing/tests/software_version_test.cpp
+++ b/packages/routing/tests/software_version_test.cpp
@@ -214,6 +214,30 @@
   }
 }
 
+// Guards against a target that restarts in place while a daemon has idle
+// connections to it only.
+TEST_CASE("the end of an idle connection puts the target's process in doubt")
+{
+  Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
+  RoutedTarget plain = MakeTarget("t0", kOld);
+  plain.mLast.mEngine = false;
+  dispatcher.OnTarget(kNow, plain);
+  DispatchState goesOn = MakeStream();
+  goesOn.mSoftware = kOld;
+  const auto decision = dispatcher.Choose(kNow, goesOn);
+  REQUIRE(std::holds_alternative<SendTo>(decision));
+  const SendTo send = std::get<SendTo>(decision);
+  // The connection was to an earlier process.
+  CHECK_FALSE(dispatcher.OnConnectionEnded(kNow, send.mTarget, Incarnation(7)));
+  CHECK_FALSE(dispatcher.MustCheckProcess(kNow, send, goesOn));
+  CHECK(dispatcher.OnConnectionEnded(kNow, send.mTarget, send.mIncarnation));
+  CHECK(dispatcher.MustCheckProcess(kNow, send, goesOn));
+  CHECK_FALSE(
+    dispatcher.OnProcessChecked(kNow, send, goesOn, ProcessCheck::Unstated));
+  CHECK_FALSE(dispatcher.MaySend(kNow + 3500ms, send, goesOn));
+  CHECK(dispatcher.MaySend(kNow + 3700ms, send, goesOn));
+}
+
 // Guards against a target that is down for longer than its process is in doubt:
 // streams went on there before it was heard of as another process.
 TEST_CASE(
--- a/packages/transport/include/carobtide/transport/http_client.hpp
+++ b/packages/transport/include/carobtide/transport/http_client.hpp
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace carobtide {
 
@@ -38,6 +39,15 @@
   { BodyFraming::Connection, "connection" },
 } } };
 
+/** What the user of a connection knows of the process at its other end. */
+struct PeerProcess
+{
+  /** Given by the user; 0 if the process is not known. */
+  std::uint64_t mId = 0;
+  /** The peer said so on this connection. */
+  bool mIsProven = false;
+};
+
 /**
  * One connection; one request at a time.
  *
@@ -100,6 +110,9 @@
   /** True if the last body was read whole and the peer keeps it open. */
   virtual bool IsReusable() const = 0;
 
+  /** True if the peer has ended it. Precondition: it is idle. */
+  virtual bool HasEnded() const = 0;
+
   /** How long the peer said that it keeps an idle connection; 0: unsaid. */
   virtual Duration StatedIdleTime() const = 0;
 
@@ -113,6 +126,13 @@
 
   /** Ends whatever is under way with ErrorCode::Cancelled. */
   virtual void Cancel() = 0;
+
+  /** As last set; a pool keeps it while the connection lives. */
+  const PeerProcess& Peer() const { return mPeer; }
+  void SetPeer(const PeerProcess& aPeer) { mPeer = aPeer; }
+
+private:
+  PeerProcess mPeer;
 };
 
 /**
@@ -179,6 +199,13 @@
   /** Closes the idle connections to an address. */
   void DropIdle(const Endpoint& aAddress);
 
+  /**
+   * The processes (PeerProcess) whose idle connections to the address were
+   * found ended, and not by an idle time limit, since the last call. Acquire
+   * looks for such connections.
+   */
+  std::vector<std::uint64_t> TakeEnded(const Endpoint& aAddress);
+
   /** Takes a connection back; closes it unless it is reusable. */
   void Release(const Endpoint& aAddress,
                std::unique_ptr<HttpConnection> aConnection);
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -62,6 +62,7 @@
                                          Duration aTimeout) override;
   BodyFraming Framing() const override { return mFraming; }
   bool IsReusable() const override;
+  bool HasEnded() const override;
   Duration StatedIdleTime() const override;
   Result<Unit> SetDropsUnsent(bool aDrops) override;
   void Cancel() override;
@@ -69,7 +70,15 @@
 private:
   using Parser = http::response_parser<http::buffer_body>;
   using Message = http::request<http::span_body<const char>>;
+  /** What waits to be read. */
+  enum class Peeked : std::uint8_t
+  {
+    Nothing,
+    Bytes,
+    End,
+  };
 
+  Peeked Peek() const;
   Message MakeMessage(const HttpRequest& aRequest, std::string_view aBody);
   void SetTimeout(Duration aTimeout);
   /** The body's length if its head states one. */
@@ -287,11 +296,25 @@
       mReader.HasBytes()) {
     return false;
   }
+  return Peek() == Peeked::Nothing;
+}
+
+bool BeastConnection::HasEnded() const
+{
+  return Peek() == Peeked::End;
+}
+
+BeastConnection::Peeked BeastConnection::Peek() const
+{
   char byte = 0;
   auto& socket = const_cast<beast::tcp_stream&>(mStream).socket();
   const auto n =
     ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  if (n > 0) {
+    return Peeked::Bytes;
+  }
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? Peeked::Nothing
+                                                            : Peeked::End;
 }
 
 Duration BeastConnection::StatedIdleTime() const
--- a/packages/transport/src/http_pool.cpp
+++ b/packages/transport/src/http_pool.cpp
@@ -24,6 +24,8 @@
  * on its way when the peer closes would be lost.
  */
 constexpr Duration kIdleMargin = std::chrono::milliseconds(1000);
+/** The shortest idle time limit in use among peers that state none. */
+constexpr Duration kUnstatedIdleTime = std::chrono::seconds(5);
 
 /** A connection in use remembers its executor until it is released. */
 class PooledConnection final : public HttpConnection
@@ -67,6 +69,7 @@
   {
     return mRequests.size() < kMaxRequests && mInner->IsReusable();
   }
+  bool HasEnded() const override { return mInner->HasEnded(); }
   Duration StatedIdleTime() const override { return mInner->StatedIdleTime(); }
   Result<Unit> SetDropsUnsent(bool aDrops) override
   {
@@ -84,6 +87,8 @@
   {
     mRequests.push_back(aRequestHash);
   }
+  /** True if the peer has kept it over a request. */
+  bool WasKept() const { return mRequests.size() > 1; }
 
 private:
   /** Bounds the look-up for a connection that carried a request before. */
@@ -100,6 +105,8 @@
   std::unique_ptr<PooledConnection> mConnection;
   /** Not used again from then on. */
   std::chrono::steady_clock::time_point mExpiresAt;
+  /** Until then the peer keeps it, unless its process ends. */
+  std::chrono::steady_clock::time_point mKeptUntil;
 };
 
 } // namespace
@@ -118,12 +125,14 @@
   void Put(const Endpoint& aAddress, IdleConnection aIdle);
   bool HasIdle(const Endpoint& aAddress) const;
   void DropIdle(const Endpoint& aAddress);
+  std::vector<std::uint64_t> TakeEnded(const Endpoint& aAddress);
 
 private:
   const HttpPoolOptions mOptions;
-  /** Guards mIdle. */
+  /** Guards what follows. */
   mutable std::mutex mMutex;
   std::map<Endpoint, std::vector<IdleConnection>> mIdle;
+  std::map<Endpoint, std::vector<std::uint64_t>> mEnded;
 };
 
 std::unique_ptr<PooledConnection> HttpPool::Impl::Take(
@@ -147,10 +156,18 @@
     }
     const auto it = std::prev(last.base());
     auto connection = std::move(it->mConnection);
+    const bool isKept = now < it->mKeptUntil && connection->WasKept();
     idle.erase(it);
     if (connection->IsReusable()) {
       return connection;
     }
+    const std::uint64_t process = connection->Peer().mId;
+    if (isKept && process != 0 && connection->HasEnded()) {
+      auto& ended = mEnded[aAddress];
+      if (std::ranges::find(ended, process) == ended.end()) {
+        ended.push_back(process);
+      }
+    }
   }
 }
 
@@ -163,7 +180,10 @@
     stated == Duration::zero()
       ? mOptions.mMaxIdleTime
       : std::min(mOptions.mMaxIdleTime, std::max(stated - kIdleMargin, 0us));
-  aIdle.mExpiresAt = std::chrono::steady_clock::now() + usable;
+  const auto now = std::chrono::steady_clock::now();
+  aIdle.mExpiresAt = now + usable;
+  aIdle.mKeptUntil =
+    now + (stated == Duration::zero() ? kUnstatedIdleTime : usable);
   if (idle.size() < mOptions.mMaxIdlePerAddress) {
     idle.push_back(std::move(aIdle));
   }
@@ -186,6 +206,18 @@
   mIdle.erase(aAddress);
 }
 
+std::vector<std::uint64_t> HttpPool::Impl::TakeEnded(const Endpoint& aAddress)
+{
+  const std::lock_guard lock(mMutex);
+  const auto it = mEnded.find(aAddress);
+  if (it == mEnded.end()) {
+    return {};
+  }
+  auto ended = std::move(it->second);
+  mEnded.erase(it);
+  return ended;
+}
+
 HttpPool::HttpPool(HttpPoolOptions aOptions)
   : mImpl(std::make_unique<Impl>(aOptions))
 {
@@ -224,6 +256,11 @@
   mImpl->DropIdle(aAddress);
 }
 
+std::vector<std::uint64_t> HttpPool::TakeEnded(const Endpoint& aAddress)
+{
+  return mImpl->TakeEnded(aAddress);
+}
+
 void HttpPool::Release(const Endpoint& aAddress,
                        std::unique_ptr<HttpConnection> aConnection)
 {
--- a/packages/transport/tests/http_pool_test.cpp
+++ b/packages/transport/tests/http_pool_test.cpp
@@ -27,10 +27,14 @@
          "\r\n\r\n" + aBody;
 }
 
+constexpr std::uint64_t kProcess = 7;
+
 /** One request over a pool; the body of its answer. */
-asio::awaitable<std::string> Fetch(HttpPool& aPool, Endpoint aPeer)
+asio::awaitable<std::string> Fetch(
+  HttpPool& aPool, Endpoint aPeer,
+  std::optional<std::uint64_t> aRequestHash = std::nullopt)
 {
-  auto acquiring = aPool.Acquire(aPeer, kTimeout);
+  auto acquiring = aPool.Acquire(aPeer, kTimeout, aRequestHash);
   auto connection = co_await std::move(acquiring);
   REQUIRE(connection);
   auto sending = (*connection)->Send(HttpRequest{}, kTimeout);
@@ -39,17 +43,24 @@
   auto reading = (*connection)->ReadAll(kMiB, kTimeout);
   const auto body = co_await std::move(reading);
   REQUIRE(body);
+  (*connection)->SetPeer({ kProcess, false });
   aPool.Release(aPeer, std::move(*connection));
   co_return *body;
 }
 
+/** Reads a request and answers it. */
+void Answer(tcp::socket& aSocket, const std::string& aAnswer)
+{
+  std::string request;
+  asio::read_until(aSocket, asio::dynamic_buffer(request), "\r\n\r\n");
+  asio::write(aSocket, asio::buffer(aAnswer));
+}
+
 /** Accepts a connection, reads a request and answers it. */
 tcp::socket Serve(tcp::acceptor& aAcceptor, const std::string& aAnswer)
 {
   tcp::socket socket = aAcceptor.accept();
-  std::string request;
-  asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
-  asio::write(socket, asio::buffer(aAnswer));
+  Answer(socket, aAnswer);
   return socket;
 }
 
@@ -84,4 +95,61 @@
   CHECK(second.get() == "second");
 }
 
+// Guards against a process that is replaced while this one has idle connections
+// to it only.
+TEST_CASE("an idle connection that its peer ended early tells of its process")
+{
+  asio::io_context context;
+  tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+  const Endpoint address{ "127.0.0.1", acceptor.local_endpoint().port() };
+  WorkerPool workers(1);
+  workers.Start();
+  HttpPool pool;
+  const auto fetch = [&](std::uint64_t aRequestHash) {
+    return asio::co_spawn(workers.At(0), Fetch(pool, address, aRequestHash),
+                          asio::use_future);
+  };
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+  // Ends before the next request, however long it says that it keeps it.
+  const auto useAndEnd = [&](int aRequests, const std::string& aFields,
+                             Duration aIdle = Duration::zero()) {
+    auto first = fetch(1);
+    tcp::socket socket = Serve(acceptor, head + aFields + "\r\n");
+    first.get();
+    for (int n = 1; n < aRequests; ++n) {
+      auto next = fetch(static_cast<std::uint64_t>(n) + 1);
+      Answer(socket, head + aFields + "\r\n");
+      next.get();
+    }
+    CHECK(pool.TakeEnded(address).empty());
+    std::this_thread::sleep_for(aIdle);
+    socket.close();
+    auto last = fetch(100);
+    const tcp::socket next =
+      Serve(acceptor, head + "Connection: close\r\n\r\n");
+    last.get();
+  };
+  SECTION("one that was kept over a request")
+  {
+    useAndEnd(2, "");
+    CHECK(pool.TakeEnded(address) == std::vector{ kProcess });
+    CHECK(pool.TakeEnded(address).empty());
+  }
+  SECTION("one that is kept for a stated time")
+  {
+    useAndEnd(2, "Keep-Alive: timeout=60\r\n");
+    CHECK(pool.TakeEnded(address) == std::vector{ kProcess });
+  }
+  SECTION("not one of a peer that keeps none")
+  {
+    useAndEnd(1, "");
+    CHECK(pool.TakeEnded(address).empty());
+  }
+  SECTION("not one whose time limit is as short")
+  {
+    useAndEnd(2, "Keep-Alive: timeout=2\r\n", std::chrono::milliseconds(1100));
+    CHECK(pool.TakeEnded(address).empty());
+  }
+}
+
 } // namespace carobtide
