A stream has a known origin only if the process that answers it is known

Cause: what is known of an address was recorded as known of the process behind a connection. Class: a statement of one process taken for one of its address, as in, there for streams that go on, here for new ones.

Change: the version of an answer is decided when the request is sent, for its connection: it is the target's if the process said so on that connection (PeerProcess::mIsProven) or is not in doubt; else none. A stream without one is reported to control daemons at once and is refused, not mixed, when it is taken up; once the doubt has passed without another process being heard of, it gets the version. Engines say on each new connection which process they are, before a new stream too; a proven connection is not asked again.

Replaced in software_version_test: new streams at engines were not asked; now they are, once on each connection.

--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -271,7 +271,7 @@
   auto finding = mContext.mFindOrigin({ Stream(), service });
   const auto origin = co_await std::move(finding);
   // A route that changed may not lead to the service any more.
-  if (!origin ||
+  if (!origin || origin->mSoftware.IsEmpty() ||
       std::ranges::find(mRoute.mServices, origin->mService,
                         &ServiceShare::mService) == mRoute.mServices.end()) {
     co_return false;
@@ -371,6 +371,8 @@
 {
   Attempt attempt;
   std::unique_ptr<HttpConnection> connection;
+  const bool goesOn = mState.mSoftware.has_value();
+  const PeerProcess process{ aSend.mIncarnation.Value(), false };
   // A target that is asked which process it is may end the connection.
   for (int tries = 0; tries < kMaxConnectionsPerSend; ++tries) {
     auto connecting = Connect(aSend.mAddress);
@@ -384,22 +386,29 @@
       mContext.mPool.Release(aSend.mAddress, std::move(connection));
       co_return Attempt{ *obstacle, false };
     }
-    if (!mContext.mDispatcher.MustCheckProcess(SteadyNow(), aSend, mState)) {
+    if (connection->Peer().mId != process.mId) {
+      connection->SetPeer(process);
+    }
+    // A new stream begins without an answer to that, if need be.
+    if (!mContext.mDispatcher.MustCheckProcess(SteadyNow(), aSend, mState,
+                                               connection->Peer().mIsProven) ||
+        (tries > 0 && !goesOn)) {
       break;
     }
-    connection->SetPeer({ aSend.mIncarnation.Value(), false });
     mConnection = connection.get();
     mConnection->HoldIn(mContext.mMemory, PartiesOf(aSend.mTarget));
     auto checking = CheckProcess(aSend, *connection);
     const auto check = co_await std::move(checking);
     mConnection = nullptr;
-    const bool mayGo = check && mContext.mDispatcher.OnProcessChecked(
-                                  SteadyNow(), aSend, mState, *check);
+    const bool mayGo = check ? mContext.mDispatcher.OnProcessChecked(
+                                 SteadyNow(), aSend, mState, *check)
+                             : !goesOn;
     if (mIsGone || !mayGo) {
       co_return Attempt{ mIsGone ? SendEnd::CallerGone : SendEnd::Withheld,
                          false };
     }
-    if (connection->IsReusable()) {
+    connection->SetPeer({ process.mId, check == ProcessCheck::Same });
+    if (check && connection->IsReusable()) {
       break;
     }
     connection.reset();
@@ -411,7 +420,9 @@
     mContext.mPool.Release(aSend.mAddress, std::move(connection));
     co_return Attempt{ *obstacle, false };
   }
-  connection->SetPeer({ aSend.mIncarnation.Value(), false });
+  aSend.mSoftware = mContext.mDispatcher.SoftwareOf(
+    SteadyNow(), aSend, connection->Peer().mIsProven);
+  mLastSend->mSoftware = aSend.mSoftware;
   mConnection = connection.get();
   mConnection->HoldIn(mContext.mMemory, PartiesOf(aSend.mTarget));
   auto exchanging = Exchange(aSend, *connection);
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -164,7 +164,10 @@
   /** Takes note of what an answer's head says of the target. */
   void NoteTarget(const SendTo& aSend, const TargetHead& aSaid);
   void NoteEvent();
-  /** Takes note of what began the stream; call before an event is passed on. */
+  /**
+   * Takes note of what began the stream, or that it is not known; call before
+   * an event is passed on.
+   */
   void NoteOrigin(const SendTo& aSend);
   void End(RequestOutcome aOutcome, std::string_view aReason);
 
--- a/packages/daemon/src/edge_request_answer.cpp
+++ b/packages/daemon/src/edge_request_answer.cpp
@@ -327,11 +327,18 @@
 
 void EdgeRequest::NoteOrigin(const SendTo& aSend)
 {
+  if (mRoute.mKind != RequestKind::ResumableStream) {
+    return;
+  }
   const bool isFirst = mEventAt == Instant();
-  if (isFirst && mRoute.mKind == RequestKind::ResumableStream) {
-    mState.mSoftware = aSend.mSoftware;
-    mContext.mStreamBegun(Stream(),
-                          { mState.mFacts.mService, aSend.mSoftware });
+  SoftwareVersion software = aSend.mSoftware;
+  if (!isFirst && mState.mSoftware->IsEmpty() && !mIsAtRelay) {
+    // A process that nothing else is heard of is the one that was chosen.
+    software = mContext.mDispatcher.SoftwareOf(SteadyNow(), aSend, false);
+  }
+  if (isFirst || (mState.mSoftware->IsEmpty() && !software.IsEmpty())) {
+    mState.mSoftware = software;
+    mContext.mStreamBegun(Stream(), { mState.mFacts.mService, software });
   }
 }
 
--- a/packages/fleet/src/stream_origins.cpp
+++ b/packages/fleet/src/stream_origins.cpp
@@ -74,7 +74,9 @@
 {
   mStreams.Put(aNow, aStream, aOrigin);
   mServices.insert(aOrigin.mService);
-  if (aHistory.IsMixed(aNow, aOrigin.mService)) {
+  // Without a notice, the only version that is seen would be taken for it.
+  if (aOrigin.mSoftware.IsEmpty() ||
+      aHistory.IsMixed(aNow, aOrigin.mService)) {
     mDue[aOrigin].push_back(aStream);
   }
 }
--- a/packages/fleet/tests/stream_origins_test.cpp
+++ b/packages/fleet/tests/stream_origins_test.cpp
@@ -80,6 +80,22 @@
   CHECK(reporter.TakeNotice().mGroups.size() == 2);
 }
 
+// Guards against a stream of an unknown process that goes on at the only
+// version that other daemons have seen.
+TEST_CASE("a stream without a known origin is reported at once")
+{
+  StreamReporter reporter;
+  const SoftwareHistory one = Watch({ kOld }, 10s);
+  const StreamOrigin unknown{ kService, SoftwareVersion() };
+  reporter.OnBegun(kStart + 10s, 1, kOld, one);
+  reporter.OnBegun(kStart + 10s, 2, unknown, one);
+  REQUIRE(reporter.HasNotice());
+  const StreamNotice notice = reporter.TakeNotice();
+  REQUIRE(notice.mGroups.size() == 1);
+  CHECK(notice.mGroups[0].mOrigin == unknown);
+  CHECK(notice.mGroups[0].mStreams == std::vector<StreamKey>{ 2 });
+}
+
 TEST_CASE("the origin of a stream is known where it was reported")
 {
   StreamOrigins origins(3);
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -108,6 +108,7 @@
   TargetName mTarget;
   Incarnation mIncarnation;
   Endpoint mAddress;
+  /** Empty if it is not certain which process serves there. */
   SoftwareVersion mSoftware;
   /** Priority passed to the engine; 0 is the most urgent. */
   std::uint32_t mUrgency = 0;
@@ -297,10 +298,18 @@
   /**
    * True if the target must say on the connection for the request which process
    * it is: a stream may go on at one software version only, and the version
-   * that is known here is that of a process.
+   * that is known here is that of a process. aIsProven: it has said so on that
+   * connection.
    */
   bool MustCheckProcess(Instant aNow, const SendTo& aSend,
-                        const DispatchState& aState) const;
+                        const DispatchState& aState, bool aIsProven) const;
+
+  /**
+   * The software that answers a send; empty if it may be another process than
+   * the one that was chosen. aIsProven as for MustCheckProcess.
+   */
+  SoftwareVersion SoftwareOf(Instant aNow, const SendTo& aSend,
+                             bool aIsProven) const;
 
   /**
    * Records what a target said of its process. False if the request must not
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -386,18 +386,17 @@
 }
 
 bool Dispatcher::MustCheckProcess(Instant aNow, const SendTo& aSend,
-                                  const DispatchState& aState) const
+                                  const DispatchState& aState,
+                                  bool aIsProven) const
 {
   const auto it = mTargets.find(aSend.mTarget);
-  if (it == mTargets.end() ||
+  if (it == mTargets.end() || aIsProven ||
       aState.mFacts.mKind != RequestKind::ResumableStream ||
       !it->second.mDoubt.MayAsk()) {
     return false;
   }
   // A target that this daemon has no connection to may restart unnoticed.
-  const bool goesOn = aState.mSoftware.has_value();
-  return it->second.mDoubt.IsDoubted(aNow) ||
-         (goesOn && it->second.mState.mLast.mEngine);
+  return it->second.mDoubt.IsDoubted(aNow) || it->second.mState.mLast.mEngine;
 }
 
 bool Dispatcher::OnConnectionEnded(Instant aNow, const TargetName& aTarget,
@@ -411,6 +410,17 @@
   return true;
 }
 
+SoftwareVersion Dispatcher::SoftwareOf(Instant aNow, const SendTo& aSend,
+                                       bool aIsProven) const
+{
+  const auto it = mTargets.find(aSend.mTarget);
+  const bool isKnown =
+    it != mTargets.end() &&
+    it->second.mState.mLast.mIncarnation == aSend.mIncarnation &&
+    (aIsProven || !it->second.mDoubt.IsDoubted(aNow));
+  return isKnown ? it->second.mState.mLast.mSoftware : SoftwareVersion();
+}
+
 bool Dispatcher::OnProcessChecked(Instant aNow, const SendTo& aSend,
                                   const DispatchState& aState,
                                   ProcessCheck aCheck)
--- a/packages/routing/tests/software_version_test.cpp
+++ b/packages/routing/tests/software_version_test.cpp
@@ -127,7 +127,7 @@
   const auto first = dispatcher.Choose(kNow, begun);
   const auto* lost = std::get_if<SendTo>(&first);
   REQUIRE(lost != nullptr);
-  CHECK_FALSE(dispatcher.MustCheckProcess(kNow, *lost, begun));
+  CHECK_FALSE(dispatcher.MustCheckProcess(kNow, *lost, begun, true));
   begun.mSoftware = kOld;
   REQUIRE(dispatcher.OnEnd(kNow, lost->mSend, SendEnd::Broken, begun));
   const auto chooseFor = [&](Instant aNow, bool aGoesOn) {
@@ -138,7 +138,8 @@
     const auto decision = dispatcher.Choose(aNow, state);
     const auto* send = std::get_if<SendTo>(&decision);
     REQUIRE(send != nullptr);
-    const bool mustCheck = dispatcher.MustCheckProcess(aNow, *send, state);
+    const bool mustCheck =
+      dispatcher.MustCheckProcess(aNow, *send, state, false);
     if (send->mTarget == lost->mTarget && aNow < kNow + 3600ms) {
       CHECK(mustCheck);
     }
@@ -158,7 +159,7 @@
     // Not heard of in time, e.g. by a daemon that is cut off: asked each time.
     for (int n = 0; n < 20; ++n) {
       const SendTo send = chooseFor(kNow + 60s, true);
-      CHECK(dispatcher.MustCheckProcess(kNow + 60s, send, goesOn));
+      CHECK(dispatcher.MustCheckProcess(kNow + 60s, send, goesOn, false));
     }
     CHECK_FALSE(dispatcher.OnProcessChecked(kNow + 60s, *lost, goesOn,
                                             ProcessCheck::Other));
@@ -176,7 +177,7 @@
   {
     CHECK_FALSE(
       dispatcher.OnProcessChecked(kNow, *lost, goesOn, ProcessCheck::Unclear));
-    CHECK(dispatcher.MustCheckProcess(kNow + 60s, *lost, goesOn));
+    CHECK(dispatcher.MustCheckProcess(kNow + 60s, *lost, goesOn, false));
     CHECK_FALSE(dispatcher.OnProcessChecked(kNow + 60s, *lost, goesOn,
                                             ProcessCheck::Unclear));
   }
@@ -203,14 +204,15 @@
   {
     CHECK(dispatcher.OnProcessChecked(kNow, *lost, goesOn, ProcessCheck::Same));
     const SendTo send = chooseFor(kNow, false);
-    CHECK_FALSE(dispatcher.MustCheckProcess(kNow, send, MakeStream()));
+    CHECK_FALSE(dispatcher.MustCheckProcess(kNow, send, MakeStream(), true));
   }
-  SECTION(
-    "an engine is asked before each stream that goes on, a service is not")
+  SECTION("an engine is asked once on each connection, new streams included")
   {
     const SendTo send = chooseFor(kNow + 5s, true);
-    CHECK(dispatcher.MustCheckProcess(kNow + 5s, send, goesOn));
-    CHECK_FALSE(dispatcher.MustCheckProcess(kNow + 5s, send, MakeStream()));
+    for (const DispatchState& state : { goesOn, MakeStream() }) {
+      CHECK(dispatcher.MustCheckProcess(kNow + 5s, send, state, false));
+      CHECK_FALSE(dispatcher.MustCheckProcess(kNow + 5s, send, state, true));
+    }
   }
 }
 
@@ -229,15 +231,51 @@
   const SendTo send = std::get<SendTo>(decision);
   // The connection was to an earlier process.
   CHECK_FALSE(dispatcher.OnConnectionEnded(kNow, send.mTarget, Incarnation(7)));
-  CHECK_FALSE(dispatcher.MustCheckProcess(kNow, send, goesOn));
+  CHECK_FALSE(dispatcher.MustCheckProcess(kNow, send, goesOn, false));
   CHECK(dispatcher.OnConnectionEnded(kNow, send.mTarget, send.mIncarnation));
-  CHECK(dispatcher.MustCheckProcess(kNow, send, goesOn));
+  CHECK(dispatcher.MustCheckProcess(kNow, send, goesOn, false));
   CHECK_FALSE(
     dispatcher.OnProcessChecked(kNow, send, goesOn, ProcessCheck::Unstated));
   CHECK_FALSE(dispatcher.MaySend(kNow + 3500ms, send, goesOn));
   CHECK(dispatcher.MaySend(kNow + 3700ms, send, goesOn));
 }
 
+// Guards against streams that begin at a target's next process and are recorded
+// under the version of the process before.
+TEST_CASE("the software that answers is known only with the process")
+{
+  Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
+  RoutedTarget plain = MakeTarget("t0", kOld);
+  plain.mLast.mEngine = false;
+  dispatcher.OnTarget(kNow, plain);
+  DispatchState first = MakeStream();
+  const auto decision = dispatcher.Choose(kNow, first);
+  REQUIRE(std::holds_alternative<SendTo>(decision));
+  const SendTo send = std::get<SendTo>(decision);
+  CHECK_FALSE(dispatcher.MustCheckProcess(kNow, send, first, false));
+  CHECK(dispatcher.SoftwareOf(kNow, send, false) == kOld);
+  SECTION("not after a connection broke")
+  {
+    dispatcher.OnEnd(kNow, send.mSend, SendEnd::Broken, first);
+    CHECK(dispatcher.SoftwareOf(kNow + 3500ms, send, false).IsEmpty());
+    // It said so on the connection, or would have been heard of by now.
+    CHECK(dispatcher.SoftwareOf(kNow + 3500ms, send, true) == kOld);
+    CHECK(dispatcher.SoftwareOf(kNow + 3700ms, send, false) == kOld);
+  }
+  SECTION("not after it ended an idle connection")
+  {
+    CHECK(dispatcher.OnConnectionEnded(kNow, send.mTarget, send.mIncarnation));
+    CHECK(dispatcher.SoftwareOf(kNow, send, false).IsEmpty());
+  }
+  SECTION("not of a process that was replaced")
+  {
+    RoutedTarget restarted = MakeTarget("t0", kNew);
+    restarted.mLast.mIncarnation = Incarnation(2);
+    dispatcher.OnTarget(kNow, restarted);
+    CHECK(dispatcher.SoftwareOf(kNow, send, true).IsEmpty());
+  }
+}
+
 // Guards against a target that is down for longer than its process is in doubt:
 // streams went on there before it was heard of as another process.
 TEST_CASE(
