A heartbeat that opens a target's path does not prove its process

All edges had been in doubt about it; the last heartbeat of the ended process arrived a second late, opened the refused path, the doubt ran out, and the next process was taken for the old one until its own first heartbeat.

Cause: the doubt began anew where a path check found the address listening again, but not where a heartbeat opened the path.

Change: it begins anew whenever the path opens.

Test: software_version_test "a heartbeat that opens ..." fails without it (2 of 6 checks).

--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -131,7 +131,12 @@
   it->second.mLimit.OnTold(aNow, aState.mLimit);
   it->second.mUpdatedAt = aNow;
   if (isNewHeartbeat) {
+    const bool wasOpen = it->second.mPath.IsOpen();
     it->second.mPath.OnHeartbeat(aNow);
+    if (!wasOpen && it->second.mPath.IsOpen()) {
+      // It may be a late one of a process that has ended since.
+      it->second.mDoubt.OnConnectionLost(aNow, mOptions.mProcessDoubt);
+    }
   }
   return transition;
 }
--- a/packages/routing/tests/software_version_test.cpp
+++ b/packages/routing/tests/software_version_test.cpp
@@ -216,6 +216,33 @@
   }
 }
 
+// Found by the soak: the last heartbeat of an ended process arrived late, the
+// doubt ran out, and streams went on at the next process.
+TEST_CASE("a heartbeat that opens a target's path does not prove its process")
+{
+  Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
+  RoutedTarget plain = MakeTarget("t0", kOld);
+  plain.mLast.mEngine = false;
+  dispatcher.OnTarget(kNow, plain);
+  DispatchState goesOn = MakeStream();
+  goesOn.mSoftware = kOld;
+  const auto decision = dispatcher.Choose(kNow, goesOn);
+  REQUIRE(std::holds_alternative<SendTo>(decision));
+  const SendTo send = std::get<SendTo>(decision);
+  dispatcher.OnEnd(kNow, send.mSend, SendEnd::ConnectFailed, goesOn);
+  CHECK_FALSE(
+    dispatcher.OnProcessChecked(kNow, send, goesOn, ProcessCheck::Unstated));
+  plain.mLast.mSequence = 2;
+  dispatcher.OnTarget(kNow + 3s, plain);
+  CHECK_FALSE(dispatcher.MaySend(kNow + 6500ms, send, goesOn));
+  CHECK(dispatcher.SoftwareOf(kNow + 6500ms, send, false).IsEmpty());
+  CHECK(dispatcher.MaySend(kNow + 6700ms, send, goesOn));
+  // The path was open: there is nothing new to doubt.
+  plain.mLast.mSequence = 3;
+  dispatcher.OnTarget(kNow + 6700ms, plain);
+  CHECK(dispatcher.MaySend(kNow + 6700ms, send, goesOn));
+}
+
 // Guards against a target that restarts in place while a daemon has idle
 // connections to it only.
 TEST_CASE("the end of an idle connection puts the target's process in doubt")
