A target that does not answer which process it is stays unknown

A replaced VM resets old connections only when something is sent on them, so that this is what a replacement looks like.

Change: a check without an answer, or with an unclear one, puts the process in doubt. 421 means another target, and nothing is sent there. A check that is ended since the path was lost is not repeated on another connection, and two connections that end after a sound answer withhold the send instead of counting as refused connections.

--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -21,6 +21,8 @@
 
 namespace {
 
+/** Another target serves at the address. */
+constexpr std::uint16_t kMisdirected = 421;
 constexpr std::uint16_t kBadGateway = 502;
 constexpr std::uint16_t kUnavailable = 503;
 constexpr std::uint16_t kGatewayTimeout = 504;
@@ -400,9 +402,13 @@
     auto checking = CheckProcess(aSend, *connection);
     const auto check = co_await std::move(checking);
     mConnection = nullptr;
+    if (!check) {
+      mContext.mDispatcher.OnConnectionEnded(SteadyNow(), aSend.mTarget,
+                                             aSend.mIncarnation);
+    }
     const bool mayGo = check ? mContext.mDispatcher.OnProcessChecked(
                                  SteadyNow(), aSend, mState, *check)
-                             : !goesOn;
+                             : !goesOn && !mIsPathLost;
     if (mIsGone || !mayGo) {
       co_return Attempt{ mIsGone ? SendEnd::CallerGone : SendEnd::Withheld,
                          false };
@@ -414,7 +420,7 @@
     connection.reset();
   }
   if (connection == nullptr) {
-    co_return Attempt{ SendEnd::ConnectFailed, false };
+    co_return Attempt{ SendEnd::Withheld, false };
   }
   if (const auto obstacle = FindObstacle(aSend)) {
     mContext.mPool.Release(aSend.mAddress, std::move(connection));
@@ -463,7 +469,8 @@
     LogError(body.GetError());
     co_return std::nullopt;
   }
-  ProcessCheck check = ProcessCheck::Unclear;
+  ProcessCheck check =
+    head->mStatus == kMisdirected ? ProcessCheck::Other : ProcessCheck::Unclear;
   if (IsSuccess(head->mStatus)) {
     if (const auto report = mContext.mDialect.ReadReport(*body)) {
       check = report->mIncarnation == Incarnation() ? ProcessCheck::Unstated
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -319,8 +319,8 @@
                         const DispatchState& aState, ProcessCheck aCheck);
 
   /**
-   * Records that a process of a target ended an idle connection before its
-   * time. True if the target is still known as that process.
+   * Records that a connection to a process of a target failed without a
+   * request on it. True if the target is still known as that process.
    */
   bool OnConnectionEnded(Instant aNow, const TargetName& aTarget,
                          Incarnation aIncarnation);
--- a/packages/routing/src/process_doubt.cpp
+++ b/packages/routing/src/process_doubt.cpp
@@ -28,3 +28,4 @@
 }
 
 } // namespace carobtide
+      mUntil = aNow + aWindow;
--- a/packages/routing/tests/software_version_test.cpp
+++ b/packages/routing/tests/software_version_test.cpp
@@ -128,6 +128,7 @@
   const auto* lost = std::get_if<SendTo>(&first);
   REQUIRE(lost != nullptr);
   CHECK_FALSE(dispatcher.MustCheckProcess(kNow, *lost, begun, true));
+  CHECK(dispatcher.MustCheckProcess(kNow, *lost, begun, false));
   begun.mSoftware = kOld;
   REQUIRE(dispatcher.OnEnd(kNow, lost->mSend, SendEnd::Broken, begun));
   const auto chooseFor = [&](Instant aNow, bool aGoesOn) {
@@ -203,8 +204,11 @@
   SECTION("it is the same process: its connection was reset, and streams go on")
   {
     CHECK(dispatcher.OnProcessChecked(kNow, *lost, goesOn, ProcessCheck::Same));
-    const SendTo send = chooseFor(kNow, false);
-    CHECK_FALSE(dispatcher.MustCheckProcess(kNow, send, MakeStream(), true));
+    CHECK(dispatcher.SoftwareOf(kNow, *lost, false) == kOld);
+    chooseFor(kNow, false);
+    // Another connection leads to the process that it says on that one.
+    CHECK(dispatcher.MustCheckProcess(kNow, *lost, MakeStream(), false));
+    CHECK_FALSE(dispatcher.MustCheckProcess(kNow, *lost, MakeStream(), true));
   }
   SECTION("an engine is asked once on each connection, new streams included")
   {
