The version of a stream that is learnt later is reported, and missing ones again

Change: StreamReporter reports a stream whose origin had no version before, and repeats all streams without one.

Test: stream_origins_test "a stream without a known origin is reported at once".

--- a/packages/fleet/include/carobtide/fleet/stream_origins.hpp
+++ b/packages/fleet/include/carobtide/fleet/stream_origins.hpp
@@ -41,7 +41,7 @@
   /** Forgets the streams that were last put before a time. */
   void Expire(Instant aBefore);
 
-  /** The streams of the services in a set. */
+  /** The streams of the services in a set, and all without a known version. */
   std::map<StreamOrigin, std::vector<StreamKey>> OfServices(
     const std::set<ServiceName>& aServices) const;
 
--- a/packages/fleet/src/stream_origins.cpp
+++ b/packages/fleet/src/stream_origins.cpp
@@ -61,7 +61,8 @@
 {
   std::map<StreamOrigin, std::vector<StreamKey>> groups;
   for (const auto& [stream, entry] : mStreams) {
-    if (aServices.contains(entry.mOrigin->mService)) {
+    if (entry.mOrigin->mSoftware.IsEmpty() ||
+        aServices.contains(entry.mOrigin->mService)) {
       groups[*entry.mOrigin].push_back(stream);
     }
   }
@@ -72,11 +73,13 @@
                              const StreamOrigin& aOrigin,
                              const SoftwareHistory& aHistory)
 {
+  const auto before = mStreams.Find(aStream);
   mStreams.Put(aNow, aStream, aOrigin);
   mServices.insert(aOrigin.mService);
   // Without a notice, the only version that is seen would be taken for it.
-  if (aOrigin.mSoftware.IsEmpty() ||
-      aHistory.IsMixed(aNow, aOrigin.mService)) {
+  const bool isTold =
+    aOrigin.mSoftware.IsEmpty() || (before && before->mSoftware.IsEmpty());
+  if (isTold || aHistory.IsMixed(aNow, aOrigin.mService)) {
     mDue[aOrigin].push_back(aStream);
   }
 }
--- a/packages/fleet/tests/stream_origins_test.cpp
+++ b/packages/fleet/tests/stream_origins_test.cpp
@@ -94,6 +94,17 @@
   REQUIRE(notice.mGroups.size() == 1);
   CHECK(notice.mGroups[0].mOrigin == unknown);
   CHECK(notice.mGroups[0].mStreams == std::vector<StreamKey>{ 2 });
+  // A control daemon restarted.
+  reporter.Repeat();
+  CHECK(reporter.TakeNotice().mGroups.size() == 1);
+  // It is known by now.
+  reporter.OnBegun(kStart + 14s, 2, kOld, one);
+  const StreamNotice later = reporter.TakeNotice();
+  REQUIRE(later.mGroups.size() == 1);
+  CHECK(later.mGroups[0].mOrigin == kOld);
+  CHECK(later.mGroups[0].mStreams == std::vector<StreamKey>{ 2 });
+  reporter.Repeat();
+  CHECK_FALSE(reporter.HasNotice());
 }
 
 TEST_CASE("the origin of a stream is known where it was reported")
