A target that falls silent after a lost connection stays in doubt

A heartbeat may come seconds late. The target is then marked silent, which nothing looked at, and streams went on at the next process again.

The news of the silence carries the number of the last heartbeat, which the daemon may not have: it passed for a new heartbeat and opened the path to a target that refuses connections.

Change: a target that becomes silent in doubt, or within a window after it, stays in doubt until it is heard of. News of silence open no path.

Tests: software_version_test, "a target that is silent ...", "a target that goes silent ...".

--- a/packages/routing/include/carobtide/routing/process_doubt.hpp
+++ b/packages/routing/include/carobtide/routing/process_doubt.hpp
@@ -35,7 +35,8 @@
 /**
  * Doubt about a target's process, from the end of a connection until the target
  * is heard of again as another process, or until its heartbeats would have
- * stopped for so long that it counts as silent. Sans-I/O.
+ * stopped for so long that it counts as silent; a target that is silent then
+ * stays in doubt until it is heard of. Sans-I/O.
  *
  * Answers: targets that restart in place, under their name and address, with
  * other software; connections that are reset while their target lives.
@@ -50,8 +51,11 @@
 
   void OnCheck(Instant aNow, ProcessCheck aCheck, Duration aWindow);
 
+  /** The target is silent, or is heard of. */
+  void SetSilent(Instant aNow, bool aIsSilent, Duration aWindow);
+
   /** True if another process may serve at the address. */
-  bool IsDoubted(Instant aNow) const { return aNow < mUntil; }
+  bool IsDoubted(Instant aNow) const { return mIsHeld || aNow < mUntil; }
 
   /** True if asking the target may settle it. */
   bool MayAsk() const { return mStatesProcess; }
@@ -64,6 +68,8 @@
 
 private:
   Instant mUntil = Instant::min();
+  /** The target became silent while it was in doubt, or soon after. */
+  bool mIsHeld = false;
   bool mIsOther = false;
   bool mStatesProcess = true;
 };
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -130,7 +130,8 @@
   it->second.mState = aState;
   it->second.mLimit.OnTold(aNow, aState.mLimit);
   it->second.mUpdatedAt = aNow;
-  if (isNewHeartbeat) {
+  it->second.mDoubt.SetSilent(aNow, aState.mSilent, mOptions.mProcessDoubt);
+  if (isNewHeartbeat && !aState.mSilent) {
     const bool wasOpen = it->second.mPath.IsOpen();
     it->second.mPath.OnHeartbeat(aNow);
     if (!wasOpen && it->second.mPath.IsOpen()) {
--- a/packages/routing/src/process_doubt.cpp
+++ b/packages/routing/src/process_doubt.cpp
@@ -7,11 +7,19 @@
   mUntil = aNow + aWindow;
 }
 
+void ProcessDoubt::SetSilent(Instant aNow, bool aIsSilent, Duration aWindow)
+{
+  // The news of the silence may come after the end of the window.
+  const bool isRecent = mUntil != Instant::min() && aNow < mUntil + aWindow;
+  mIsHeld = aIsSilent && (mIsHeld || isRecent);
+}
+
 void ProcessDoubt::OnCheck(Instant aNow, ProcessCheck aCheck, Duration aWindow)
 {
   switch (aCheck) {
     case ProcessCheck::Same:
       mUntil = Instant::min();
+      mIsHeld = false;
       mIsOther = false;
       break;
     case ProcessCheck::Other:
@@ -23,9 +31,9 @@
       mStatesProcess = false;
       break;
     case ProcessCheck::Unclear:
+      mUntil = aNow + aWindow;
       break;
   }
 }
 
 } // namespace carobtide
-      mUntil = aNow + aWindow;
--- a/packages/routing/tests/software_version_test.cpp
+++ b/packages/routing/tests/software_version_test.cpp
@@ -247,6 +247,96 @@
   CHECK(dispatcher.MaySend(kNow + 6700ms, send, goesOn));
 }
 
+// Guards against a replaced target whose first heartbeat is seconds late.
+TEST_CASE("a target that is silent after a lost connection stays in doubt")
+{
+  Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
+  RoutedTarget plain = MakeTarget("t0", kOld);
+  plain.mLast.mEngine = false;
+  dispatcher.OnTarget(kNow, plain);
+  DispatchState begun = MakeStream();
+  const auto decision = dispatcher.Choose(kNow, begun);
+  REQUIRE(std::holds_alternative<SendTo>(decision));
+  const SendTo send = std::get<SendTo>(decision);
+  const auto isKnown = [&](Duration aSince) {
+    return !dispatcher.SoftwareOf(kNow + aSince, send, false).IsEmpty();
+  };
+  RoutedTarget silent = plain;
+  silent.mSilent = true;
+  silent.mLast.mSequence = 2;
+  SECTION("until it is heard of")
+  {
+    dispatcher.OnEnd(kNow, send.mSend, SendEnd::Broken, begun);
+    // The news comes as the doubt has just passed.
+    dispatcher.OnTarget(kNow + 3700ms, silent);
+    CHECK_FALSE(isKnown(3700ms));
+    CHECK_FALSE(isKnown(60s));
+    plain.mLast.mSequence = 3;
+    dispatcher.OnTarget(kNow + 60s, plain);
+    CHECK(isKnown(60s));
+    // Silent again later: nothing has been lost since.
+    silent.mLast.mSequence = 4;
+    dispatcher.OnTarget(kNow + 90s, silent);
+    CHECK(isKnown(90s));
+  }
+  SECTION("not one whose heartbeats alone are missed")
+  {
+    dispatcher.OnTarget(kNow + 4s, silent);
+    CHECK(isKnown(4s));
+  }
+}
+
+// Guards against a news of silence that opens the path to a dead target.
+TEST_CASE("a target that goes silent is no more reachable for it")
+{
+  Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
+  RoutedTarget plain = MakeTarget("t0", kOld);
+  dispatcher.OnTarget(kNow, plain);
+  DispatchState begun = MakeStream();
+  const auto decision = dispatcher.Choose(kNow, begun);
+  REQUIRE(std::holds_alternative<SendTo>(decision));
+  dispatcher.OnEnd(kNow, std::get<SendTo>(decision).mSend,
+                   SendEnd::ConnectFailed, begun);
+  for (const PathCheck& path : dispatcher.TakePathChecks(kNow + 100ms)) {
+    dispatcher.OnPathChecked(kNow + 100ms, path, PathEvidence::Refused);
+  }
+  CHECK(dispatcher.UnreachableShare() == 1.0);
+  plain.mSilent = true;
+  plain.mLast.mSequence = 2;
+  dispatcher.OnTarget(kNow + 2s, plain);
+  CHECK(dispatcher.UnreachableShare() == 1.0);
+  plain.mSilent = false;
+  plain.mLast.mSequence = 3;
+  dispatcher.OnTarget(kNow + 3s, plain);
+  CHECK(dispatcher.UnreachableShare() == 0.0);
+}
+
+// Guards against the late end of a request that is charged to the next process.
+TEST_CASE("the end of a send concerns the process that it was sent to")
+{
+  Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
+  RoutedTarget plain = MakeTarget("t0", kOld);
+  plain.mLast.mEngine = false;
+  dispatcher.OnTarget(kNow, plain);
+  DispatchState first = MakeStream();
+  const auto before = dispatcher.Choose(kNow, first);
+  REQUIRE(std::holds_alternative<SendTo>(before));
+  plain.mLast.mIncarnation = Incarnation(2);
+  plain.mLast.mSoftware = kNew;
+  dispatcher.OnTarget(kNow + 1s, plain);
+  DispatchState second = MakeStream();
+  const auto after = dispatcher.Choose(kNow + 1s, second);
+  REQUIRE(std::holds_alternative<SendTo>(after));
+  dispatcher.OnEnd(kNow + 2s, std::get<SendTo>(before).mSend, SendEnd::Broken,
+                   first);
+  CHECK(dispatcher.SoftwareOf(kNow + 2s, std::get<SendTo>(after), false) ==
+        kNew);
+  DispatchState third = MakeStream();
+  const auto next = dispatcher.Choose(kNow + 2s, third);
+  REQUIRE(std::holds_alternative<SendTo>(next));
+  CHECK(std::get<SendTo>(next).mSnapshot.mOwnInFlight == 1);
+}
+
 // Guards against a target that restarts in place while a daemon has idle
 // connections to it only.
 TEST_CASE("the end of an idle connection puts the target's process in doubt")
