The end of a send is charged to the process that it was sent to

Found in review: an open send named its target, not the target's process. The late end of a request to a process that had been replaced put its successor in doubt, took a request that it never had off its load and counted as its failure.

Change: sends keep the incarnation; what they tell of another process is dropped.

--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -426,6 +426,7 @@
   struct OpenSend
   {
     TargetName mTarget;
+    Incarnation mIncarnation;
     Instant mSentAt;
     ServiceName mService;
     ModelName mModel;
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -263,6 +263,7 @@
                      aNow - target.mUpdatedAt };
   OpenSend open;
   open.mTarget = last.mTarget;
+  open.mIncarnation = last.mIncarnation;
   open.mSentAt = aNow;
   open.mService = facts.mService;
   open.mModel = facts.mModel;
@@ -459,13 +460,13 @@
   Pool& pool = PoolOf(it->second.mService);
   Smooth(pool.mFirstByte, took);
   LearnPrefillTime(pool, it->second, took);
-  if (const auto target = mTargets.find(it->second.mTarget);
-      target != mTargets.end()) {
-    target->second.mHealth.OnFirstByte(aNow, aSend, took);
-    target->second.mPath.OnBytes(aNow);
-    target->second.mPause.OnFirstByte(aSend);
-    target->second.mPrefillTime -=
-      std::min(target->second.mPrefillTime, it->second.mPrefillTime);
+  if (Target* target =
+        FindProcess(it->second.mTarget, it->second.mIncarnation)) {
+    target->mHealth.OnFirstByte(aNow, aSend, took);
+    target->mPath.OnBytes(aNow);
+    target->mPause.OnFirstByte(aSend);
+    target->mPrefillTime -=
+      std::min(target->mPrefillTime, it->second.mPrefillTime);
   }
 }
 
@@ -525,24 +526,21 @@
   if (aEnd == SendEnd::Whole) {
     Smooth(PoolOf(open.mService).mRunTime, aNow - open.mSentAt);
   }
-  if (const auto target = mTargets.find(open.mTarget);
-      target != mTargets.end()) {
-    target->second.mInFlight -= std::min(target->second.mInFlight, 1U);
+  if (Target* target = FindProcess(open.mTarget, open.mIncarnation)) {
+    target->mInFlight -= std::min(target->mInFlight, 1U);
     if (!open.mFirstByte) {
-      target->second.mPrefillTime -=
-        std::min(target->second.mPrefillTime, open.mPrefillTime);
+      target->mPrefillTime -= std::min(target->mPrefillTime, open.mPrefillTime);
     }
-    target->second.mHealth.OnEnd(aNow, aSend, aEnd);
-    target->second.mPause.OnEnd(aSend);
+    target->mHealth.OnEnd(aNow, aSend, aEnd);
+    target->mPause.OnEnd(aSend);
     const auto refusals = PoolOf(open.mService).mRefusals.Current(aNow);
     if (aEnd == SendEnd::Full && refusals) {
-      target->second.mRefusals.OnRefused(
-        aNow, KnownLoadAt(aNow, target->second), *refusals);
+      target->mRefusals.OnRefused(aNow, KnownLoadAt(aNow, *target), *refusals);
     }
     if (aEnd == SendEnd::ConnectFailed || aEnd == SendEnd::Broken) {
-      target->second.mDoubt.OnConnectionLost(aNow, mOptions.mProcessDoubt);
+      target->mDoubt.OnConnectionLost(aNow, mOptions.mProcessDoubt);
     }
-    TargetPath& path = target->second.mPath;
+    TargetPath& path = target->mPath;
     if (aEnd == SendEnd::ConnectFailed) {
       path.OnConnectFailed(aNow);
       SpreadDoubt(aNow);
--- a/packages/routing/src/dispatcher_relay.cpp
+++ b/packages/routing/src/dispatcher_relay.cpp
@@ -153,9 +153,9 @@
 void Dispatcher::OnBytes(Instant aNow, SendId aSend)
 {
   if (const auto open = mOpen.find(aSend); open != mOpen.end()) {
-    if (const auto it = mTargets.find(open->second.mTarget);
-        it != mTargets.end()) {
-      it->second.mPath.OnBytes(aNow);
+    if (Target* target =
+          FindProcess(open->second.mTarget, open->second.mIncarnation)) {
+      target->mPath.OnBytes(aNow);
     }
   }
 }
