Idle connections that end after a short limit do not put a process in doubt

Each pause of its traffic then looked like the end of its process, for five seconds of idle time, and streams there were refused when they were taken up.

Change: without a stated time, 500 ms; and nothing is told of a process that still keeps another connection, since a process takes all along when it ends.

Test: http_pool_test; the case of a short limit passed before whatever the bound was, and asks for both sides of it now.

--- a/packages/transport/src/http_pool.cpp
+++ b/packages/transport/src/http_pool.cpp
@@ -24,8 +24,11 @@
  * on its way when the peer closes would be lost.
  */
 constexpr Duration kIdleMargin = std::chrono::milliseconds(1000);
-/** The shortest idle time limit in use among peers that state none. */
-constexpr Duration kUnstatedIdleTime = std::chrono::seconds(5);
+/**
+ * A peer that states no time keeps an idle connection at least so long. Whole
+ * seconds only can be stated, so that its limit may be shorter than one.
+ */
+constexpr Duration kUnstatedIdleTime = std::chrono::milliseconds(500);
 
 /** A connection in use remembers its executor until it is released. */
 class PooledConnection final : public HttpConnection
@@ -159,6 +162,10 @@
     const bool isKept = now < it->mKeptUntil && connection->WasKept();
     idle.erase(it);
     if (connection->IsReusable()) {
+      // A process that ends takes all its connections along.
+      if (const auto ended = mEnded.find(aAddress); ended != mEnded.end()) {
+        std::erase(ended->second, connection->Peer().mId);
+      }
       return connection;
     }
     const std::uint64_t process = connection->Peer().mId;
--- a/packages/transport/tests/http_pool_test.cpp
+++ b/packages/transport/tests/http_pool_test.cpp
@@ -145,11 +145,16 @@
     useAndEnd(1, "");
     CHECK(pool.TakeEnded(address).empty());
   }
-  SECTION("not one whose time limit is as short")
+  SECTION("not one that may have a short time limit")
   {
-    useAndEnd(2, "Keep-Alive: timeout=2\r\n", std::chrono::milliseconds(1100));
+    useAndEnd(2, "", std::chrono::milliseconds(600));
     CHECK(pool.TakeEnded(address).empty());
   }
+  SECTION("one that has a longer time limit")
+  {
+    useAndEnd(2, "Keep-Alive: timeout=60\r\n", std::chrono::milliseconds(600));
+    CHECK(pool.TakeEnded(address) == std::vector{ kProcess });
+  }
 }
 
 } // namespace carobtide
