A path check without a reply does not put a process in doubt

Found in review: a check that got no reply in time, in a daemon that was busy for 300 ms, made the path doubtful; the next one opened it and began a doubt of 3.6 s about the target's process, at all targets at once, though no connection had broken and none had been refused.

Change: only a path that had been refused or silent begins a doubt when it opens.

Not covered by a test of its own; "the doubt about a process begins anew ..." covers the refused path.

--- a/packages/routing/src/dispatcher_relay.cpp
+++ b/packages/routing/src/dispatcher_relay.cpp
@@ -136,6 +136,7 @@
   if (target == nullptr) {
     return std::nullopt;
   }
+  const PathState before = target->mPath.State();
   const double jitter = std::uniform_real_distribution<>(0, 1)(mRandom);
   if (!target->mPath.OnChecked(aNow, aEvidence, jitter)) {
     return std::nullopt;
@@ -143,7 +144,9 @@
   if (target->mPath.IsOpen()) {
     target->mUselessRelays.clear();
     // What listens there again may be a process that just started.
-    target->mDoubt.OnConnectionLost(aNow, mOptions.mProcessDoubt);
+    if (before != PathState::Doubtful) {
+      target->mDoubt.OnConnectionLost(aNow, mOptions.mProcessDoubt);
+    }
   } else {
     SpreadDoubt(aNow);
   }
