A settings file that is half written at the start is read again for 30 s

Operators saw a daemon end with status 2 while its settings were replaced in place: the supervisor restarted it into the same half of a file.

Cause: the first read of the settings was final, though a fault in them may pass as a port in use may. The daemon of deployments with bundles also kept its first settings for as long as it tried to start.

Now every try to start reads the settings and takes the last sound ones. Faults are logged when they change (step settings.read, one line); after 30 s without sound settings all of them are written to standard error and the status is 2 as before. SIGTERM ends the wait. A missing file and a wrong command line still end the process at once, and `carobtide settings check` is as it was. An unknown dialect is a fault of the file like others, also in a reload.

Half a file that parses and has all that is required is taken as it is.

--- a/main/carobtided.cpp
+++ b/main/carobtided.cpp
@@ -1,6 +1,7 @@
 #include "carobtide/daemon.hpp"
 #include "carobtide/daemon/node.hpp"
 #include "carobtide/platform.hpp"
+#include "settings_file.hpp"
 
 #include <CLI/CLI.hpp>
 
@@ -8,16 +9,18 @@
 #include <csignal>
 #include <cstdio>
 #include <exception>
-#include <fstream>
+#include <filesystem>
 #include <functional>
 #include <iostream>
 #include <memory>
 #include <optional>
-#include <sstream>
 #include <string>
+#include <string_view>
+#include <system_error>
 #include <thread>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include <malloc.h>
 
@@ -32,31 +35,31 @@
 /** The supervisor is told after this long that there is no start. */
 constexpr carobtide::Duration kStartPatience = std::chrono::seconds(30);
 
-template<class Settings>
-using Parser = std::variant<Settings, std::vector<carobtide::YamlFault>> (*)(
-  std::string_view);
+/** Settings of a deployment with catalogs, in a dialect that is linked in. */
+std::variant<carobtide::NodeSettings, std::vector<carobtide::YamlFault>>
+ParseKnownNodeSettings(std::string_view aText)
+{
+  auto parsed = carobtide::ParseNodeSettings(aText);
+  const auto* settings = std::get_if<carobtide::NodeSettings>(&parsed);
+  if (settings != nullptr &&
+      settings->mDialect != carobtide::MakePlatformDialect()->Name()) {
+    return std::vector<carobtide::YamlFault>{
+      { 0, 0, "dialect", "unknown name '" + settings->mDialect + "'" }
+    };
+  }
+  return parsed;
+}
 
-/** Reads the settings; prints every fault and returns nothing on any. */
-template<class Settings>
-std::optional<Settings> LoadSettings(const std::string& aPath,
-                                     Parser<Settings> aParse)
+/** True if there is something at a path that may be a settings file. */
+bool HasSettings(const std::string& aPath)
 {
-  const std::ifstream file(aPath);
-  if (!file) {
+  std::error_code ec;
+  const bool hasFile = std::filesystem::exists(aPath, ec) &&
+                       !std::filesystem::is_directory(aPath, ec);
+  if (!hasFile) {
     std::cerr << aPath << ": cannot be read\n";
-    return std::nullopt;
-  }
-  std::stringstream text;
-  text << file.rdbuf();
-  auto parsed = aParse(text.str());
-  if (auto* settings = std::get_if<Settings>(&parsed)) {
-    return std::move(*settings);
   }
-  for (const auto& fault :
-       std::get<std::vector<carobtide::YamlFault>>(parsed)) {
-    std::cerr << aPath << ':' << fault.ToString() << '\n';
-  }
-  return std::nullopt;
+  return hasFile;
 }
 
 /**
@@ -161,24 +164,34 @@
 }
 
 /**
- * Makes and starts a daemon until one starts: an address may be in use and a
- * disk may fail for a while.
+ * Makes and starts a daemon until one starts: the settings may be half written,
+ * an address may be in use and a disk may fail for a while. Each try reads the
+ * settings again and takes the last sound ones.
  */
-template<class Daemon>
+template<class Daemon, class Settings>
 Started<Daemon> StartDaemon(
-  const sigset_t& aSignals,
-  const std::function<std::unique_ptr<Daemon>()>& aMake)
+  const sigset_t& aSignals, carobtide::SettingsFile<Settings>& aFile,
+  const std::function<std::unique_ptr<Daemon>(const Settings&)>& aMake)
 {
+  carobtide::InitLogging("carobtided", carobtide::LogLevel::Info);
   const auto end = std::chrono::steady_clock::now() + kStartPatience;
+  std::optional<Settings> settings;
   while (true) {
-    auto started = TryToStart(aMake);
-    if (started) {
-      return { std::move(*started), 0 };
+    if (auto read = aFile.Read()) {
+      settings = std::move(read);
+      carobtide::InitLogging(settings->mName.Text(), settings->mLogLevel);
+    }
+    if (settings) {
+      auto started = TryToStart<Daemon>([&] { return aMake(*settings); });
+      if (started) {
+        return { std::move(*started), 0 };
+      }
+      carobtide::LogError(started.GetError());
     }
-    carobtide::LogError(started.GetError());
     if (std::chrono::steady_clock::now() >= end) {
       carobtide::FlushLogs(kLastLines);
-      return { nullptr, kExitFailure };
+      aFile.PrintFaults();
+      return { nullptr, settings ? kExitFailure : kExitFaults };
     }
     if (!WaitToStart(aSignals)) {
       carobtide::FlushLogs(kLastLines);
@@ -190,15 +203,13 @@
 /** The daemon of deployments with bundles. */
 int RunDaemon(const std::string& aPath, const sigset_t& aSignals)
 {
-  auto settings = LoadSettings<carobtide::DaemonSettings>(
+  carobtide::SettingsFile<carobtide::DaemonSettings> file(
     aPath, carobtide::ParseDaemonSettings);
-  if (!settings) {
-    return kExitFaults;
-  }
-  carobtide::InitLogging(settings->mName.Text(), settings->mLogLevel);
-  const auto started = StartDaemon<carobtide::Daemon>(aSignals, [&settings] {
-    return std::make_unique<carobtide::Daemon>(*settings);
-  });
+  const auto started =
+    StartDaemon<carobtide::Daemon, carobtide::DaemonSettings>(
+      aSignals, file, [](const carobtide::DaemonSettings& aSettings) {
+        return std::make_unique<carobtide::Daemon>(aSettings);
+      });
   if (!started.mDaemon) {
     return started.mExit;
   }
@@ -214,9 +225,9 @@
 /** Takes the settings again; faulty ones are logged and left. */
 void Reload(carobtide::Node& aNode, const std::string& aPath)
 {
-  auto settings =
-    LoadSettings<carobtide::NodeSettings>(aPath, carobtide::ParseNodeSettings);
-  if (settings) {
+  carobtide::SettingsFile<carobtide::NodeSettings> file(aPath,
+                                                        ParseKnownNodeSettings);
+  if (auto settings = file.Read()) {
     aNode.Reload(std::move(*settings));
   }
 }
@@ -224,27 +235,11 @@
 /** A daemon of deployments with catalogs. */
 int RunNode(const std::string& aPath, const sigset_t& aSignals)
 {
-  auto settings =
-    LoadSettings<carobtide::NodeSettings>(aPath, carobtide::ParseNodeSettings);
-  if (!settings) {
-    return kExitFaults;
-  }
-  if (settings->mDialect != carobtide::MakePlatformDialect()->Name()) {
-    std::cerr << aPath << ": dialect: unknown name '" << settings->mDialect
-              << "'\n";
-    return kExitFaults;
-  }
-  carobtide::InitLogging(settings->mName.Text(), settings->mLogLevel);
-  bool isFirstTry = true;
-  const auto started = StartDaemon<carobtide::Node>(
-    aSignals, [&]() -> std::unique_ptr<carobtide::Node> {
-      // They may have changed, and a reload that came meanwhile was taken.
-      if (!std::exchange(isFirstTry, false)) {
-        auto changed = LoadSettings<carobtide::NodeSettings>(
-          aPath, carobtide::ParseNodeSettings);
-        settings = changed ? std::move(changed) : std::move(settings);
-      }
-      return carobtide::MakeNode(*settings, carobtide::MakePlatformDialect());
+  carobtide::SettingsFile<carobtide::NodeSettings> file(aPath,
+                                                        ParseKnownNodeSettings);
+  const auto started = StartDaemon<carobtide::Node, carobtide::NodeSettings>(
+    aSignals, file, [](const carobtide::NodeSettings& aSettings) {
+      return carobtide::MakeNode(aSettings, carobtide::MakePlatformDialect());
     });
   if (!started.mDaemon) {
     return started.mExit;
@@ -276,5 +271,8 @@
                "The settings are those of a deployment with catalogs");
   app.add_option("settings", path, "Settings file (YAML)")->required();
   CLI11_PARSE(app, argc, argv);
+  if (!HasSettings(path)) {
+    return kExitFaults;
+  }
   return isNode ? RunNode(path, signals) : RunDaemon(path, signals);
 }
--- a/packages/daemon/include/carobtide/daemon/logging.hpp
+++ b/packages/daemon/include/carobtide/daemon/logging.hpp
@@ -40,7 +40,8 @@
 };
 
 /**
- * Sets logging up. Call first thing in main, before any other thread starts.
+ * Sets logging up. Call first thing in main, before any other thread starts;
+ * another call until then changes the name and the level.
  */
 void InitLogging(std::string aProcess, LogLevel aLevel);
 
--- a/packages/daemon/src/logging.cpp
+++ b/packages/daemon/src/logging.cpp
@@ -123,6 +123,9 @@
 {
   State().mProcess = std::move(aProcess);
   State().mLevel = aLevel;
+  if (State().mWriter) {
+    return;
+  }
   State().mWriter = std::make_unique<LogWriter>(WriteToOutput, MakeLossLine);
   el::Configurations configuration;
   configuration.setToDefault();
