Catalogs that wait for agreement are held as text only

What operators would have seen: four sound configurations near 4 MiB, sent to one control daemon at once while nothing can be agreed on, took it to 267 MB of the 256 MB that it may have (measured without a limit); with one, it would be killed for memory.

Cause: OnPutCatalog kept the catalog that it had read until the wait for agreement was over (up to 900 ms). Read, a configuration takes many times its bytes. The text was held twice more, in the call's argument and in the command beside its encoding.

Now the catalog is read and checked in a function that returns its version only, the text is taken by reference from the request, and the command is freed once it is encoded. How many such requests there are at once is bounded by the account of held bytes, as before.

What is agreed on is still held in the log by its number of entries, not by its bytes.

--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -22,6 +22,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace carobtide {
 
@@ -80,7 +81,13 @@
                                const HttpRequest& aRequest);
   HttpResponse OnLeaveCall(const TargetName& aTarget,
                            const HttpRequest& aRequest);
-  boost::asio::awaitable<HttpResponse> OnPutCatalog(std::string aText);
+  /**
+   * The version of a sound catalog. What was read is freed again: it may take
+   * many times the text.
+   */
+  Result<std::uint64_t> CheckedVersion(std::string_view aText) const;
+  /** Precondition: the text lives until the call ends. */
+  boost::asio::awaitable<HttpResponse> OnPutCatalog(const std::string& aText);
   boost::asio::awaitable<HttpResponse> OnGetCatalog();
   boost::asio::awaitable<std::string> OnPeerCall(std::uint16_t aType,
                                                  std::string aPayload,
--- a/packages/daemon/src/control_node_calls.cpp
+++ b/packages/daemon/src/control_node_calls.cpp
@@ -103,18 +103,28 @@
   return MakeAnswer(kOk);
 }
 
-awaitable<HttpResponse> ControlNode::OnPutCatalog(std::string aText)
+Result<std::uint64_t> ControlNode::CheckedVersion(std::string_view aText) const
 {
   const auto catalog = mDialect->ReadCatalog(aText);
-  const auto checked =
-    catalog ? CheckCatalog(*catalog) : Result<Unit>(catalog.GetError());
-  if (!checked) {
-    LogError(checked.GetError());
+  if (!catalog) {
+    return catalog.GetError();
+  }
+  if (const auto checked = CheckCatalog(*catalog); !checked) {
+    return checked.GetError();
+  }
+  return catalog->mVersion;
+}
+
+awaitable<HttpResponse> ControlNode::OnPutCatalog(const std::string& aText)
+{
+  const auto version = CheckedVersion(aText);
+  if (!version) {
+    LogError(version.GetError());
     mMetrics.Add(ControlCounter::CatalogsRefused);
     co_return MakeAnswer(kBadRequest);
   }
   PutCatalog put;
-  put.mCatalog = CatalogText{ catalog->mVersion, std::move(aText) };
+  put.mCatalog = CatalogText{ *version, aText };
   auto executing = Execute(std::move(put));
   const auto reply = co_await std::move(executing);
   const auto outcome = static_cast<CommitOutcome>(reply.mOutcome);
@@ -125,7 +135,7 @@
   LogFields fields;
   fields.mStep = "catalog.put";
   const std::string message =
-    "version " + std::to_string(catalog->mVersion) +
+    "version " + std::to_string(*version) +
     (isCommitted ? " committed" : " not known to be committed");
   fields.mMessage = message;
   Log(LogLevel::Info, fields);
@@ -162,6 +172,8 @@
 awaitable<ProposeReply> ControlNode::Execute(CatalogCommand aCommand)
 {
   std::string command = Encode(aCommand);
+  // The wait below holds one copy of a large catalog, not two.
+  aCommand = ReadBarrier{};
   if (mReplica.IsLeading()) {
     auto executing = ExecuteHere(std::move(command));
     auto reply = co_await std::move(executing);
