Homes that answer again are used if no other control daemon does

Cause: a home that was silent for 800 ms was excluded for 3 s without regard to whether it answers again. An outage of all control daemons of 1.6 s excludes two of three; after it the third is the only home and there is no backup, and with a third that is late there is no home at all: EdgeNode::SendStreams then gives the notice to nobody, and it is not due any more.

Change: an excluded daemon that was heard after its exclusion is selected, as home or backup, but after all that are not excluded.

--- a/packages/fleet/include/carobtide/fleet/home_selector.hpp
+++ b/packages/fleet/include/carobtide/fleet/home_selector.hpp
@@ -7,8 +7,10 @@
 
 #include "carobtide/base.hpp"
 
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <tuple>
 
 namespace carobtide {
 
@@ -47,14 +49,18 @@
   {
     FailureDomain mFailureDomain;
     Instant mHeardAt;
-    /** A home that fell silent is not selected again before this. */
+    /**
+     * Until then, a home that fell silent is selected again only if it has been
+     * heard since and no other control daemon answers.
+     */
     Instant mExcludedUntil;
   };
 
-  bool IsCandidate(Instant aNow, const Core& aCore) const;
-  /** Lower is better. */
-  std::pair<int, std::uint64_t> RankOf(const Endpoint& aAddress,
-                                       const Core& aCore) const;
+  /** Excluded, of another failure domain, hash. Lower is better. */
+  using Rank = std::tuple<bool, bool, std::uint64_t>;
+
+  static bool IsCandidate(Instant aNow, const Core& aCore);
+  Rank RankOf(Instant aNow, const Endpoint& aAddress, const Core& aCore) const;
 
   Endpoint mSelf;
   FailureDomain mFailureDomain;
--- a/packages/fleet/src/home_selector.cpp
+++ b/packages/fleet/src/home_selector.cpp
@@ -41,17 +41,18 @@
   mCores.erase(aCore);
 }
 
-std::pair<int, std::uint64_t> HomeSelector::RankOf(const Endpoint& aAddress,
-                                                   const Core& aCore) const
+HomeSelector::Rank HomeSelector::RankOf(Instant aNow, const Endpoint& aAddress,
+                                        const Core& aCore) const
 {
-  return { aCore.mFailureDomain == mFailureDomain ? 0 : 1,
+  return { aNow < aCore.mExcludedUntil, aCore.mFailureDomain != mFailureDomain,
            ComputeChecksum(mSelf.ToString() + aAddress.ToString()) };
 }
 
-bool HomeSelector::IsCandidate(Instant aNow, const Core& aCore) const
+bool HomeSelector::IsCandidate(Instant aNow, const Core& aCore)
 {
+  const bool isExcluded = aNow < aCore.mExcludedUntil;
   return aNow - aCore.mHeardAt < kCandidateTimeout &&
-         aNow >= aCore.mExcludedUntil;
+         (!isExcluded || aCore.mHeardAt > aCore.mExcludedUntil - kExclusion);
 }
 
 std::optional<Endpoint> HomeSelector::SelectBackup(Instant aNow) const
@@ -59,7 +60,8 @@
   std::optional<Endpoint> best;
   for (const auto& [address, core] : mCores) {
     if (address != mHome && IsCandidate(aNow, core) &&
-        (!best || RankOf(address, core) < RankOf(*best, mCores.at(*best)))) {
+        (!best ||
+         RankOf(aNow, address, core) < RankOf(aNow, *best, mCores.at(*best)))) {
       best = address;
     }
   }
@@ -83,8 +85,8 @@
   std::optional<Endpoint> best;
   for (const auto& [address, core] : mCores) {
     const bool isEligible = address == mHome || IsCandidate(aNow, core);
-    if (isEligible &&
-        (!best || RankOf(address, core) < RankOf(*best, mCores.at(*best)))) {
+    if (isEligible && (!best || RankOf(aNow, address, core) <
+                                  RankOf(aNow, *best, mCores.at(*best)))) {
       best = address;
     }
   }
--- a/packages/fleet/tests/home_selector_test.cpp
+++ b/packages/fleet/tests/home_selector_test.cpp
@@ -56,6 +56,39 @@
   CHECK(homes.SelectBackup(kStart) == kFar);
 }
 
+// All control daemons restarted: what is told must not wait for the end of
+// their exclusion.
+TEST_CASE("homes that answer again are used if no other one answers")
+{
+  HomeSelector homes(kSelf, FailureDomain("a"));
+  homes.OnReply(kStart, kNear, FailureDomain("a"));
+  homes.OnReply(kStart, kFar, FailureDomain("b"));
+  REQUIRE(homes.Select(kStart) == kNear);
+  REQUIRE(homes.Select(kStart + 800ms) == kFar);
+  // Silent for less than a candidate may be, but not heard since.
+  REQUIRE_FALSE(homes.Select(kStart + 1600ms));
+  CHECK_FALSE(homes.SelectBackup(kStart + 1600ms));
+  homes.OnReply(kStart + 1800ms, kFar, FailureDomain("b"));
+  CHECK(homes.Select(kStart + 1800ms) == kFar);
+  CHECK_FALSE(homes.SelectBackup(kStart + 1800ms));
+  homes.OnReply(kStart + 1900ms, kNear, FailureDomain("a"));
+  CHECK(homes.Select(kStart + 1900ms) == kNear);
+  CHECK(homes.SelectBackup(kStart + 1900ms) == kFar);
+  SECTION("and not before another one that answers")
+  {
+    const Endpoint other{ "10.0.1.3", 1 };
+    homes.OnReply(kStart + 2s, other, FailureDomain("c"));
+    CHECK(homes.Select(kStart + 2s) == other);
+    CHECK(homes.SelectBackup(kStart + 2s) == kNear);
+  }
+  SECTION("until they fall silent again")
+  {
+    homes.OnReply(kStart + 2600ms, kFar, FailureDomain("b"));
+    CHECK(homes.Select(kStart + 2700ms) == kFar);
+    CHECK_FALSE(homes.SelectBackup(kStart + 2700ms));
+  }
+}
+
 TEST_CASE("without a control daemon nearby, routing daemons spread")
 {
   std::set<Endpoint> used;
