--- a/packages/fleet/tests/stream_origins_test.cpp
+++ b/packages/fleet/tests/stream_origins_test.cpp
@@ -107,6 +107,25 @@
   CHECK_FALSE(reporter.HasNotice());
 }
 
+// A control daemon that restarted with an empty disk, or a repetition between
+// the beginning of a stream and its notice.
+TEST_CASE("streams without a known origin are repeated for a single version")
+{
+  StreamReporter reporter;
+  const SoftwareHistory one = Watch({ kOld }, 10s);
+  const StreamOrigin unknown{ kService, SoftwareVersion() };
+  reporter.OnBegun(kStart + 10s, 1, kOld, one);
+  reporter.OnBegun(kStart + 10s, 2, unknown, one);
+  reporter.Repeat();
+  for (int n = 0; n < 2; ++n) {
+    const StreamNotice notice = reporter.TakeNotice();
+    REQUIRE(notice.mGroups.size() == 1);
+    CHECK(notice.mGroups[0].mOrigin == unknown);
+    CHECK(notice.mGroups[0].mStreams == std::vector<StreamKey>{ 2 });
+    reporter.Repeat();
+  }
+}
+
 TEST_CASE("the origin of a stream is known where it was reported")
 {
   StreamOrigins origins(3);
