New streams at engines in no doubt begin without asking for the process

Cause: asked engines which process they are before new streams, too, once on each connection; where traffic is thin each stream has a connection of its own and waited for one more round trip.

Change: new streams ask only at targets in doubt, as before. An engine that restarts holds no model until it has been heard of and ordered to load one, so that no stream begins there unheard. Streams that go on are asked for as before, once on each connection.

--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -402,8 +402,11 @@
       !it->second.mDoubt.MayAsk()) {
     return false;
   }
-  // A target that this daemon has no connection to may restart unnoticed.
-  return it->second.mDoubt.IsDoubted(aNow) || it->second.mState.mLast.mEngine;
+  // A target that this daemon has no connection to may restart unnoticed. An
+  // engine holds no model then, so that no stream begins there meanwhile.
+  const bool goesOn = aState.mSoftware.has_value();
+  return it->second.mDoubt.IsDoubted(aNow) ||
+         (goesOn && it->second.mState.mLast.mEngine);
 }
 
 bool Dispatcher::OnConnectionEnded(Instant aNow, const TargetName& aTarget,
