--- a/packages/routing/tests/software_version_test.cpp
+++ b/packages/routing/tests/software_version_test.cpp
@@ -43,6 +43,27 @@
   return state;
 }
 
+/** A dispatcher, a service's only target and a stream that is sent there. */
+struct SentToService
+{
+  explicit SentToService(bool aGoesOn)
+  {
+    mTarget.mLast.mEngine = false;
+    mDispatcher.OnTarget(kNow, mTarget);
+    if (aGoesOn) {
+      mStream.mSoftware = kOld;
+    }
+    const auto decision = mDispatcher.Choose(kNow, mStream);
+    REQUIRE(std::holds_alternative<SendTo>(decision));
+    mSend = std::get<SendTo>(decision);
+  }
+
+  Dispatcher mDispatcher{ { FailureDomain("a"), { 1.0, 100, 10s }, 1 } };
+  RoutedTarget mTarget = MakeTarget("t0", kOld);
+  DispatchState mStream = MakeStream();
+  SendTo mSend;
+};
+
 } // namespace
 
 // Load pattern: half of a service's targets run a newer version, and streams
@@ -224,15 +245,8 @@
 // doubt ran out, and streams went on at the next process.
 TEST_CASE("a heartbeat that opens a target's path does not prove its process")
 {
-  Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
-  RoutedTarget plain = MakeTarget("t0", kOld);
-  plain.mLast.mEngine = false;
-  dispatcher.OnTarget(kNow, plain);
-  DispatchState goesOn = MakeStream();
-  goesOn.mSoftware = kOld;
-  const auto decision = dispatcher.Choose(kNow, goesOn);
-  REQUIRE(std::holds_alternative<SendTo>(decision));
-  const SendTo send = std::get<SendTo>(decision);
+  SentToService sent(true);
+  auto& [dispatcher, plain, goesOn, send] = sent;
   dispatcher.OnEnd(kNow, send.mSend, SendEnd::ConnectFailed, goesOn);
   CHECK_FALSE(
     dispatcher.OnProcessChecked(kNow, send, goesOn, ProcessCheck::Unstated));
@@ -250,14 +264,10 @@
 // Guards against a replaced target whose first heartbeat is seconds late.
 TEST_CASE("a target that is silent after a lost connection stays in doubt")
 {
-  Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
-  RoutedTarget plain = MakeTarget("t0", kOld);
-  plain.mLast.mEngine = false;
-  dispatcher.OnTarget(kNow, plain);
-  DispatchState begun = MakeStream();
-  const auto decision = dispatcher.Choose(kNow, begun);
-  REQUIRE(std::holds_alternative<SendTo>(decision));
-  const SendTo send = std::get<SendTo>(decision);
+  SentToService sent(false);
+  Dispatcher& dispatcher = sent.mDispatcher;
+  RoutedTarget& plain = sent.mTarget;
+  const SendTo& send = sent.mSend;
   const auto isKnown = [&](Duration aSince) {
     return !dispatcher.SoftwareOf(kNow + aSince, send, false).IsEmpty();
   };
@@ -266,7 +276,7 @@
   silent.mLast.mSequence = 2;
   SECTION("until it is heard of")
   {
-    dispatcher.OnEnd(kNow, send.mSend, SendEnd::Broken, begun);
+    dispatcher.OnEnd(kNow, send.mSend, SendEnd::Broken, sent.mStream);
     // The news comes as the doubt has just passed.
     dispatcher.OnTarget(kNow + 3700ms, silent);
     CHECK_FALSE(isKnown(3700ms));
@@ -341,15 +351,8 @@
 // connections to it only.
 TEST_CASE("the end of an idle connection puts the target's process in doubt")
 {
-  Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
-  RoutedTarget plain = MakeTarget("t0", kOld);
-  plain.mLast.mEngine = false;
-  dispatcher.OnTarget(kNow, plain);
-  DispatchState goesOn = MakeStream();
-  goesOn.mSoftware = kOld;
-  const auto decision = dispatcher.Choose(kNow, goesOn);
-  REQUIRE(std::holds_alternative<SendTo>(decision));
-  const SendTo send = std::get<SendTo>(decision);
+  SentToService sent(true);
+  auto& [dispatcher, plain, goesOn, send] = sent;
   // The connection was to an earlier process.
   CHECK_FALSE(dispatcher.OnConnectionEnded(kNow, send.mTarget, Incarnation(7)));
   CHECK_FALSE(dispatcher.MustCheckProcess(kNow, send, goesOn, false));
@@ -365,14 +368,8 @@
 // under the version of the process before.
 TEST_CASE("the software that answers is known only with the process")
 {
-  Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
-  RoutedTarget plain = MakeTarget("t0", kOld);
-  plain.mLast.mEngine = false;
-  dispatcher.OnTarget(kNow, plain);
-  DispatchState first = MakeStream();
-  const auto decision = dispatcher.Choose(kNow, first);
-  REQUIRE(std::holds_alternative<SendTo>(decision));
-  const SendTo send = std::get<SendTo>(decision);
+  SentToService sent(false);
+  auto& [dispatcher, plain, first, send] = sent;
   CHECK_FALSE(dispatcher.MustCheckProcess(kNow, send, first, false));
   CHECK(dispatcher.SoftwareOf(kNow, send, false) == kOld);
   SECTION("not after a connection broke")
