Review case 10: streams of two software versions after a restart under the same name

Cause: a stream that begins at a target of which no connection was lost is recorded under the version of the last heartbeat, also if the process at the address is another one.

Added: the case as a script.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+exec python3 -B "$(dirname "$0")/case.py"
