Review case 10: streams taken up at an edge that was frozen

Cause: an edge whose last contact with the control daemons is up to 2 s old counts as one that knows all versions, and asks nobody for the origin of a stream if it knows one version.

Added: the case as a script, with five releases.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,7 @@
-"""Streams that begin at a replica which came back with other software under its name."""
+"""Streams taken up at a front machine that was frozen while a newer version began to serve."""
 
 import pathlib
+import signal
 import sys
 import threading
 import time
@@ -10,24 +11,25 @@
 import rig  # noqa: E402
 
 SERVICE = "notes"
-STREAMS = 12
-TIME_LIMIT_MS = 20000
-# Between two batches of requests.
-QUIET_S = 6.0
-# The replica is back after some seconds, and pings about every `heartbeatMs`.
-DOWN_S = 1.5
-FIRST_PING_S = 1.0
+STREAMS = 16
+TIME_LIMIT_MS = 4000
+FROZEN_S = 0.9
+# Twice the longest time limit of a resumable route, and some more: a front machine has then
+# watched for long enough to know all versions by itself.
+WATCHED_S = 10.0
+RELEASES = 5
+DRAIN_S = 2.2
 
 
 def config():
     return {
         "version": 7,
         "routes": [{"name": "note", "host": "shop.example", "pathPrefix": "/note/",
-                    "kind": "streaming", "timeoutMs": TIME_LIMIT_MS, "sloMs": 3000,
+                    "kind": "streaming", "timeoutMs": TIME_LIMIT_MS, "sloMs": 300,
                     "priority": 1, "service": SERVICE, "maxAttempts": 2,
                     "resumable": True, "gapSloMs": 150}],
-        "services": [{"name": SERVICE, "healthPath": "/healthz", "maxConns": 360,
-                      "protocol": "h1", "tls": False}],
+        "services": [{"name": name, "healthPath": "/healthz", "maxConns": 360,
+                      "protocol": "h1", "tls": False} for name in (SERVICE,)],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
                    "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
 
@@ -42,7 +44,8 @@
         self.end = ""
 
     def read(self, edge, attempt, until, headers):
-        channel = rig.Channel((edge, self.deployment.front), timeout=12)
+        # The gap after which requesters abandon a stream.
+        channel = rig.Channel((edge, self.deployment.front), timeout=2)
         try:
             self.record.write(f"sent {attempt} to {edge}, after event {self.last}")
             channel.send("POST", "/note/x", {
@@ -70,7 +73,7 @@
                               f"{self.lines[-1:]}")
 
     def begin(self, edge):
-        self.read(edge, f"{self.name}-first", 8, {})
+        self.read(edge, f"{self.name}-first", 3, {})
 
     def take_up(self, edge):
         if self.last is not None:
@@ -78,28 +81,19 @@
                       {"Last-Event-Id": str(self.last), "Resumes": f"{self.name}-first"})
 
     def versions(self):
-        return {text.split()[1] for _, text in self.lines}
+        return [text.split()[1] for _, text in self.lines]
 
 
-def together(functions):
+def start(functions):
     threads = [threading.Thread(target=function) for function in functions]
     for thread in threads:
         thread.start()
-    for thread in threads:
-        thread.join()
+    return threads
 
 
-def batch(deployment, record, label):
-    first, second = deployment.edges
-    items = [Requester(deployment, record, f"{label}-{n}") for n in range(STREAMS)]
-    together([lambda it=it: it.begin(second) for it in items])
-    time.sleep(1.0)
-    together([lambda it=it: it.take_up(first) for it in items])
-    mixed = [it for it in items if len(it.versions()) > 1]
-    whole = [it for it in items if it.end == "whole"]
-    record.say(f"{label}: {len(items)} streams, {len(whole)} whole, {len(mixed)} with events "
-               "of two software versions")
-    return mixed
+def join(threads):
+    for thread in threads:
+        thread.join()
 
 
 def run(record, deployments):
@@ -107,25 +101,61 @@
     deployments.append(deployment)
     for ip in deployment.controls + deployment.edges:
         deployment.start(ip)
-    make = rig.StreamReplica
-    make(deployment, record, SERVICE, "i-1", f"{deployment.net}.81")
-    changed = make(deployment, record, SERVICE, "i-2", f"{deployment.net}.82")
+    rig.StreamReplica.EVENTS = 24
+    rig.StreamReplica.PAUSE_S = 0.08
+
+    def replica(version):
+        return rig.StreamReplica(deployment, record, SERVICE, f"i-{version}",
+                                 f"{deployment.net}.{80 + version}", version=f"v{version}")
+    serving = replica(1)
     time.sleep(1)
     deployment.put(config())
     deployment.wait_ready()
-    time.sleep(9)
-    batch(deployment, record, "before")
-    time.sleep(QUIET_S)
+    mixed = begun = 0
+    for version in range(2, 2 + RELEASES):
+        time.sleep(WATCHED_S)
+        newer = one_release(record, deployment, lambda: replica(version))
+        begun += newer[0]
+        mixed += newer[1]
+        # The old one drains, leaves and ends.
+        serving.drain()
+        time.sleep(DRAIN_S)
+        serving.deregister()
+        serving.end()
+        serving = newer[2]
+    record.say(f"in all {begun} streams of a new version were taken up, {mixed} hold events of "
+               "two software versions")
+    if begun < 3 * RELEASES:
+        raise rig.CannotRun("too few streams began at the new versions")
+    return 1 if mixed > 2 else 0
+
+
+def one_release(record, deployment, start_newer):
+    """Streams of the new version that were taken up, mixed ones, and the new replica."""
+    first, second = deployment.edges
+    frozen = deployment.processes[second]
+    began = time.monotonic()
     if rig.TROUBLE:
-        changed.end()
-        record.say("replica i-2 crashes")
-        time.sleep(DOWN_S)
-        make(deployment, record, SERVICE, "i-2", f"{deployment.net}.82", changed.port,
-             version="v2", first_beat_after=FIRST_PING_S)
-        record.say("it starts again under its name, with version v2")
-    time.sleep(0.2)
-    mixed = batch(deployment, record, "after")
-    return 1 if len(mixed) > 2 else 0
+        frozen.send_signal(signal.SIGSTOP)
+        record.say(f"front machine {second} freezes")
+    newer = start_newer()
+    record.say(f"a replica with version {newer.version} starts")
+    time.sleep(0.12)
+    items = [Requester(deployment, record, f"{newer.version}-{n}") for n in range(STREAMS)]
+    # The requesters' own network breaks their channels; they turn to the other daemon.
+    join(start([lambda it=it: it.begin(first) for it in items]))
+    again = start([lambda it=it: it.take_up(second) for it in items])
+    if rig.TROUBLE:
+        time.sleep(max(began + FROZEN_S - time.monotonic(), 0.05))
+        frozen.send_signal(signal.SIGCONT)
+        record.say(f"it wakes again after {time.monotonic() - began:.2f} s")
+    join(again)
+    new = [it for it in items if it.versions()[:1] == [newer.version]]
+    mixed = [it for it in items if len(set(it.versions())) > 1]
+    whole = [it for it in items if it.end == "whole"]
+    record.say(f"{len(items)} streams taken up, {len(new)} of them begun by {newer.version}; "
+               f"{len(whole)} end as whole, {len(mixed)} hold events of two software versions")
+    return len(new), len(mixed), newer
 
 
 rig.play(HERE, run)
