--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -131,6 +131,9 @@
         if not os.access(command[0], os.X_OK):
             raise CannotRun(f"{command[0]} is missing: build the deploy file first")
 
+        if resource.getrlimit(resource.RLIMIT_NOFILE)[1] < self.max_fds:
+            raise CannotRun("too few descriptors are allowed here")
+
         def limit():
             # The descriptors that the users' sheet gives a machine.
             resource.setrlimit(resource.RLIMIT_NOFILE, (self.max_fds, self.max_fds))
@@ -439,10 +442,18 @@
 
 def play(folder, run):
     """Runs a case: exit 1 if the rule was broken, 0 if it held, 2 if it could not run."""
+    # Replicas and requesters are in this process: hundreds of channels.
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    most = 16384 if hard == resource.RLIM_INFINITY else min(hard, 16384)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, most), hard))
     record = Record(pathlib.Path(folder) / "record.txt")
     record.say(f"trouble: {'yes' if TROUBLE else 'no'}")
     deployments = []
     status = 2
+
+    def stop(*_):
+        raise CannotRun("it was told to stop")
+    signal.signal(signal.SIGTERM, stop)
     try:
         status = run(record, deployments)
     except CannotRun as error:
