--- a/review/10/case.py
+++ b/review/10/case.py
@@ -158,4 +158,4 @@
     return len(new), len(mixed), newer
 
 
-rig.play(HERE, run)
+rig.play(HERE / "record.txt", run)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -78,4 +78,4 @@
     return 1 if engine.share(after) < engine.share(before) / 2 else 0
 
 
-rig.play(HERE, run)
+rig.play(HERE / "record.txt", run)
--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -440,13 +440,13 @@
         return True
 
 
-def play(folder, run):
-    """Runs a case: exit 1 if the rule was broken, 0 if it held, 2 if it could not run."""
+def play(record_path, run):
+    """Runs a case and writes its record: exit 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     # Replicas and requesters are in this process: hundreds of channels.
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     most = 16384 if hard == resource.RLIM_INFINITY else min(hard, 16384)
     resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, most), hard))
-    record = Record(pathlib.Path(folder) / "record.txt")
+    record = Record(record_path)
     record.say(f"trouble: {'yes' if TROUBLE else 'no'}")
     deployments = []
     status = 2
