Streams taken up: a majority is asked, whatever the edge knows itself

Cause: OriginSearch took "this daemon has watched for a whole window" for "it knows all that has served until now". The history counts as complete for 2 s after the last contact, so that any delay of its news below that was not seen. Beside it an edge used a version as soon as one control daemon had named it, which a majority that is asked later need not include.

Change: each stream that is taken up, and that the edge did not begin itself, asks all control daemons; a majority of the members has to answer. New streams begin at a version that a majority has named to the edge (ControlWatch). Control daemons that ended under a watch and refuse connections since count as ones with nothing to add, within the 2 s as before. An edge that hears of a version first from an answer waits for its targets. Calls to peers tell a refused connection (ConnectRefused) from one that could not be made (Unreachable).

Why it works: what a majority named before a stream began, at least one of any later majority knows, and its answer is newer than the stream. No message changed.

The section "one version for as long as a stream lasts: nobody need be asked" of stream_origins_test asserted the fault; it is replaced by one that wants a majority.

--- a/packages/base/include/carobtide/base/error.hpp
+++ b/packages/base/include/carobtide/base/error.hpp
@@ -44,9 +44,10 @@
   Unsupported,
   OutcomeUnknown,
   Internal,
+  Unreachable,
 };
 
-inline constexpr EnumTable<ErrorCode, 27> kErrorMessages{ { {
+inline constexpr EnumTable<ErrorCode, 28> kErrorMessages{ { {
   { ErrorCode::Ok, "no error" },
   { ErrorCode::Malformed, "malformed input" },
   { ErrorCode::TooLarge, "input exceeds its size limit" },
@@ -74,6 +75,7 @@
   { ErrorCode::Unsupported, "unsupported" },
   { ErrorCode::OutcomeUnknown, "outcome unknown" },
   { ErrorCode::Internal, "internal error" },
+  { ErrorCode::Unreachable, "no connection could be made" },
 } } };
 
 /** Returns the message of a code. Thread safety: any thread. */
--- a/packages/base/tests/result_test.cpp
+++ b/packages/base/tests/result_test.cpp
@@ -28,7 +28,7 @@
 
 TEST_CASE("every error code has a message")
 {
-  for (int i = 0; i <= static_cast<int>(ErrorCode::Internal); ++i) {
+  for (int i = 0; i <= static_cast<int>(ErrorCode::Unreachable); ++i) {
     CHECK(ErrorMessage(static_cast<ErrorCode>(i)) != "unknown");
   }
 }
--- a/packages/daemon/fuzz/peer_message.cpp
+++ b/packages/daemon/fuzz/peer_message.cpp
@@ -54,8 +54,8 @@
     streams.Expire(kNow);
   }
   if (const auto reply = Decode<StreamReply>(aBytes)) {
-    OriginSearch search(ServiceName("s"), {}, 1);
-    search.OnReply(*reply);
+    OriginSearch search(ServiceName("s"), {}, {});
+    search.OnReply(Endpoint{}, *reply);
     search.Result();
   }
   if (const auto record = Decode<SoftwareRecord>(aBytes)) {
--- a/packages/daemon/src/control_execute.cpp
+++ b/packages/daemon/src/control_execute.cpp
@@ -126,7 +126,8 @@
 {
   TryResult result;
   if (!aReply) {
-    const bool wasSent = aReply.Code() != ErrorCode::ConnectRefused;
+    const bool wasSent = aReply.Code() != ErrorCode::ConnectRefused &&
+                         aReply.Code() != ErrorCode::Unreachable;
     result.mCode = wasSent ? ErrorCode::OutcomeUnknown : ErrorCode::NotLeader;
     return result;
   }
--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -65,8 +65,6 @@
   // edge_node_fleet.cpp: what control daemons say, what others are told.
   boost::asio::awaitable<void> WatchCore(Endpoint aCore);
   void OnWatchReply(const Endpoint& aCore, const WatchReply& aReply);
-  /** True if a majority of the control daemons answers. */
-  bool HearsMajority(Instant aNow) const;
   void WatchNewCores(const std::vector<Endpoint>& aCores);
   std::vector<Endpoint> SeedPeers() const;
   boost::asio::awaitable<void> FetchCatalog(Endpoint aCore);
@@ -112,11 +110,19 @@
   void OnStreamBegun(StreamKey aStream, const StreamOrigin& aOrigin);
   boost::asio::awaitable<std::optional<StreamOrigin>> FindOrigin(
     StreamQuery aQuery);
+  /**
+   * Waits until a target of the version that began a stream has been seen here,
+   * or until a time.
+   */
+  boost::asio::awaitable<void> AwaitVersion(StreamOrigin aOrigin,
+                                            Instant aUntil);
   /** Asks all control daemons once. */
   boost::asio::awaitable<OriginSearch> AskForOrigin(StreamQuery aQuery);
   boost::asio::awaitable<void> QueryOrigin(Endpoint aCore, std::string aQuery,
                                            std::shared_ptr<OpenQuery> aOpen);
   void UpdateStreams();
+  /** Tells the dispatcher which versions few control daemons know. */
+  void UpdateUnestablished();
   /** Sends soon what control daemons have to be told. */
   void ReportStreams();
   boost::asio::awaitable<void> SendStreams();
@@ -153,8 +159,7 @@
   std::set<Endpoint> mCores;
   /** Addresses that were mentioned, and when last. */
   std::map<Endpoint, Instant> mMentioned;
-  /** When each control daemon last answered. */
-  std::map<Endpoint, Instant> mAnsweredAt;
+  ControlWatch mControl;
   HomeSelector mHomes;
   std::optional<Endpoint> mHome;
   /** Routing daemons, as the control daemons count them. */
--- a/packages/daemon/src/edge_node_fleet.cpp
+++ b/packages/daemon/src/edge_node_fleet.cpp
@@ -45,6 +45,18 @@
 constexpr Duration kNoticeTimeout = std::chrono::milliseconds(300);
 constexpr Duration kNoticePause = std::chrono::milliseconds(200);
 
+WatchLoss LossOf(ErrorCode aCode)
+{
+  switch (aCode) {
+    case ErrorCode::ConnectionLost:
+      return WatchLoss::Closed;
+    case ErrorCode::ConnectRefused:
+      return WatchLoss::Refused;
+    default:
+      return WatchLoss::Unclear;
+  }
+}
+
 void LogNews(TargetTransition aNews, const Heartbeat& aLast)
 {
   const std::array inputs{
@@ -88,6 +100,7 @@
     request.mUnreachable = mDispatcher.UnreachableShare();
     const bool isHome = request.mIsHome;
     std::string encoded = Encode(request);
+    const Instant sentAt = SteadyNow();
     auto calling =
       mNetwork.Call(aCore, static_cast<std::uint16_t>(FleetMessageType::Watch),
                     std::move(encoded), kWatchTimeout);
@@ -106,6 +119,7 @@
       }
       continue;
     }
+    mControl.OnLoss(now, aCore, sentAt, LossOf(reply.Code()));
     if (!isLost && now - heardAt > kSourceTimeout) {
       isLost = true;
       mFleet.DropSource(aCore);
@@ -116,7 +130,7 @@
     if (!isSeed && now - mMentioned[aCore] > kForgetCore) {
       mCores.erase(aCore);
       mMentioned.erase(aCore);
-      mAnsweredAt.erase(aCore);
+      mControl.Forget(aCore);
       mHomes.Forget(aCore);
       co_return;
     }
@@ -128,8 +142,8 @@
 void EdgeNode::OnWatchReply(const Endpoint& aCore, const WatchReply& aReply)
 {
   mHomes.OnReply(SteadyNow(), aCore, aReply.mFailureDomain);
-  mAnsweredAt[aCore] = SteadyNow();
-  if (HearsMajority(SteadyNow())) {
+  mControl.OnReply(SteadyNow(), aCore, aReply);
+  if (mControl.HearsMajority(SteadyNow(), SoftwareHistory::kMaxContactGap)) {
     mSoftware.OnContact(SteadyNow());
   }
   const bool isOtherProcess = mFleet.EpochOf(aCore) != aReply.mEpoch;
@@ -146,6 +160,7 @@
   mGuard.OnBlockChanges(SteadyNow(), aReply.mBlocks);
   ReportCrashes();
   TakeTargets(mFleet.OnReply(SteadyNow(), aCore, aReply));
+  UpdateUnestablished();
   WatchNewCores(aReply.mCores);
   if (aReply.mEdges > 0) {
     mEdges = aReply.mEdges;
@@ -158,15 +173,6 @@
   }
 }
 
-bool EdgeNode::HearsMajority(Instant aNow) const
-{
-  const auto heard =
-    std::ranges::count_if(mAnsweredAt, [&](const auto& aAnswer) {
-      return aNow - aAnswer.second <= SoftwareHistory::kMaxContactGap;
-    });
-  return 2 * static_cast<std::size_t>(heard) > mCores.size();
-}
-
 void EdgeNode::TakeTargets(const std::vector<TargetName>& aChanged)
 {
   const Instant now = SteadyNow();
--- a/packages/daemon/src/edge_node_streams.cpp
+++ b/packages/daemon/src/edge_node_streams.cpp
@@ -28,6 +28,8 @@
 /** Control daemons that do not answer yet are asked again for this long. */
 constexpr Duration kOriginPatience = std::chrono::milliseconds(1500);
 constexpr Duration kQueryPause = std::chrono::milliseconds(50);
+/** How often it is looked whether the targets of a version are known. */
+constexpr Duration kNewsPause = std::chrono::milliseconds(10);
 
 void LogSearch(const StreamQuery& aQuery, const OriginEvidence& aEvidence,
                const std::optional<StreamOrigin>& aOrigin)
@@ -42,6 +44,7 @@
     LogInput{ "replies", static_cast<std::int64_t>(aEvidence.mReplies) },
     LogInput{ "complete_replies",
               static_cast<std::int64_t>(aEvidence.mCompleteReplies) },
+    LogInput{ "ended", static_cast<std::int64_t>(aEvidence.mEnded) },
   };
   LogFields fields;
   fields.mStep = aOrigin ? "stream.origin-found" : "stream.origin-unknown";
@@ -63,11 +66,28 @@
   if (now >= mNextSoftware) {
     mNextSoftware = now + SoftwareHistory::kObserveInterval;
     mDispatcher.AddSoftware(now, mSoftware);
+    for (const ServiceName& service : mControl.Services()) {
+      mControl.ForgetSoftware(service, mSoftware.Seen(now, service));
+    }
+    UpdateUnestablished();
   }
   mStreams.Update(now, mSoftware);
   ReportStreams();
 }
 
+void EdgeNode::UpdateUnestablished()
+{
+  const Instant now = SteadyNow();
+  std::set<StreamOrigin> versions;
+  for (const ServiceName& service : mControl.Services()) {
+    const SoftwareSeen seen = mSoftware.Seen(now, service);
+    for (const auto& software : mControl.Unestablished(service, seen)) {
+      versions.insert({ service, software });
+    }
+  }
+  mDispatcher.SetUnestablished(std::move(versions));
+}
+
 void EdgeNode::ReportStreams()
 {
   if (mStreams.HasNotice() && !std::exchange(mSendsStreams, true)) {
@@ -101,10 +121,14 @@
   const auto answer = co_await std::move(calling);
   if (!answer) {
     LogError(answer.GetError());
+    if (answer.Code() == ErrorCode::ConnectRefused &&
+        mControl.HasEnded(aCore)) {
+      aOpen->mSearch.OnEnded(aCore);
+    }
   } else if (!answer->empty()) {
     const auto reply = Decode<StreamReply>(*answer, aCore.ToString());
     if (reply) {
-      aOpen->mSearch.OnReply(*reply);
+      aOpen->mSearch.OnReply(aCore, *reply);
     } else {
       LogError(reply.GetError());
     }
@@ -126,6 +150,10 @@
     auto origin = search.Result();
     if (origin || search.IsAnswered() || SteadyNow() >= until) {
       LogSearch(aQuery, search.Evidence(), origin);
+      if (origin) {
+        auto awaiting = AwaitVersion(*origin, until);
+        co_await std::move(awaiting);
+      }
       co_return origin;
     }
     pause.expires_after(kQueryPause);
@@ -133,18 +161,32 @@
   }
 }
 
+awaitable<void> EdgeNode::AwaitVersion(StreamOrigin aOrigin, Instant aUntil)
+{
+  // Control daemons know it, and their news of its targets is on the way.
+  asio::steady_timer pause(mExecutor);
+  const auto isSeen = [&] {
+    const SoftwareSeen seen = mSoftware.Seen(SteadyNow(), aOrigin.mService);
+    return std::ranges::find(seen.mVersions, aOrigin.mSoftware) !=
+           seen.mVersions.end();
+  };
+  while (!aOrigin.mSoftware.IsEmpty() && !isSeen() && SteadyNow() < aUntil) {
+    pause.expires_after(kNewsPause);
+    co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
 awaitable<OriginSearch> EdgeNode::AskForOrigin(StreamQuery aQuery)
 {
   const auto open = std::make_shared<OpenQuery>(
     OriginSearch(aQuery.mService, mSoftware.Seen(SteadyNow(), aQuery.mService),
-                 mCores.size()));
-  if (!open->mSearch.IsDecided()) {
-    // The daemon that began it may have had another home, or lost its home.
-    open->mUnanswered = mCores.size();
-    for (const Endpoint& core : mCores) {
-      asio::co_spawn(mExecutor, QueryOrigin(core, Encode(aQuery), open),
-                     asio::detached);
-    }
+                 mControl.Members()));
+  // The daemon that began it may have had another home, or lost its home. What
+  // this daemon knows may be older than the stream, whatever its age.
+  open->mUnanswered = mCores.size();
+  for (const Endpoint& core : mCores) {
+    asio::co_spawn(mExecutor, QueryOrigin(core, Encode(aQuery), open),
+                   asio::detached);
   }
   while (!open->mSearch.IsDecided() && open->mUnanswered > 0) {
     auto waiting = open->mReplied.Wait(kQueryTimeout);
--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -479,7 +479,7 @@
     co_return Attempt{ *obstacle, false };
   }
   aSend.mSoftware = mContext.mDispatcher.SoftwareOf(
-    SteadyNow(), aSend, connection->Peer().mIsProven);
+    SteadyNow(), aSend, mState, connection->Peer().mIsProven);
   mLastSend->mSoftware = aSend.mSoftware;
   mConnection = connection.get();
   mConnection->HoldIn(mContext.mMemory, PartiesOf(aSend.mTarget));
--- a/packages/daemon/src/edge_request_answer.cpp
+++ b/packages/daemon/src/edge_request_answer.cpp
@@ -334,7 +334,8 @@
   SoftwareVersion software = aSend.mSoftware;
   if (!isFirst && mState.mSoftware->IsEmpty() && !mIsAtRelay) {
     // A process that nothing else is heard of is the one that was chosen.
-    software = mContext.mDispatcher.SoftwareOf(SteadyNow(), aSend, false);
+    software =
+      mContext.mDispatcher.SoftwareOf(SteadyNow(), aSend, mState, false);
   }
   if (isFirst || (mState.mSoftware->IsEmpty() && !software.IsEmpty())) {
     mState.mSoftware = software;
--- a/packages/fleet/include/carobtide/fleet.hpp
+++ b/packages/fleet/include/carobtide/fleet.hpp
@@ -8,6 +8,7 @@
 
 #include "carobtide/fleet/block_list.hpp"
 #include "carobtide/fleet/content_board.hpp"
+#include "carobtide/fleet/control_watch.hpp"
 #include "carobtide/fleet/crash_messages.hpp"
 #include "carobtide/fleet/crash_tally.hpp"
 #include "carobtide/fleet/fleet_view.hpp"
--- a/packages/fleet/include/carobtide/fleet/stream_origins.hpp
+++ b/packages/fleet/include/carobtide/fleet/stream_origins.hpp
@@ -134,6 +134,8 @@
   std::size_t mVersions = 0;
   /** A daemon was told of the stream. */
   bool mIsTold = false;
+  /** Members whose processes are known to have ended. */
+  std::size_t mEnded = 0;
   /** The daemon that asks knows a whole window itself. */
   bool mIsWatched = false;
 };
@@ -141,12 +143,18 @@
 /**
  * Finds what began a stream that a caller takes up, from the answers of several
  * daemons. Where none was told of the stream, it is certain only if one
- * software version alone has served for as long as a stream lasts: this daemon
- * has watched that long, or a majority of the control daemons has. What a
- * majority observed once, at least one of any other majority has seen.
+ * software version alone has served for as long as a stream lasts, by the
+ * answers of a majority of the control daemons to a question that was asked
+ * after the stream was taken up. Streams begin at a version only once a
+ * majority has named it (see ControlWatch), so that one of any other majority
+ * knows it.
  *
- * Answers: daemons that restarted, all at once too, were cut off, lost their
- * disks, or see a new version later than others; no daemon answers.
+ * What this daemon watched itself is never certain while others may know more:
+ * its news may be late. It stands in only for control daemons whose processes
+ * ended while this daemon watched them, which have told nobody anything since.
+ *
+ * Answers: daemons that restarted, all at once too, were paused or cut off,
+ * lost their disks, or see a new version later than others; no daemon answers.
  *
  * Thread safety: none; the owner synchronizes access.
  */
@@ -155,22 +163,27 @@
 public:
   /**
    * Preconditions: aSeen is what this daemon itself has seen of the service;
-   * aAsked counts all control daemons, also those that cannot be reached.
+   * aMembers are the control daemons that count for a majority, also those that
+   * cannot be reached.
    */
   OriginSearch(ServiceName aService, const SoftwareSeen& aSeen,
-               std::size_t aAsked);
+               std::set<Endpoint> aMembers);
 
   /**
    * A control daemon has answered; see AnswerQuery. One of a build that kept
    * nothing over restarts answers also if it knows no whole window.
+   * Precondition: it was asked after the stream was taken up.
    */
-  void OnReply(const StreamReply& aReply);
+  void OnReply(const Endpoint& aCore, const StreamReply& aReply);
+
+  /** The process of a control daemon has ended; see ControlWatch::HasEnded. */
+  void OnEnded(const Endpoint& aCore);
 
   /** True if no further reply changes the result. */
   bool IsDecided() const;
 
   /** True if all have replied: asking again is of no use. */
-  bool IsAnswered() const { return mReplies >= mAsked; }
+  bool IsAnswered() const { return mReplied.size() >= mMembers.size(); }
 
   /** Nothing if it is not certain from the replies so far. */
   std::optional<StreamOrigin> Result() const;
@@ -183,8 +196,11 @@
   std::set<SoftwareVersion> mVersions;
   /** This daemon has watched for as long as a stream lasts. */
   bool mIsComplete = false;
-  std::size_t mAsked = 0;
-  std::size_t mReplies = 0;
+  std::set<Endpoint> mMembers;
+  /** Members that have answered. */
+  std::set<Endpoint> mReplied;
+  /** Members whose processes have ended. */
+  std::set<Endpoint> mEnded;
   std::size_t mCompleteReplies = 0;
 };
 
--- a/packages/fleet/src/stream_origins.cpp
+++ b/packages/fleet/src/stream_origins.cpp
@@ -115,17 +115,20 @@
 }
 
 OriginSearch::OriginSearch(ServiceName aService, const SoftwareSeen& aSeen,
-                           std::size_t aAsked)
+                           std::set<Endpoint> aMembers)
   : mService(std::move(aService))
   , mVersions(aSeen.mVersions.begin(), aSeen.mVersions.end())
   , mIsComplete(aSeen.mIsComplete)
-  , mAsked(aAsked)
+  , mMembers(std::move(aMembers))
 {
 }
 
-void OriginSearch::OnReply(const StreamReply& aReply)
+void OriginSearch::OnReply(const Endpoint& aCore, const StreamReply& aReply)
 {
-  ++mReplies;
+  if (mMembers.contains(aCore)) {
+    mReplied.insert(aCore);
+    mEnded.erase(aCore);
+  }
   if (aReply.mSeen.mIsComplete) {
     ++mCompleteReplies;
   }
@@ -136,9 +139,17 @@
                    aReply.mSeen.mVersions.end());
 }
 
+void OriginSearch::OnEnded(const Endpoint& aCore)
+{
+  if (mMembers.contains(aCore) && !mReplied.contains(aCore)) {
+    mEnded.insert(aCore);
+  }
+}
+
 bool OriginSearch::IsDecided() const
 {
-  return mOrigin || (mIsComplete && mVersions.size() == 1);
+  return mOrigin ||
+         (mVersions.size() == 1 && 2 * mReplied.size() > mMembers.size());
 }
 
 std::optional<StreamOrigin> OriginSearch::Result() const
@@ -146,8 +157,8 @@
   if (mOrigin) {
     return mOrigin;
   }
-  const bool isMajority = 2 * mReplies > mAsked;
-  if (mVersions.size() == 1 && (mIsComplete || isMajority)) {
+  const std::size_t known = mReplied.size() + (mIsComplete ? mEnded.size() : 0);
+  if (mVersions.size() == 1 && 2 * known > mMembers.size()) {
     return StreamOrigin{ mService, *mVersions.begin() };
   }
   return std::nullopt;
@@ -165,8 +176,14 @@
 
 OriginEvidence OriginSearch::Evidence() const
 {
-  return { mReplies, mCompleteReplies, mVersions.size(), mOrigin.has_value(),
-           mIsComplete };
+  OriginEvidence evidence;
+  evidence.mReplies = mReplied.size();
+  evidence.mCompleteReplies = mCompleteReplies;
+  evidence.mVersions = mVersions.size();
+  evidence.mIsTold = mOrigin.has_value();
+  evidence.mEnded = mEnded.size();
+  evidence.mIsWatched = mIsComplete;
+  return evidence;
 }
 
 } // namespace carobtide
--- a/packages/fleet/tests/stream_origins_test.cpp
+++ b/packages/fleet/tests/stream_origins_test.cpp
@@ -14,6 +14,12 @@
 const StreamOrigin kOld{ kService, SoftwareVersion("v1") };
 const StreamOrigin kNew{ kService, SoftwareVersion("v2") };
 
+const Endpoint kFirst{ "10.0.0.1", 1 };
+const Endpoint kSecond{ "10.0.0.2", 1 };
+const Endpoint kThird{ "10.0.0.3", 1 };
+const Endpoint kStranger{ "10.0.0.4", 1 };
+const std::set<Endpoint> kMembers{ kFirst, kSecond, kThird };
+
 /** A daemon that has watched targets of these versions for some time. */
 SoftwareHistory Watch(const std::vector<StreamOrigin>& aServing, Duration aTime)
 {
@@ -154,51 +160,110 @@
 // Fault: the daemon that knew the stream is gone, or nobody can be asked.
 TEST_CASE("a stream of unknown origin goes on only if it can have one alone")
 {
-  SECTION("one version for as long as a stream lasts: nobody need be asked")
+  SECTION("one version for as long as a stream lasts, as a majority says")
   {
-    const OriginSearch search(kService, Seen({ kOld }, 120s), 3);
+    OriginSearch search(kService, Seen({ kOld }, 120s), kMembers);
+    search.OnReply(kFirst, { std::nullopt, Seen({ kOld }, 120s) });
+    CHECK_FALSE(search.IsDecided());
+    CHECK_FALSE(search.Result());
+    search.OnReply(kSecond, { std::nullopt, Seen({ kOld }, 120s) });
     CHECK(search.IsDecided());
     CHECK(search.Result() == kOld);
   }
   SECTION("several versions, and no daemon was told")
   {
-    OriginSearch search(kService, Seen({ kOld, kNew }, 120s), 2);
-    search.OnReply({ std::nullopt, Seen({ kOld, kNew }, 120s) });
+    OriginSearch search(kService, Seen({ kOld, kNew }, 120s),
+                        { kFirst, kSecond });
+    search.OnReply(kFirst, { std::nullopt, Seen({ kOld, kNew }, 120s) });
     CHECK_FALSE(search.Result());
   }
   SECTION("a daemon was told")
   {
-    OriginSearch search(kService, Seen({ kOld, kNew }, 120s), 2);
-    search.OnReply({ std::nullopt, Seen({ kOld, kNew }, 120s) });
-    search.OnReply({ kNew, Seen({ kOld, kNew }, 120s) });
+    OriginSearch search(kService, Seen({ kOld, kNew }, 120s),
+                        { kFirst, kSecond });
+    search.OnReply(kFirst, { std::nullopt, Seen({ kOld, kNew }, 120s) });
+    search.OnReply(kSecond, { kNew, Seen({ kOld, kNew }, 120s) });
     CHECK(search.IsDecided());
     CHECK(search.Result() == kNew);
   }
   SECTION("this daemon just started and another one saw two versions")
   {
-    OriginSearch search(kService, Seen({ kNew }, 1s), 1);
+    OriginSearch search(kService, Seen({ kNew }, 1s), { kFirst });
     CHECK_FALSE(search.IsDecided());
     CHECK_FALSE(search.Result());
-    search.OnReply({ std::nullopt, Seen({ kOld, kNew }, 120s) });
+    search.OnReply(kFirst, { std::nullopt, Seen({ kOld, kNew }, 120s) });
     CHECK_FALSE(search.Result());
   }
   SECTION("this daemon just started: a majority of three has to answer")
   {
-    OriginSearch search(kService, Seen({ kOld }, 1s), 3);
-    search.OnReply({ std::nullopt, Seen({ kOld }, 120s) });
+    OriginSearch search(kService, Seen({ kOld }, 1s), kMembers);
+    search.OnReply(kFirst, { std::nullopt, Seen({ kOld }, 120s) });
+    CHECK_FALSE(search.Result());
+    // The same daemon once more, and one that is no member.
+    search.OnReply(kFirst, { std::nullopt, Seen({ kOld }, 120s) });
+    search.OnReply(kStranger, { std::nullopt, Seen({ kOld }, 120s) });
     CHECK_FALSE(search.Result());
-    search.OnReply({ std::nullopt, Seen({ kOld }, 120s) });
+    search.OnReply(kSecond, { std::nullopt, Seen({ kOld }, 120s) });
     CHECK(search.Result() == kOld);
     CHECK_FALSE(search.IsAnswered());
     // The third one was on the other side of a cut.
-    search.OnReply({ std::nullopt, Seen({ kNew }, 120s) });
+    search.OnReply(kThird, { std::nullopt, Seen({ kNew }, 120s) });
     CHECK_FALSE(search.Result());
     CHECK(search.IsAnswered());
   }
   SECTION("no daemon answers after a cut")
   {
     SoftwareHistory history = Watch({ kOld }, 120s);
-    OriginSearch search(kService, history.Seen(kStart + 125s, kService), 3);
+    OriginSearch search(kService, history.Seen(kStart + 125s, kService),
+                        kMembers);
+    CHECK_FALSE(search.Result());
+  }
+}
+
+// Guards against a stream of a newer version that goes on at the old one at a
+// daemon that was paused, or whose news is late, while the newer one began.
+TEST_CASE("what a daemon watched itself decides nothing while others may know")
+{
+  OriginSearch search(kService, Seen({ kOld }, 120s), kMembers);
+  CHECK_FALSE(search.IsDecided());
+  CHECK_FALSE(search.Result());
+  SECTION("one has heard of a newer version")
+  {
+    search.OnReply(kFirst, { std::nullopt, Seen({ kOld }, 120s) });
+    search.OnReply(kSecond, { std::nullopt, Seen({ kOld, kNew }, 120s) });
+    CHECK_FALSE(search.IsDecided());
+    CHECK_FALSE(search.Result());
+    search.OnReply(kThird, { kNew, Seen({ kOld, kNew }, 120s) });
+    CHECK(search.Result() == kNew);
+  }
+  SECTION("a minority answers and the others do not")
+  {
+    search.OnReply(kFirst, { std::nullopt, Seen({ kOld }, 120s) });
+    CHECK_FALSE(search.Result());
+  }
+}
+
+// Fault: all control daemons, or a majority of them, are killed.
+TEST_CASE("streams go on where the processes of control daemons have ended")
+{
+  SECTION("as watched by a daemon that knows a whole window")
+  {
+    OriginSearch search(kService, Seen({ kOld }, 120s), kMembers);
+    search.OnReply(kFirst, { std::nullopt, Seen({ kOld }, 120s) });
+    search.OnEnded(kStranger);
+    CHECK_FALSE(search.Result());
+    search.OnEnded(kSecond);
+    CHECK(search.Result() == kOld);
+    // It was started again.
+    search.OnReply(kSecond, { std::nullopt, Seen({ kOld, kNew }, 120s) });
+    CHECK_FALSE(search.Result());
+  }
+  SECTION("not as watched by one that just started")
+  {
+    OriginSearch search(kService, Seen({ kOld }, 1s), kMembers);
+    search.OnEnded(kFirst);
+    search.OnEnded(kSecond);
+    search.OnEnded(kThird);
     CHECK_FALSE(search.Result());
   }
 }
--- a/packages/routing/include/carobtide/routing/dispatcher.hpp
+++ b/packages/routing/include/carobtide/routing/dispatcher.hpp
@@ -29,6 +29,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -399,10 +400,11 @@
 
   /**
    * The software that answers a send; empty if it may be another process than
-   * the one that was chosen. aIsProven as for MustCheckProcess.
+   * the one that was chosen, or if the stream is new and its version is not
+   * established. aIsProven as for MustCheckProcess.
    */
   SoftwareVersion SoftwareOf(Instant aNow, const SendTo& aSend,
-                             bool aIsProven) const;
+                             const DispatchState& aState, bool aIsProven) const;
 
   /**
    * Records what a target said of its process. False if the request must not
@@ -461,6 +463,12 @@
   /** Returns and clears the demand since the last call, for the leader. */
   std::vector<DemandItem> TakeDemand(Instant aNow);
 
+  /**
+   * Versions that too few control daemons know for a new stream to begin there
+   * unless no other version has room; replaces those set before.
+   */
+  void SetUnestablished(std::set<StreamOrigin> aVersions);
+
   /** Adds the software of the targets that serve to a history. */
   void AddSoftware(Instant aNow, SoftwareHistory& aHistory) const;
 
@@ -508,6 +516,9 @@
   static constexpr std::size_t kMaxKeptReports = 64;
 
   struct Target;
+  /** True if a stream that begins at the target may be unknown to others. */
+  bool IsUnestablished(const Target& aTarget,
+                       const DispatchState& aState) const;
   /** True if the request may not go to a process that is not known. */
   static bool IsUnknownProcess(Instant aNow, const Target& aTarget,
                                const DispatchState& aState);
@@ -834,6 +845,8 @@
   std::shared_ptr<const Catalog> mCatalog;
   std::unordered_map<TargetName, Target> mTargets;
   std::unordered_map<ServiceName, Pool> mPools;
+  /** See SetUnestablished. */
+  std::set<StreamOrigin> mUnestablished;
   std::map<TargetKey, PeerLoad> mPeerLoads;
   Instant mPeerLoadsAt;
   /** The home that sent the last total, and its sequence. */
--- a/packages/routing/src/dispatcher.cpp
+++ b/packages/routing/src/dispatcher.cpp
@@ -477,13 +477,29 @@
   return true;
 }
 
+bool Dispatcher::IsUnestablished(const Target& aTarget,
+                                 const DispatchState& aState) const
+{
+  const bool goesOn = aState.mSoftware && !aState.mSoftware->IsEmpty();
+  const Heartbeat& last = aTarget.mState.mLast;
+  return aState.mFacts.mKind == RequestKind::ResumableStream && !goesOn &&
+         mUnestablished.contains({ last.mService, last.mSoftware });
+}
+
+void Dispatcher::SetUnestablished(std::set<StreamOrigin> aVersions)
+{
+  mUnestablished = std::move(aVersions);
+}
+
 SoftwareVersion Dispatcher::SoftwareOf(Instant aNow, const SendTo& aSend,
+                                       const DispatchState& aState,
                                        bool aIsProven) const
 {
   const auto it = mTargets.find(aSend.mTarget);
   const bool isKnown =
     it != mTargets.end() &&
     it->second.mState.mLast.mIncarnation == aSend.mIncarnation &&
+    !IsUnestablished(it->second, aState) &&
     (aIsProven || !it->second.mDoubt.IsDoubted(aNow));
   return isKnown ? it->second.mState.mLast.mSoftware : SoftwareVersion();
 }
--- a/packages/routing/src/dispatcher_choice.cpp
+++ b/packages/routing/src/dispatcher_choice.cpp
@@ -27,8 +27,8 @@
 constexpr double kHangPenalty = 1.0;
 /** Penalty for a target without recent heartbeats at any daemon. */
 constexpr double kSilencePenalty = 0.4;
-/** Penalty for a target that may have restarted with other software. */
-constexpr double kUnknownProcessPenalty = 2.0;
+/** Penalty for a target whose software others may not know. */
+constexpr double kUnknownOriginPenalty = 2.0;
 /** Bonus for a target that was recently sent the same shared prefix. */
 constexpr double kSharedPrefixBonus = 0.06;
 /** A shorter wait for the first byte never counts as a hang. */
@@ -290,6 +290,8 @@
     if (isUnknownProcess && aState.mSoftware) {
       continue;
     }
+    const bool hasUnknownOrigin =
+      isUnknownProcess || IsUnestablished(target, aState);
     const Instant sendableAt = SendableAt(aNow, target);
     const bool isHeldBack = sendableAt > aNow;
     const bool isReachable = IsReachable(target);
@@ -360,7 +362,7 @@
     // What begins there might be taken for a stream of another version.
     const double score = ScoreOf(aNow, target, aPool, facts, total) +
                          OrderedPenalty(aState, name) +
-                         (isUnknownProcess ? kUnknownProcessPenalty : 0);
+                         (hasUnknownOrigin ? kUnknownOriginPenalty : 0);
     Search& kept = isBarred ? barred : search;
     if (kept.mBest == nullptr || score < kept.mScore) {
       kept.mBest = &target;
--- a/packages/routing/tests/software_version_test.cpp
+++ b/packages/routing/tests/software_version_test.cpp
@@ -86,6 +86,47 @@
   }
 }
 
+// Guards against new streams of a version that few control daemons know: who
+// takes them up elsewhere would be told of the old version alone.
+TEST_CASE("a new stream begins at a version that a majority knows")
+{
+  Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
+  dispatcher.OnTarget(kNow, MakeTarget("t0", kOld));
+  dispatcher.OnTarget(kNow, MakeTarget("t1", kNew));
+  dispatcher.SetUnestablished({ { kService, kNew } });
+  for (int n = 0; n < 3; ++n) {
+    DispatchState state = MakeStream();
+    const auto decision = dispatcher.Choose(kNow, state);
+    REQUIRE(std::holds_alternative<SendTo>(decision));
+    CHECK(std::get<SendTo>(decision).mSoftware == kOld);
+  }
+  SECTION("one that is known to have begun at the other goes on there")
+  {
+    DispatchState state = MakeStream();
+    state.mSoftware = kNew;
+    const auto decision = dispatcher.Choose(kNow, state);
+    REQUIRE(std::holds_alternative<SendTo>(decision));
+    const SendTo& send = std::get<SendTo>(decision);
+    CHECK(send.mTarget == TargetName("t1"));
+    CHECK(dispatcher.SoftwareOf(kNow, send, state, true) == kNew);
+  }
+  SECTION("without another target it begins there, and its origin is unknown")
+  {
+    RoutedTarget gone = MakeTarget("t0", kOld);
+    gone.mLast.mPhase = TargetPhase::Draining;
+    dispatcher.OnTarget(kNow, gone);
+    DispatchState state = MakeStream();
+    const auto decision = dispatcher.Choose(kNow, state);
+    REQUIRE(std::holds_alternative<SendTo>(decision));
+    const SendTo& send = std::get<SendTo>(decision);
+    CHECK(dispatcher.SoftwareOf(kNow, send, state, true).IsEmpty());
+    // Known once a majority has named the version.
+    state.mSoftware = SoftwareVersion();
+    dispatcher.SetUnestablished({});
+    CHECK(dispatcher.SoftwareOf(kNow, send, state, true) == kNew);
+  }
+}
+
 TEST_CASE("a begun stream is rejected at once when its software is gone")
 {
   Dispatcher dispatcher({ FailureDomain("a"), { 1.0, 100, 10s }, 1 });
@@ -225,7 +266,7 @@
   SECTION("it is the same process: its connection was reset, and streams go on")
   {
     CHECK(dispatcher.OnProcessChecked(kNow, *lost, goesOn, ProcessCheck::Same));
-    CHECK(dispatcher.SoftwareOf(kNow, *lost, false) == kOld);
+    CHECK(dispatcher.SoftwareOf(kNow, *lost, {}, false) == kOld);
     chooseFor(kNow, false);
     // Another connection leads to the process that it says on that one.
     CHECK(dispatcher.MustCheckProcess(kNow, *lost, goesOn, false));
@@ -253,7 +294,7 @@
   plain.mLast.mSequence = 2;
   dispatcher.OnTarget(kNow + 3s, plain);
   CHECK_FALSE(dispatcher.MaySend(kNow + 6500ms, send, goesOn));
-  CHECK(dispatcher.SoftwareOf(kNow + 6500ms, send, false).IsEmpty());
+  CHECK(dispatcher.SoftwareOf(kNow + 6500ms, send, {}, false).IsEmpty());
   CHECK(dispatcher.MaySend(kNow + 6700ms, send, goesOn));
   // The path was open: there is nothing new to doubt.
   plain.mLast.mSequence = 3;
@@ -269,7 +310,7 @@
   RoutedTarget& plain = sent.mTarget;
   const SendTo& send = sent.mSend;
   const auto isKnown = [&](Duration aSince) {
-    return !dispatcher.SoftwareOf(kNow + aSince, send, false).IsEmpty();
+    return !dispatcher.SoftwareOf(kNow + aSince, send, {}, false).IsEmpty();
   };
   RoutedTarget silent = plain;
   silent.mSilent = true;
@@ -339,7 +380,7 @@
   REQUIRE(std::holds_alternative<SendTo>(after));
   dispatcher.OnEnd(kNow + 2s, std::get<SendTo>(before).mSend, SendEnd::Broken,
                    first);
-  CHECK(dispatcher.SoftwareOf(kNow + 2s, std::get<SendTo>(after), false) ==
+  CHECK(dispatcher.SoftwareOf(kNow + 2s, std::get<SendTo>(after), {}, false) ==
         kNew);
   DispatchState third = MakeStream();
   const auto next = dispatcher.Choose(kNow + 2s, third);
@@ -371,26 +412,26 @@
   SentToService sent(false);
   auto& [dispatcher, plain, first, send] = sent;
   CHECK_FALSE(dispatcher.MustCheckProcess(kNow, send, first, false));
-  CHECK(dispatcher.SoftwareOf(kNow, send, false) == kOld);
+  CHECK(dispatcher.SoftwareOf(kNow, send, {}, false) == kOld);
   SECTION("not after a connection broke")
   {
     dispatcher.OnEnd(kNow, send.mSend, SendEnd::Broken, first);
-    CHECK(dispatcher.SoftwareOf(kNow + 3500ms, send, false).IsEmpty());
+    CHECK(dispatcher.SoftwareOf(kNow + 3500ms, send, {}, false).IsEmpty());
     // It said so on the connection, or would have been heard of by now.
-    CHECK(dispatcher.SoftwareOf(kNow + 3500ms, send, true) == kOld);
-    CHECK(dispatcher.SoftwareOf(kNow + 3700ms, send, false) == kOld);
+    CHECK(dispatcher.SoftwareOf(kNow + 3500ms, send, {}, true) == kOld);
+    CHECK(dispatcher.SoftwareOf(kNow + 3700ms, send, {}, false) == kOld);
   }
   SECTION("not after it ended an idle connection")
   {
     CHECK(dispatcher.OnConnectionEnded(kNow, send.mTarget, send.mIncarnation));
-    CHECK(dispatcher.SoftwareOf(kNow, send, false).IsEmpty());
+    CHECK(dispatcher.SoftwareOf(kNow, send, {}, false).IsEmpty());
   }
   SECTION("not of a process that was replaced")
   {
     RoutedTarget restarted = MakeTarget("t0", kNew);
     restarted.mLast.mIncarnation = Incarnation(2);
     dispatcher.OnTarget(kNow, restarted);
-    CHECK(dispatcher.SoftwareOf(kNow, send, true).IsEmpty());
+    CHECK(dispatcher.SoftwareOf(kNow, send, {}, true).IsEmpty());
   }
 }
 
--- a/packages/transport/include/carobtide/transport/peer_channel.hpp
+++ b/packages/transport/include/carobtide/transport/peer_channel.hpp
@@ -47,7 +47,12 @@
   Result<Unit> Listen(const Endpoint& aAddress);
   Endpoint Address() const;
 
-  /** Calls a peer and waits for its reply. */
+  /**
+   * Calls a peer and waits for its reply. Errors: ConnectRefused, nothing
+   * listens there; Unreachable, no connection for another reason; in both cases
+   * nothing was sent. ConnectionLost and Timeout: the peer may have been
+   * called.
+   */
   boost::asio::awaitable<Result<std::string>> Call(Endpoint aPeer,
                                                    std::uint16_t aType,
                                                    std::string aPayload,
--- a/packages/transport/src/peer_channel.cpp
+++ b/packages/transport/src/peer_channel.cpp
@@ -65,6 +65,7 @@
   awaitable<void> Connect();
   void StartConnecting();
   Result<tcp::endpoint> Resolve() const;
+  /** Why the last connection could not be made. */
   Error ConnectError() const;
 
   asio::any_io_executor mExecutor;
@@ -75,6 +76,8 @@
   bool mConnecting = false;
   bool mStopped = false;
   std::vector<asio::steady_timer*> mConnectWaiters;
+  /** Of the last attempt to connect. */
+  ErrorCode mConnectCode = ErrorCode::Unreachable;
 };
 
 void PeerDialer::Send(Frame aFrame)
@@ -112,8 +115,7 @@
 
 Error PeerDialer::ConnectError() const
 {
-  return MakeError(ErrorCode::ConnectRefused, "peer.connect",
-                   mAddress.ToString());
+  return MakeError(mConnectCode, "peer.connect", mAddress.ToString());
 }
 
 awaitable<void> PeerDialer::Connect()
@@ -136,6 +138,9 @@
                                    redirect_error(use_awaitable, ec));
   }
   timer.cancel();
+  mConnectCode = ec == asio::error::connection_refused
+                   ? ErrorCode::ConnectRefused
+                   : ErrorCode::Unreachable;
   const bool isConnected = endpoint && !ec && !mStopped && socket->is_open();
   if (isConnected) {
     mLink = std::make_shared<PeerLink>(std::move(*socket), mHandlers);
