The leader is told of every target that a heartbeat changes

Cause: TargetDirectory::TakeAddress ends the process that had an address inside the call that reports another one. Both callers in the control daemon passed on the target that they were given, so that the planner counted the ended process as a holder for as long as its daemon led.

Change: TargetDirectory::TakeUpdated names all targets that any call has updated, and is the only source of what the control daemon and FleetView pass on: heartbeats, notices, drains, limits, leaves, silence, forgotten records. Every 2 s the leader compares the planner's engines with the directory and passes a difference on (target.reconciled, targets_reconciled_total); an engine that leaves the planner is logged (engine.dropped).

Why it works: what a call changes and what is passed on are the same list; and a change that is lost all the same ends with the next comparison.

Related paths: takeover by a new leader and restarts (read the whole directory); limits and drains (kept with the record); loads and observations (expire); FleetView (had its own search for such changes, now the same list).

--- a/packages/daemon/src/control_metrics.hpp
+++ b/packages/daemon/src/control_metrics.hpp
@@ -27,9 +27,11 @@
   OrdersAccepted,
   OrdersUnanswered,
   CrashReportsTaken,
+  /** Engines that the planner did not count as the directory does. */
+  TargetsReconciled,
 };
 
-inline constexpr EnumTable<ControlCounter, 10> kControlCounters{ { {
+inline constexpr EnumTable<ControlCounter, 11> kControlCounters{ { {
   { ControlCounter::LeadershipsGained, "leaderships_gained" },
   { ControlCounter::LeadershipsLost, "leaderships_lost" },
   { ControlCounter::CatalogsAcknowledged, "catalogs_acknowledged" },
@@ -40,6 +42,7 @@
   { ControlCounter::OrdersAccepted, "orders_accepted" },
   { ControlCounter::OrdersUnanswered, "orders_unanswered" },
   { ControlCounter::CrashReportsTaken, "crash_reports_taken" },
+  { ControlCounter::TargetsReconciled, "targets_reconciled" },
 } } };
 
 /**
--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -343,8 +343,9 @@
       for (const TargetName& target : mTargets.Expire(now)) {
         mMetrics.Add(ControlCounter::TargetsSilent);
         Log(LogLevel::Info, { "target.silent", target.Text(), {}, {}, {} });
-        OnDirectoryChange(target);
       }
+      PassDirectoryUpdates();
+      ReconcilePlanner(now);
       std::erase_if(mEdges, [&](const auto& aEdge) {
         const bool isLost = now - aEdge.second.mAskedAt > kEdgeTimeout;
         if (isLost) {
--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -122,7 +122,11 @@
   void ApplyCommand(const LogEntry& aEntry);
   void OnCatalogChange();
   void OnReplicaChange();
-  void OnDirectoryChange(const TargetName& aTarget);
+  /** Passes on every target that the directory has updated. */
+  void PassDirectoryUpdates();
+  void PassTarget(const TargetName& aTarget);
+  /** Drops what the planner believes of engines and the directory does not. */
+  void ReconcilePlanner(Instant aNow);
   void StepPlanner();
   void Perform(const RequestEngineReport& aEffect);
   void Perform(const IssueOrder& aEffect);
@@ -171,6 +175,7 @@
   /** When the blocks are next sent to the other control daemons. */
   Instant mNextBlocks;
   Instant mNextPublish;
+  Instant mNextReconcile;
   /** Routing daemons that watch. */
   std::map<Endpoint, Watcher> mEdges;
   RelayBoard mRelays;
--- a/packages/daemon/src/control_node_calls.cpp
+++ b/packages/daemon/src/control_node_calls.cpp
@@ -79,7 +79,7 @@
   const auto effect = mTargets.OnHeartbeat(SteadyNow(), *heartbeat);
   if (effect != HeartbeatEffect::Stale) {
     SendToPeers(FleetMessageType::HeartbeatNotice, *heartbeat);
-    OnDirectoryChange(aTarget);
+    PassDirectoryUpdates();
   }
   return MakeAnswer(kOk);
 }
@@ -98,7 +98,7 @@
     notice.mTarget = aTarget;
     notice.mIncarnation = mTargets.Find(aTarget)->mLast.mIncarnation;
     SendToPeers(FleetMessageType::LeaveNotice, notice);
-    OnDirectoryChange(aTarget);
+    PassDirectoryUpdates();
   }
   return MakeAnswer(kOk);
 }
--- a/packages/daemon/src/control_node_leader.cpp
+++ b/packages/daemon/src/control_node_leader.cpp
@@ -31,6 +31,8 @@
 constexpr Duration kAdapterLoadTime = std::chrono::milliseconds(10);
 /** Residency without new orders is compared this often. */
 constexpr Duration kPublishInterval = std::chrono::milliseconds(100);
+/** How often the planner's engines are compared with the directory. */
+constexpr Duration kReconcileInterval = std::chrono::seconds(2);
 constexpr std::uint16_t kOk = 200;
 
 } // namespace
@@ -137,14 +139,35 @@
   mAllowance.Step(aNow);
 }
 
-void ControlNode::OnDirectoryChange(const TargetName& aTarget)
+void ControlNode::PassTarget(const TargetName& aTarget)
 {
   const FleetRecord* record = mTargets.Find(aTarget);
   if (record != nullptr && !record->mSilent) {
     ObserveSoftware(*record);
   }
-  if (mPlanner && record != nullptr) {
+  if (!mPlanner) {
+    return;
+  }
+  const bool wasTracked = mPlanner->Tracks(aTarget);
+  if (record != nullptr) {
     mPlanner->OnTarget(SteadyNow(), *record);
+  } else {
+    mPlanner->OnForgotten(aTarget);
+  }
+  if (wasTracked && !mPlanner->Tracks(aTarget)) {
+    Log(LogLevel::Info, { "engine.dropped",
+                          aTarget.Text(),
+                          {},
+                          {},
+                          record != nullptr ? "its process has ended"
+                                            : "not heard of for long" });
+  }
+}
+
+void ControlNode::PassDirectoryUpdates()
+{
+  for (const TargetName& target : mTargets.TakeUpdated()) {
+    PassTarget(target);
   }
   if (mTargets.RoutingChange() != mNotifiedChange) {
     mNotifiedChange = mTargets.RoutingChange();
@@ -152,6 +175,24 @@
   }
 }
 
+void ControlNode::ReconcilePlanner(Instant aNow)
+{
+  if (!mPlanner || aNow < mNextReconcile) {
+    return;
+  }
+  mNextReconcile = aNow + kReconcileInterval;
+  const auto differing = mPlanner->FindDiffering(mTargets.All());
+  for (const TargetName& target : differing) {
+    mMetrics.Add(ControlCounter::TargetsReconciled);
+    Log(LogLevel::Warning, { "target.reconciled",
+                             target.Text(),
+                             {},
+                             {},
+                             "not as in the directory" });
+    PassTarget(target);
+  }
+}
+
 void ControlNode::StepPlanner()
 {
   if (!mPlanner) {
--- a/packages/daemon/src/control_node_peers.cpp
+++ b/packages/daemon/src/control_node_peers.cpp
@@ -145,16 +145,14 @@
       break;
     case FleetMessageType::HeartbeatNotice:
       take(Heartbeat{}, [&](const Heartbeat& aHeartbeat) {
-        if (mTargets.OnHeartbeat(now, aHeartbeat) != HeartbeatEffect::Stale) {
-          OnDirectoryChange(aHeartbeat.mTarget);
-        }
+        mTargets.OnHeartbeat(now, aHeartbeat);
+        PassDirectoryUpdates();
       });
       break;
     case FleetMessageType::LeaveNotice:
       take(LeaveNotice{}, [&](const LeaveNotice& aNotice) {
-        if (mTargets.OnLeave(now, aNotice.mTarget, aNotice.mIncarnation)) {
-          OnDirectoryChange(aNotice.mTarget);
-        }
+        mTargets.OnLeave(now, aNotice.mTarget, aNotice.mIncarnation);
+        PassDirectoryUpdates();
       });
       break;
     case FleetMessageType::Load:
@@ -271,7 +269,7 @@
   if (!std::exchange(aNotice.mIsRelayed, true)) {
     SendToPeers(FleetMessageType::DrainNotice, aNotice);
   }
-  OnDirectoryChange(aNotice.mTarget);
+  PassDirectoryUpdates();
 }
 
 void ControlNode::OnLimitNotice(LimitNotice aNotice)
@@ -284,7 +282,7 @@
   if (!std::exchange(aNotice.mIsRelayed, true)) {
     SendToPeers(FleetMessageType::LimitNotice, aNotice);
   }
-  OnDirectoryChange(aNotice.mTarget);
+  PassDirectoryUpdates();
 }
 
 bool ControlNode::HasNews(const WatchRequest& aRequest) const
--- a/packages/fleet/include/carobtide/fleet/target_directory.hpp
+++ b/packages/fleet/include/carobtide/fleet/target_directory.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace carobtide {
@@ -51,6 +52,10 @@
  * stays gone, and its service stays the same, whatever arrives later from the
  * same incarnation.
  *
+ * One call may change other targets than the one that it names, as a process
+ * that takes an address over ends the one that had it. What derives state from
+ * the directory passes all of TakeUpdated on.
+ *
  * Thread safety: none; the owner guards it.
  */
 class TargetDirectory
@@ -78,6 +83,13 @@
   bool OnLeave(Instant aNow, const TargetName& aTarget,
                Incarnation aIncarnation);
 
+  /**
+   * The targets that were heard of, changed or forgotten since the last call,
+   * whichever call did it; each once, in the order of the first. Find tells
+   * their state now, null for a forgotten one.
+   */
+  std::vector<TargetName> TakeUpdated();
+
   /** Marks silent targets and forgets old records; the names marked now. */
   std::vector<TargetName> Expire(Instant aNow);
 
@@ -126,7 +138,8 @@
   bool IsStale(const Heartbeat& aHeartbeat) const;
   /** Marks older processes at an address as gone; false if one is newer. */
   bool TakeAddress(const Heartbeat& aHeartbeat);
-  void MarkChanged(Entry& aEntry) { aEntry.mChange = ++mChange; }
+  void MarkUpdated(const TargetName& aTarget);
+  void MarkChanged(Entry& aEntry);
   void MarkRoutingChanged(Entry& aEntry);
 
   TargetDirectoryOptions mOptions;
@@ -134,6 +147,9 @@
   std::uint64_t mChange = 0;
   std::uint64_t mRoutingChange = 0;
   std::uint64_t mForgottenChange = 0;
+  /** See TakeUpdated. */
+  std::vector<TargetName> mUpdated;
+  std::unordered_set<TargetName> mIsUpdated;
 };
 
 } // namespace carobtide
--- a/packages/fleet/src/fleet_view.cpp
+++ b/packages/fleet/src/fleet_view.cpp
@@ -95,12 +95,11 @@
     } else {
       source.mSilent.erase(name);
     }
-    const std::uint64_t before = mTargets.Change();
     TakeRecord(aNow, record);
-    // A process that took an address also changes the one that had it.
-    for (const FleetRecord& other : mTargets.ChangedSince(before)) {
-      changed.insert(other.mLast.mTarget);
-    }
+    changed.insert(name);
+  }
+  // A process that took an address also changes the one that had it.
+  for (const TargetName& name : mTargets.TakeUpdated()) {
     changed.insert(name);
   }
   for (const ResidencyMap& map : aReply.mResidency) {
--- a/packages/fleet/src/target_directory.cpp
+++ b/packages/fleet/src/target_directory.cpp
@@ -28,6 +28,25 @@
 {
 }
 
+void TargetDirectory::MarkUpdated(const TargetName& aTarget)
+{
+  if (mIsUpdated.insert(aTarget).second) {
+    mUpdated.push_back(aTarget);
+  }
+}
+
+std::vector<TargetName> TargetDirectory::TakeUpdated()
+{
+  mIsUpdated.clear();
+  return std::exchange(mUpdated, {});
+}
+
+void TargetDirectory::MarkChanged(Entry& aEntry)
+{
+  aEntry.mChange = ++mChange;
+  MarkUpdated(aEntry.mRecord.mLast.mTarget);
+}
+
 void TargetDirectory::MarkRoutingChanged(Entry& aEntry)
 {
   MarkChanged(aEntry);
@@ -93,6 +112,7 @@
     last.mPhase = std::max(before.mPhase, last.mPhase);
   }
   entry.mHeardAt = aNow;
+  MarkUpdated(aHeartbeat.mTarget);
   const bool returned = std::exchange(entry.mRecord.mSilent, false);
   if (!isNew && !returned && SaysTheSame(before, last)) {
     return HeartbeatEffect::Refreshed;
@@ -167,6 +187,7 @@
     if (age >= mOptions.mRetention) {
       mForgottenChange = ++mChange;
       mRoutingChange = mChange;
+      MarkUpdated(it->first);
       it = mEntries.erase(it);
       continue;
     }
@@ -185,8 +206,13 @@
 void TargetDirectory::ForgetGone(Instant aBefore)
 {
   std::erase_if(mEntries, [&](const auto& aItem) {
-    return aItem.second.mRecord.mLast.mPhase == TargetPhase::Gone &&
-           aItem.second.mHeardAt < aBefore;
+    const bool isForgotten =
+      aItem.second.mRecord.mLast.mPhase == TargetPhase::Gone &&
+      aItem.second.mHeardAt < aBefore;
+    if (isForgotten) {
+      MarkUpdated(aItem.first);
+    }
+    return isForgotten;
   });
 }
 
--- a/packages/fleet/tests/target_directory_test.cpp
+++ b/packages/fleet/tests/target_directory_test.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <vector>
+
 namespace carobtide {
 
 namespace {
@@ -109,6 +112,58 @@
   CHECK(PhaseOf(directory, "2") == TargetPhase::Ready);
 }
 
+// Guards against a planner that counts with a process whose address another
+// one has taken: what changes beside the target of a call is named, too.
+TEST_CASE("all targets that a call changed are named")
+{
+  TargetDirectory directory;
+  const auto updated = [&] {
+    auto names = directory.TakeUpdated();
+    std::ranges::sort(names);
+    return names;
+  };
+  const std::vector<TargetName> one{ TargetName("1") };
+  const std::vector<TargetName> two{ TargetName("2") };
+  const std::vector<TargetName> both{ TargetName("1"), TargetName("2") };
+  directory.OnHeartbeat(kStart, MakeHeartbeat("1", 5, 1));
+  CHECK(updated() == one);
+  CHECK(updated().empty());
+  // A heartbeat that changes nothing is still one.
+  directory.OnHeartbeat(kStart, MakeHeartbeat("1", 5, 2));
+  CHECK(updated() == one);
+  directory.OnHeartbeat(kStart, MakeHeartbeat("1", 5, 2));
+  CHECK(updated().empty());
+  SECTION("by a heartbeat that takes an address")
+  {
+    auto next = MakeHeartbeat("2", 7, 1);
+    next.mAddress = Endpoint{ "10.0.0.1", 80 };
+    directory.OnHeartbeat(kStart + 1s, next);
+    CHECK(updated() == both);
+    CHECK(PhaseOf(directory, "1") == TargetPhase::Gone);
+  }
+  SECTION("by silence, and by oblivion")
+  {
+    directory.OnHeartbeat(kStart + 1s, MakeHeartbeat("2", 5, 1));
+    updated();
+    directory.Expire(kStart + 4s);
+    CHECK(updated() == one);
+    directory.Expire(kStart + 60s);
+    CHECK(updated() == both);
+    CHECK(directory.Find(TargetName("1")) == nullptr);
+  }
+  SECTION("by what it says of itself")
+  {
+    directory.OnHeartbeat(kStart, MakeHeartbeat("2", 5, 1));
+    updated();
+    directory.OnDraining(TargetName("1"), Incarnation(5));
+    CHECK(updated() == one);
+    directory.OnLimit(TargetName("2"), Incarnation(5), { 3.0, 1 });
+    CHECK(updated() == two);
+    directory.OnLeave(kStart, TargetName("1"), Incarnation(5));
+    CHECK(updated() == one);
+  }
+}
+
 TEST_CASE("a watcher is told just what changed")
 {
   TargetDirectory directory;
--- a/packages/placement/include/carobtide/placement/engine_tracker.hpp
+++ b/packages/placement/include/carobtide/placement/engine_tracker.hpp
@@ -169,6 +169,9 @@
   /** Number of orders that the engine accepted, as far as known. */
   std::uint64_t Accepted() const { return mAccepted; }
 
+  /** True if it was not heard of lately, as of the last heartbeat passed. */
+  bool IsSilent() const { return mSilent; }
+
   bool HasCopyInMemory(const ModelName& aModel) const;
   bool HasCopyOnDisk(const ModelName& aModel) const;
 
--- a/packages/placement/include/carobtide/placement/residency_planner.hpp
+++ b/packages/placement/include/carobtide/placement/residency_planner.hpp
@@ -84,6 +84,23 @@
   /** Tracks an engine by its latest record; forgets it once it is gone. */
   void OnTarget(Instant aNow, const FleetRecord& aRecord);
 
+  /** True if it counts with what the engine holds. */
+  bool Tracks(const TargetName& aTarget) const
+  {
+    return mEngines.contains(aTarget);
+  }
+
+  /** Nothing is known of a target any more. */
+  void OnForgotten(const TargetName& aTarget);
+
+  /**
+   * Targets that the planner counts otherwise than these records, which are all
+   * that are known: engines without a record, of another incarnation or phase,
+   * or engines that it lacks. None as long as it is told of every change.
+   */
+  std::vector<TargetName> FindDiffering(
+    const std::vector<const FleetRecord*>& aRecords) const;
+
   /** Handles a routing daemon's demand report. */
   void OnDemand(Instant aNow, const DemandReport& aReport);
 
