One check of what counts as an answer, for all readers

On every status from 000 to 099, 101, 199 and 600 to 999 was passed on, and an answer in a transfer coding that is not read came as 200 with the coded body. Field names with a blank or a control byte were refused already.

Cause: what counts as an answer was left to the parser, for which a status is any three digits and a coding that it does not know a body up to the connection's end. Interim heads were taken for final ones.

Change: HttpConnection::ReadHead passes each head through CheckResponseHead: final statuses are 200 to 599, 100, 102 and 103 are read past, all else is none; field names are tokens, values have no control bytes, also behind the last chunk; the only coding is chunked. What fails ends its connection, is counted (malformed_answers) and named in request.send-ended (flaw). A request that would not be one request for its receiver is not sent, and a field of an answer that would not be one field is left out.

An order whose answer was none gets 502 and has run once at most; an idempotent request goes elsewhere.

Related paths: both request paths, relays, reports, checks of processes, the leader's orders, announcers, operators' commands, the load tool (all through ReadHead).

--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -432,6 +432,8 @@
              static_cast<double>(read.mOversizedRequests) },
            { "oversized_answers",
              static_cast<double>(read.mOversizedResponses) },
+           { "malformed_answers",
+             static_cast<double>(read.mMalformedResponses) },
            { "streams_known", static_cast<double>(mStreams.Size()) },
            { "watches_waiting", static_cast<double>(mNews.Waiting()) },
            { "log_lines_dropped", static_cast<double>(DroppedLogLines()) },
--- a/packages/daemon/src/control_node_leader.cpp
+++ b/packages/daemon/src/control_node_leader.cpp
@@ -276,6 +276,8 @@
     const auto head = co_await std::move(sending);
     if (head) {
       NoteTarget(*head, aAsk.mTarget, aAsk.mIncarnation);
+    } else {
+      LogError(head.GetError());
     }
     if (head && head->mStatus == kOk) {
       auto reading = (*connection)->ReadAll(kMaxAnswerBytes, kTargetTimeout);
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -255,6 +255,8 @@
              static_cast<double>(read.mOversizedRequests) },
            { "oversized_answers",
              static_cast<double>(read.mOversizedResponses) },
+           { "malformed_answers",
+             static_cast<double>(read.mMalformedResponses) },
            { "requests_waiting_for_credit",
              static_cast<double>(mAllowance.Waiting()) },
            { "open_requests", static_cast<double>(mCallers.OpenExchanges()) },
--- a/packages/daemon/src/edge_request.cpp
+++ b/packages/daemon/src/edge_request.cpp
@@ -268,7 +268,8 @@
     mMayHaveRun = mMayHaveRun || !IsNotRun(attempt.mEnd);
     const bool again =
       mContext.mDispatcher.OnEnd(SteadyNow(), send.mSend, attempt.mEnd, mState);
-    mTrail.OnSendEnded(send, attempt.mEnd, attempt.mFraming, again);
+    mTrail.OnSendEnded(send, attempt.mEnd, attempt.mFraming, again,
+                       std::exchange(mFlaw, {}));
     mContext.NotifyCapacity();
     auto noting = NoteEvidence(send, sentAt, attempt, again);
     co_await std::move(noting);
@@ -381,8 +382,11 @@
   co_await std::move(waiting);
 }
 
-SendEnd EdgeRequest::EndOf(const Error& aError) const
+SendEnd EdgeRequest::EndOf(const Error& aError)
 {
+  if (aError.mCode == ErrorCode::Malformed) {
+    mFlaw = aError.mDetail;
+  }
   if (mIsGone) {
     return SendEnd::CallerGone;
   }
--- a/packages/daemon/src/edge_request.hpp
+++ b/packages/daemon/src/edge_request.hpp
@@ -167,7 +167,8 @@
   boost::asio::awaitable<void> Answer(std::uint16_t aStatus,
                                       Duration aRetryAfter,
                                       std::string aReason);
-  SendEnd EndOf(const Error& aError) const;
+  /** Also notes what made an answer none. */
+  SendEnd EndOf(const Error& aError);
   Duration Left() const;
   /** True if the daemon may end before a target has answered. */
   bool IsTooLateToSend() const;
@@ -233,6 +234,8 @@
   Instant mEventAt;
   Duration mLongestPause{ 0 };
   std::string mLastTarget;
+  /** What made the last answer none in the protocol. */
+  std::string mFlaw;
   Fingerprints mFingerprints;
   RequestTrail mTrail;
 };
--- a/packages/daemon/src/request_trail.cpp
+++ b/packages/daemon/src/request_trail.cpp
@@ -82,13 +82,15 @@
 }
 
 void RequestTrail::OnSendEnded(const SendTo& aSend, SendEnd aEnd,
-                               BodyFraming aFraming, bool aMayRepeat)
+                               BodyFraming aFraming, bool aMayRepeat,
+                               std::string aFlaw)
 {
   Entry& entry = Add(TrailStep::SendEnded);
   entry.mTarget = aSend.mTarget;
   entry.mEnd = aEnd;
   entry.mFraming = aFraming;
   entry.mMayRepeat = aMayRepeat;
+  entry.mDetail = std::move(aFlaw);
 }
 
 void RequestTrail::OnRefused(const Rejection& aAway)
@@ -207,6 +209,9 @@
     case TrailStep::SendEnded:
       inputs.push_back({ "end", kSendEnds.Name(aEntry.mEnd) });
       inputs.push_back({ "framing", kBodyFramings.Name(aEntry.mFraming) });
+      if (!aEntry.mDetail.empty()) {
+        inputs.push_back({ "flaw", std::string_view(aEntry.mDetail) });
+      }
       inputs.push_back(
         { "then", std::string_view(aEntry.mMayRepeat ? "repeat" : "final") });
       break;
--- a/packages/daemon/src/request_trail.hpp
+++ b/packages/daemon/src/request_trail.hpp
@@ -88,9 +88,12 @@
   void OnRouted(const SendTo& aSend, std::string_view aAfterEvent);
   /** The target said which process it is, before the request was sent. */
   void OnProcessChecked(const SendTo& aSend, ProcessCheck aCheck);
-  /** `aFraming` is that of the target's answer. */
+  /**
+   * `aFraming` is that of the target's answer; `aFlaw` says what made it none,
+   * if it was none in the protocol.
+   */
   void OnSendEnded(const SendTo& aSend, SendEnd aEnd, BodyFraming aFraming,
-                   bool aMayRepeat);
+                   bool aMayRepeat, std::string aFlaw = {});
   void OnRefused(const Rejection& aAway);
   /** The allowance of its organisation does not bear the request. */
   void OnOverAllowance(const OrganisationName& aOrganisation, Credit aCost,
--- a/packages/transport/include/carobtide/transport/http_read_stats.hpp
+++ b/packages/transport/include/carobtide/transport/http_read_stats.hpp
@@ -9,11 +9,14 @@
 
 namespace carobtide {
 
-/** Messages that broke a bound of their reader, since the process started. */
+/** Messages that were not taken, since the process started. */
 struct HttpReadStats
 {
+  /** Those that broke a bound of their reader. */
   std::uint64_t mOversizedRequests = 0;
   std::uint64_t mOversizedResponses = 0;
+  /** Bytes that are no answer of the protocol. */
+  std::uint64_t mMalformedResponses = 0;
 };
 
 /** Thread safety: any thread. */
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -1,6 +1,7 @@
 #include "carobtide/transport/http_client.hpp"
 
 #include "http_errors.hpp"
+#include "http_grammar.hpp"
 #include "http_reader.hpp"
 #include "silence.hpp"
 
@@ -37,6 +38,8 @@
 /** A body up to this size needs no room of an account. */
 constexpr std::size_t kFreeBodyBytes = 2 * kBodyChunkBytes;
 constexpr std::uint32_t kMaxResponseHeaderBytes = 65536;
+/** Interim heads before a final one. */
+constexpr int kMaxInterimHeads = 8;
 
 class BeastConnection final : public HttpConnection
 {
@@ -86,6 +89,10 @@
   /** Takes room for a body of which this much is read, and some more. */
   awaitable<Result<Unit>> MakeRoom(Bytes aRead, Bytes aLimit,
                                    Duration aTimeout);
+  /** Reads the next head, interim or final, and checks it. */
+  awaitable<Result<ResponseHeadKind>> ReadOneHead();
+  /** Ends the connection after something that is no answer. */
+  Error EndMalformed(Error aError);
   HttpResponseHead TakeHead();
   Error LibraryError(const beast::error_code& aCode,
                      std::string_view aStep) const
@@ -159,6 +166,11 @@
   const HttpRequest& aRequest, std::string_view aBody, Duration aTimeout)
 {
   beast::error_code ec;
+  if (!MayBeSent(aRequest)) {
+    mStream.close();
+    co_return carobtide::MakeError(ErrorCode::Malformed, "http.check-request",
+                                   mPeerName, "nothing was sent");
+  }
   const auto message = MakeMessage(aRequest, aBody);
   mFraming = BodyFraming::None;
   SetTimeout(aTimeout);
@@ -173,17 +185,20 @@
   co_return head;
 }
 
-awaitable<Result<HttpResponseHead>> BeastConnection::ReadHead(Duration aTimeout)
+Error BeastConnection::EndMalformed(Error aError)
+{
+  HttpReader::CountMalformedResponse();
+  mStream.close();
+  return aError;
+}
+
+awaitable<Result<ResponseHeadKind>> BeastConnection::ReadOneHead()
 {
-  mFraming = BodyFraming::None;
-  // The body before is not held any more.
-  mBodyHold.Release();
   mParser.emplace();
   mParser->header_limit(kMaxResponseHeaderBytes);
   mParser->body_limit(boost::none);
   mParser->skip(mSkipBody);
   mReader.BeginMessage();
-  SetTimeout(aTimeout);
   while (!mParser->is_header_done()) {
     auto advancing = mReader.Advance(*mParser, "http.read-response");
     auto advanced = co_await std::move(advancing);
@@ -197,7 +212,35 @@
     co_return carobtide::MakeError(ErrorCode::TooLarge, "http.read-response",
                                    mPeerName, "too many header fields");
   }
-  co_return TakeHead();
+  const auto kind = CheckResponseHead(head, mPeerName);
+  if (!kind) {
+    Error error = EndMalformed(kind.GetError());
+    co_return error;
+  }
+  co_return *kind;
+}
+
+awaitable<Result<HttpResponseHead>> BeastConnection::ReadHead(Duration aTimeout)
+{
+  mFraming = BodyFraming::None;
+  // The body before is not held any more.
+  mBodyHold.Release();
+  // One deadline for all heads: interim ones might come for ever.
+  SetTimeout(aTimeout);
+  for (int n = 0; n <= kMaxInterimHeads; ++n) {
+    auto reading = ReadOneHead();
+    const auto kind = co_await std::move(reading);
+    if (!kind) {
+      co_return kind.GetError();
+    }
+    if (*kind == ResponseHeadKind::Final) {
+      co_return TakeHead();
+    }
+  }
+  Error error = EndMalformed(
+    carobtide::MakeError(ErrorCode::Malformed, "http.read-response", mPeerName,
+                         "too many interim heads"));
+  co_return error;
 }
 
 awaitable<Result<bool>> BeastConnection::ReadSome(std::string& aOut,
@@ -218,6 +261,13 @@
       co_return advanced.GetError();
     }
   }
+  if (mParser->is_done() && mFraming == BodyFraming::Chunks) {
+    // Fields behind the last chunk are among those of the head now.
+    if (auto checked = CheckFields(mParser->get(), mPeerName); !checked) {
+      Error error = EndMalformed(checked.GetError());
+      co_return error;
+    }
+  }
   co_return !mParser->is_done();
 }
 
--- a/packages/transport/src/http_connection.cpp
+++ b/packages/transport/src/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "http_connection.hpp"
 
 #include "http_errors.hpp"
+#include "http_grammar.hpp"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -56,11 +57,14 @@
   return kBadRequest;
 }
 
+/** Leaves out what would not be one field for the client. */
 template<class Fields>
 void CopyHeaders(const HttpHeaders& aFrom, Fields& aTo)
 {
   for (const auto& [name, value] : aFrom.All()) {
-    aTo.insert(name, value);
+    if (IsFieldName(name) && IsFieldValue(value)) {
+      aTo.insert(name, value);
+    }
   }
 }
 
--- a/packages/transport/src/http_reader.cpp
+++ b/packages/transport/src/http_reader.cpp
@@ -26,12 +26,13 @@
 
 std::atomic<std::uint64_t> gOversizedRequests{ 0 };
 std::atomic<std::uint64_t> gOversizedResponses{ 0 };
+std::atomic<std::uint64_t> gMalformedResponses{ 0 };
 
 } // namespace
 
 HttpReadStats GetHttpReadStats()
 {
-  return { gOversizedRequests, gOversizedResponses };
+  return { gOversizedRequests, gOversizedResponses, gMalformedResponses };
 }
 
 HttpReadBounds HttpReadBounds::ForHead(std::size_t aMaxHeadBytes)
@@ -115,6 +116,21 @@
          mBounds.mMaxOverhead + mBounds.mOverheadPerBodyByte * mBodyBytes;
 }
 
+void HttpReader::CountMalformedResponse()
+{
+  ++gMalformedResponses;
+}
+
+Error HttpReader::MakeReadError(const beast::error_code& aCode,
+                                std::string_view aStep, bool aIsRequest) const
+{
+  Error error = TransportError(aCode, aStep, mPeerName);
+  if (!aIsRequest && error.mCode == ErrorCode::Malformed) {
+    CountMalformedResponse();
+  }
+  return error;
+}
+
 Error HttpReader::MakeOverrun(std::string_view aStep, std::string_view aBound,
                               bool aIsRequest) const
 {
@@ -153,7 +169,8 @@
       mTaken += taken;
     }
     if (ec && ec != http::error::need_more && ec != http::error::need_buffer) {
-      co_return TransportError(ec, aStep, mPeerName);
+      const Error error = MakeReadError(ec, aStep, IsRequest);
+      co_return error;
     }
     if (taken > 0 || ec != http::error::need_more) {
       co_return Success();
@@ -179,7 +196,8 @@
       ec = http::error::end_of_stream;
     }
     if (ec) {
-      co_return TransportError(ec, aStep, mPeerName);
+      const Error error = MakeReadError(ec, aStep, IsRequest);
+      co_return error;
     }
   }
 }
--- a/packages/transport/src/http_reader.hpp
+++ b/packages/transport/src/http_reader.hpp
@@ -91,6 +91,9 @@
     boost::beast::http::basic_parser<IsRequest>& aParser,
     std::string_view aStep);
 
+  /** Counts an answer that is none, see HttpReadStats. */
+  static void CountMalformedResponse();
+
   /** True if a head of so many fields is within the bounds. */
   bool MayHaveFields(std::ptrdiff_t aFields) const
   {
@@ -115,6 +118,9 @@
   bool IsLastChunkCut(
     const boost::beast::http::basic_parser<IsRequest>& aParser) const;
   bool IsOverheadExceeded() const;
+  /** The error of a parser or a socket; counts answers that are none. */
+  Error MakeReadError(const boost::beast::error_code& aCode,
+                      std::string_view aStep, bool aIsRequest) const;
   Error MakeOverrun(std::string_view aStep, std::string_view aBound,
                     bool aIsRequest) const;
 
