Majorities of control daemons are counted over members

Cause: edges and a replacement that catches up counted majorities over all addresses they had ever heard of. The replaced one stays a seed in settings: 2 of 4 is no majority.

Change: control daemons mention the members of the control log and the daemons that they hear; edges count over those, and CatchUpSoftware asks and counts members.

Why it works: an address that can never answer again is no member once the log has replaced it, and majorities of memberships that differ by one share a daemon.

Related paths: allowances (members already), homes, notices.

--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -106,6 +106,8 @@
   boost::asio::awaitable<ProposeReply> Execute(CatalogCommand aCommand);
   boost::asio::awaitable<ProposeReply> ExecuteHere(std::string aCommand);
   WatchReply MakeWatchReply(const WatchRequest& aRequest) const;
+  /** The control daemons that routing daemons watch and count majorities of. */
+  std::vector<Endpoint> MentionedCores() const;
   /** Asks the leader for the residency changes that were missed, if any. */
   void RequestResidency();
   void OnResidencyRequest(const ResidencyRequest& aRequest);
@@ -137,6 +139,11 @@
   boost::asio::awaitable<void> SendOrder(ResidencyOrder aOrder);
   void PublishResidency();
   Endpoint LeaderAddress() const;
+  /**
+   * The members of the control log, this daemon included; none before it has
+   * heard of any.
+   */
+  std::vector<Endpoint> MemberAddresses() const;
   /** Grants credit of allowances that has become available. */
   void StepAllowance(Instant aNow);
   std::string RenderMetrics() const;
--- a/packages/daemon/src/control_node_leader.cpp
+++ b/packages/daemon/src/control_node_leader.cpp
@@ -122,6 +122,19 @@
   return ParseEndpoint(leader->mDaemon.Text()).value_or(Endpoint{});
 }
 
+std::vector<Endpoint> ControlNode::MemberAddresses() const
+{
+  std::vector<Endpoint> addresses;
+  if (mReplica.IsStarted()) {
+    for (const Member& it : mReplica.Log().CurrentMembership().mMembers) {
+      if (const auto address = ParseEndpoint(it.mDaemon.Text())) {
+        addresses.push_back(*address);
+      }
+    }
+  }
+  return addresses;
+}
+
 void ControlNode::StepAllowance(Instant aNow)
 {
   if (!mReplica.IsStarted()) {
@@ -131,10 +144,7 @@
   standing.mTerm = mReplica.Log().Term();
   standing.mLeader = LeaderAddress();
   standing.mIsLeading = mReplica.IsLeading();
-  for (const Member& it : mReplica.Log().CurrentMembership().mMembers) {
-    standing.mMembers.push_back(
-      ParseEndpoint(it.mDaemon.Text()).value_or(Endpoint{}));
-  }
+  standing.mMembers = MemberAddresses();
   mAllowance.SetStanding(aNow, standing);
   mAllowance.Step(aNow);
 }
--- a/packages/daemon/src/control_node_peers.cpp
+++ b/packages/daemon/src/control_node_peers.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace carobtide {
@@ -25,6 +26,8 @@
 /** Least time between two answers to one watcher, for each home watcher. */
 constexpr Duration kAnswerIntervalPerWatcher = std::chrono::milliseconds(1);
 constexpr Duration kMinAnswerInterval = std::chrono::milliseconds(20);
+/** A daemon that is no member yet is mentioned while it is heard of. */
+constexpr Duration kMentionTimeout = std::chrono::milliseconds(1500);
 /** An adapter that takes longer is not waited for. */
 constexpr Duration kAdapterTimeout = std::chrono::milliseconds(250);
 
@@ -296,6 +299,24 @@
                                  aRequest.mResidencyVersion));
 }
 
+std::vector<Endpoint> ControlNode::MentionedCores() const
+{
+  const auto members = MemberAddresses();
+  if (members.empty()) {
+    std::vector<Endpoint> known = mPeers.Addresses();
+    known.push_back(mSettings.mPeerAddress);
+    return known;
+  }
+  // Seeds that were replaced stay in settings for long.
+  std::set<Endpoint> cores(members.begin(), members.end());
+  cores.insert(mSettings.mPeerAddress);
+  for (const PeerInfo& peer :
+       mPeers.HeardWithin(SteadyNow(), kMentionTimeout)) {
+    cores.insert(peer.mAddress);
+  }
+  return { cores.begin(), cores.end() };
+}
+
 WatchReply ControlNode::MakeWatchReply(const WatchRequest& aRequest) const
 {
   WatchReply reply;
@@ -313,8 +334,7 @@
       SteadyNow(), aRequest.mResidencyTerm, aRequest.mResidencyVersion));
   }
   reply.mFailureDomain = mSettings.mFailureDomain;
-  reply.mCores = mPeers.Addresses();
-  reply.mCores.push_back(mSettings.mPeerAddress);
+  reply.mCores = MentionedCores();
   reply.mEdges = static_cast<std::uint32_t>(mEdges.size());
   if (aRequest.mIsHome) {
     reply.mRelays = mRelays.Select(aRequest.mFrom, aRequest.mFailureDomain);
--- a/packages/daemon/src/control_node_software.cpp
+++ b/packages/daemon/src/control_node_software.cpp
@@ -103,7 +103,11 @@
     std::vector<ServiceName> services;
     std::ranges::transform(mCatalog->mServices, std::back_inserter(services),
                            &CatalogService::mName);
-    const auto peers = mPeers.Addresses();
+    // Addresses of daemons that were replaced never answer.
+    auto peers = MemberAddresses();
+    if (std::erase(peers, mSettings.mPeerAddress) == 0) {
+      continue;
+    }
     SoftwareCatchUp catchUp(services, peers.size() + 1);
     for (const Endpoint& peer : peers) {
       for (const ServiceName& service : services) {
--- a/packages/fleet/src/control_watch.cpp
+++ b/packages/fleet/src/control_watch.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /** A member is mentioned in each answer; watches are answered each second. */
-constexpr Duration kMentionAge = std::chrono::seconds(5);
+constexpr Duration kMentionAge = std::chrono::milliseconds(2500);
 /**
  * A watch that waited for less may have been sent to a process that had ended
  * before: the time of a round trip, with a margin.
