Heartbeats of other services do not end targets that serve

Cause: TakeAddress took any younger heartbeat for the next process at the address; the target's own heartbeats were then those of an ended one.

Change: in the control daemons' directory a target that is heard of keeps its address against heartbeats of other services until it is silent or gone, and a service that the configuration does not name neither holds nor takes an address. A process of the same service takes it at once, as after a restart. All entries at an address are looked at before one is changed.

Why it works: the target's own heartbeats are what confirms it, and they go on being taken.

Related path: FleetView, which follows the control daemons, is as before.

--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -89,6 +89,7 @@
 {
   TargetDirectoryOptions options;
   options.mSilenceTimeout = kMissedHeartbeats * aSettings.mHeartbeatInterval;
+  options.mKeepsAddresses = true;
   return options;
 }
 
--- a/packages/daemon/src/control_node_leader.cpp
+++ b/packages/daemon/src/control_node_leader.cpp
@@ -11,7 +11,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <array>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace carobtide {
@@ -64,6 +67,11 @@
   }
   mCatalog = std::make_shared<const Catalog>(std::move(*catalog));
   mSoftware.SetWindow(LongestStream(*mCatalog));
+  std::set<ServiceName> services;
+  std::ranges::transform(mCatalog->mServices,
+                         std::inserter(services, services.end()),
+                         &CatalogService::mName);
+  mTargets.SetServices(std::move(services));
   mAllowance.SetCatalog(SteadyNow(), mCatalog);
   if (mPlanner) {
     mPlanner->SetCatalog(mCatalog);
--- a/packages/fleet/include/carobtide/fleet/target_directory.hpp
+++ b/packages/fleet/include/carobtide/fleet/target_directory.hpp
@@ -8,6 +8,7 @@
 #include "carobtide/fleet/target.hpp"
 
 #include <cstdint>
+#include <set>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -38,6 +39,12 @@
    * long, so that a heartbeat delayed by a partition is known as stale.
    */
   Duration mRetention = std::chrono::seconds(60);
+  /**
+   * A target that is heard of keeps its address against those of other
+   * services. For directories that hear of targets themselves: others are told
+   * both that one has ended and that another one has its address.
+   */
+  bool mKeepsAddresses = false;
   /** Most records; further targets are not taken. */
   std::size_t mMaxTargets = 20'000;
 };
@@ -50,7 +57,9 @@
  * of another writer that name another service for a known process. A target
  * that drains stays draining for the rest of its incarnation, one that is gone
  * stays gone, and its service stays the same, whatever arrives later from the
- * same incarnation.
+ * same incarnation. With mKeepsAddresses also heartbeats that claim the address
+ * of a target that serves: only a process of the same service takes it at once,
+ * as after a restart; one of another service once the target is silent or gone.
  *
  * One call may change other targets than the one that it names, as a process
  * that takes an address over ends the one that had it. What derives state from
@@ -63,6 +72,12 @@
 public:
   explicit TargetDirectory(TargetDirectoryOptions aOptions = {});
 
+  /**
+   * The services that exist: targets of others neither hold nor take an
+   * address. None: not known yet, all count.
+   */
+  void SetServices(std::set<ServiceName> aServices);
+
   /** Takes a heartbeat that came directly or through another daemon. */
   HeartbeatEffect OnHeartbeat(Instant aNow, const Heartbeat& aHeartbeat);
 
@@ -136,13 +151,19 @@
   };
 
   bool IsStale(const Heartbeat& aHeartbeat) const;
-  /** Marks older processes at an address as gone; false if one is newer. */
+  /** Marks older processes at an address as gone; false if one keeps it. */
   bool TakeAddress(const Heartbeat& aHeartbeat);
+  /** True if a target keeps its address against a newer heartbeat. */
+  bool KeepsAddress(const FleetRecord& aRecord,
+                    const Heartbeat& aHeartbeat) const;
+  bool IsService(const ServiceName& aService) const;
   void MarkUpdated(const TargetName& aTarget);
   void MarkChanged(Entry& aEntry);
   void MarkRoutingChanged(Entry& aEntry);
 
   TargetDirectoryOptions mOptions;
+  /** See SetServices. */
+  std::set<ServiceName> mServices;
   std::unordered_map<TargetName, Entry> mEntries;
   std::uint64_t mChange = 0;
   std::uint64_t mRoutingChange = 0;
--- a/packages/fleet/src/target_directory.cpp
+++ b/packages/fleet/src/target_directory.cpp
@@ -71,19 +71,49 @@
          aHeartbeat.mSequence <= last.mSequence;
 }
 
+void TargetDirectory::SetServices(std::set<ServiceName> aServices)
+{
+  mServices = std::move(aServices);
+}
+
+bool TargetDirectory::IsService(const ServiceName& aService) const
+{
+  return mServices.empty() || mServices.contains(aService);
+}
+
+bool TargetDirectory::KeepsAddress(const FleetRecord& aRecord,
+                                   const Heartbeat& aHeartbeat) const
+{
+  const Heartbeat& last = aRecord.mLast;
+  if (!mOptions.mKeepsAddresses) {
+    return last.mIncarnation > aHeartbeat.mIncarnation;
+  }
+  const bool isService = IsService(last.mService);
+  if (isService != IsService(aHeartbeat.mService)) {
+    return isService && last.mPhase != TargetPhase::Gone;
+  }
+  const bool isServing = !aRecord.mSilent && last.mPhase != TargetPhase::Gone;
+  return last.mIncarnation > aHeartbeat.mIncarnation ||
+         (isServing && last.mService != aHeartbeat.mService);
+}
+
 bool TargetDirectory::TakeAddress(const Heartbeat& aHeartbeat)
 {
+  std::vector<Entry*> others;
   for (auto& [name, entry] : mEntries) {
-    Heartbeat& other = entry.mRecord.mLast;
-    if (name == aHeartbeat.mTarget || other.mAddress != aHeartbeat.mAddress) {
+    if (name == aHeartbeat.mTarget ||
+        entry.mRecord.mLast.mAddress != aHeartbeat.mAddress) {
       continue;
     }
-    if (other.mIncarnation > aHeartbeat.mIncarnation) {
+    if (KeepsAddress(entry.mRecord, aHeartbeat)) {
       return false;
     }
-    if (other.mPhase != TargetPhase::Gone) {
-      other.mPhase = TargetPhase::Gone;
-      MarkRoutingChanged(entry);
+    others.push_back(&entry);
+  }
+  for (Entry* other : others) {
+    if (other->mRecord.mLast.mPhase != TargetPhase::Gone) {
+      other->mRecord.mLast.mPhase = TargetPhase::Gone;
+      MarkRoutingChanged(*other);
     }
   }
   return true;
--- a/packages/fleet/tests/target_directory_test.cpp
+++ b/packages/fleet/tests/target_directory_test.cpp
@@ -164,6 +164,64 @@
   }
 }
 
+// Guards against heartbeats of another writer that end the targets whose
+// addresses they name: nothing was served there any more.
+TEST_CASE("a target that serves keeps its address against other services")
+{
+  TargetDirectoryOptions options;
+  options.mKeepsAddresses = true;
+  TargetDirectory directory(options);
+  const auto first = MakeHeartbeat("1", 5, 1);
+  auto other = MakeHeartbeat("2", 7, 1);
+  other.mAddress = first.mAddress;
+  other.mService = ServiceName("odd");
+  directory.OnHeartbeat(kStart, first);
+  CHECK(directory.OnHeartbeat(kStart + 1s, other) == HeartbeatEffect::Stale);
+  CHECK(PhaseOf(directory, "1") == TargetPhase::Ready);
+  CHECK(directory.OnHeartbeat(kStart + 1s, MakeHeartbeat("1", 5, 2)) ==
+        HeartbeatEffect::Refreshed);
+  SECTION("until it is silent")
+  {
+    directory.Expire(kStart + 5s);
+    CHECK(directory.OnHeartbeat(kStart + 5s, other) ==
+          HeartbeatEffect::Changed);
+    CHECK(PhaseOf(directory, "1") == TargetPhase::Gone);
+  }
+  SECTION("or gone")
+  {
+    directory.OnLeave(kStart + 2s, TargetName("1"), Incarnation(5));
+    CHECK(directory.OnHeartbeat(kStart + 2s, other) ==
+          HeartbeatEffect::Changed);
+  }
+  SECTION("but a process of its own service takes it at once")
+  {
+    other.mService = first.mService;
+    CHECK(directory.OnHeartbeat(kStart + 2s, other) ==
+          HeartbeatEffect::Changed);
+    CHECK(PhaseOf(directory, "1") == TargetPhase::Gone);
+  }
+}
+
+// The same where the other writer comes first, or the target falls silent.
+TEST_CASE("a service that no configuration names holds no address")
+{
+  TargetDirectoryOptions options;
+  options.mKeepsAddresses = true;
+  TargetDirectory directory(options);
+  directory.SetServices({ ServiceName("lm") });
+  auto odd = MakeHeartbeat("2", 7, 1);
+  odd.mAddress = Endpoint{ "10.0.0.1", 80 };
+  odd.mService = ServiceName("odd");
+  directory.OnHeartbeat(kStart, odd);
+  CHECK(directory.OnHeartbeat(kStart, MakeHeartbeat("1", 5, 1)) ==
+        HeartbeatEffect::Changed);
+  odd.mIncarnation = Incarnation(8);
+  CHECK(directory.OnHeartbeat(kStart, odd) == HeartbeatEffect::Stale);
+  directory.Expire(kStart + 5s);
+  CHECK(directory.OnHeartbeat(kStart + 5s, odd) == HeartbeatEffect::Stale);
+  CHECK(PhaseOf(directory, "1") == TargetPhase::Ready);
+}
+
 TEST_CASE("a watcher is told just what changed")
 {
   TargetDirectory directory;
