Idle connections are closed when their peer has ended

Cause: a pool closed idle connections of an address only when the address was used again, or where connections are kept for long. Those of targets that were replaced, 64 each, stayed until no descriptor was left. The control daemon's pool of engines had the same.

The ends that it finds tell of their processes as before. idle_connections tells how many there are.

Why it works: a process that ends closes its connections, which shows on the socket whether or not the address is used again.

Related paths: the pools of the load tool and the announcers have a fixed set of peers.

--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -32,6 +32,8 @@
 constexpr Duration kCandidateTimeout = std::chrono::milliseconds(1000);
 constexpr Duration kMembershipInterval = std::chrono::milliseconds(200);
 constexpr Duration kExpiryInterval = std::chrono::milliseconds(200);
+/** Targets that ended hold descriptors of this daemon for that long. */
+constexpr Duration kSweepInterval = std::chrono::seconds(1);
 /** Blocks are repeated to control daemons that restarted or were cut off. */
 constexpr Duration kBlockInterval = std::chrono::seconds(2);
 /** Between handing leadership over and the end of the process. */
@@ -347,6 +349,10 @@
       }
       PassDirectoryUpdates();
       ReconcilePlanner(now);
+      if (now >= mNextSweep) {
+        mNextSweep = now + kSweepInterval;
+        mPool.Sweep();
+      }
       std::erase_if(mEdges, [&](const auto& aEdge) {
         const bool isLost = now - aEdge.second.mAskedAt > kEdgeTimeout;
         if (isLost) {
@@ -435,6 +441,7 @@
              static_cast<double>(read.mOversizedResponses) },
            { "malformed_answers",
              static_cast<double>(read.mMalformedResponses) },
+           { "idle_connections", static_cast<double>(mPool.IdleCount()) },
            { "streams_known", static_cast<double>(mStreams.Size()) },
            { "watches_waiting", static_cast<double>(mNews.Waiting()) },
            { "log_lines_dropped", static_cast<double>(DroppedLogLines()) },
--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -183,6 +183,8 @@
   Instant mNextBlocks;
   Instant mNextPublish;
   Instant mNextReconcile;
+  /** When idle connections are next looked through. */
+  Instant mNextSweep;
   /** Routing daemons that watch. */
   std::map<Endpoint, Watcher> mEdges;
   RelayBoard mRelays;
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -257,6 +257,7 @@
              static_cast<double>(read.mOversizedResponses) },
            { "malformed_answers",
              static_cast<double>(read.mMalformedResponses) },
+           { "idle_connections", static_cast<double>(mPool.IdleCount()) },
            { "requests_waiting_for_credit",
              static_cast<double>(mAllowance.Waiting()) },
            { "open_requests", static_cast<double>(mCallers.OpenExchanges()) },
--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -169,6 +169,8 @@
   /** When the last load report was sent, and whether it had any load. */
   Instant mReportedAt;
   bool mHadLoad = false;
+  /** When idle connections are next looked through. */
+  Instant mNextSweep;
   Instant mSamplesSentAt;
   PeerNetwork mNetwork;
   HttpPool mPool;
--- a/packages/daemon/src/edge_node_fleet.cpp
+++ b/packages/daemon/src/edge_node_fleet.cpp
@@ -39,6 +39,8 @@
 constexpr Duration kMinReportInterval = std::chrono::milliseconds(25);
 constexpr Duration kMaxReportInterval = std::chrono::milliseconds(500);
 constexpr Duration kDemandInterval = std::chrono::milliseconds(250);
+/** Targets that ended hold descriptors of this daemon for that long. */
+constexpr Duration kSweepInterval = std::chrono::seconds(1);
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(400);
 /** A notice that no home confirms is given up after about ten seconds. */
 constexpr int kMaxNoticeSends = 20;
@@ -461,6 +463,10 @@
     mGuard.Expire(SteadyNow());
     ReportCrashes();
     UpdateStreams();
+    if (SteadyNow() >= mNextSweep) {
+      mNextSweep = SteadyNow() + kSweepInterval;
+      mPool.Sweep();
+    }
     const Endpoint leader = mFleet.Leader();
     if (!leader.mHost.empty()) {
       mNetwork.Send(leader,
--- a/packages/transport/include/carobtide/transport/http_client.hpp
+++ b/packages/transport/include/carobtide/transport/http_client.hpp
@@ -207,6 +207,15 @@
   /** Connections made since construction. */
   std::uint64_t Connects() const;
 
+  /** Idle connections to all addresses. */
+  std::size_t IdleCount() const;
+
+  /**
+   * Closes idle connections that are over their time or that the peer has
+   * ended, also to addresses that are not used again. Call once a second or so.
+   */
+  void Sweep();
+
   /** Closes the idle connections to an address. */
   void DropIdle(const Endpoint& aAddress);
 
--- a/packages/transport/src/http_pool.cpp
+++ b/packages/transport/src/http_pool.cpp
@@ -8,6 +8,7 @@
 #include <iterator>
 #include <map>
 #include <mutex>
+#include <numeric>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -30,12 +31,6 @@
  * seconds only can be stated, so that its limit may be shorter than one.
  */
 constexpr Duration kUnstatedIdleTime = std::chrono::milliseconds(500);
-/**
- * Where connections are kept for long, expired ones are closed this often. An
- * address that is not used again would otherwise hold its descriptors for good.
- */
-constexpr Duration kSweepInterval = std::chrono::seconds(1);
-
 /** A connection in use remembers its executor until it is released. */
 class PooledConnection final : public HttpConnection
 {
@@ -137,14 +132,20 @@
   bool HasIdle(const Endpoint& aAddress) const;
   void OnConnect() { ++mConnects; }
   std::uint64_t Connects() const { return mConnects; }
+  std::size_t IdleCount() const;
+  void Sweep();
   void DropIdle(const Endpoint& aAddress);
   std::vector<std::uint64_t> TakeEnded(const Endpoint& aAddress);
 
 private:
   using Clock = std::chrono::steady_clock;
 
-  /** Drops expired connections, now and then. Precondition: mMutex is held. */
-  void Sweep(Clock::time_point aNow);
+  /**
+   * Notes the process of a connection that was found ended, unless it ended by
+   * an idle time limit. Precondition: mMutex is held.
+   */
+  void NoteEnd(const Endpoint& aAddress, const PooledConnection& aConnection,
+               bool aWasKept);
 
   const HttpPoolOptions mOptions;
   std::atomic<std::uint64_t> mConnects = 0;
@@ -152,9 +153,20 @@
   mutable std::mutex mMutex;
   std::map<Endpoint, std::vector<IdleConnection>> mIdle;
   std::map<Endpoint, std::vector<std::uint64_t>> mEnded;
-  Clock::time_point mSweptAt;
 };
 
+void HttpPool::Impl::NoteEnd(const Endpoint& aAddress,
+                             const PooledConnection& aConnection, bool aWasKept)
+{
+  const std::uint64_t process = aConnection.Peer().mId;
+  if (aWasKept && process != 0 && aConnection.HasEnded()) {
+    auto& ended = mEnded[aAddress];
+    if (std::ranges::find(ended, process) == ended.end()) {
+      ended.push_back(process);
+    }
+  }
+}
+
 std::unique_ptr<PooledConnection> HttpPool::Impl::Take(
   const Endpoint& aAddress, const asio::any_io_executor& aExecutor,
   std::optional<std::uint64_t> aRequestHash)
@@ -185,13 +197,7 @@
       }
       return connection;
     }
-    const std::uint64_t process = connection->Peer().mId;
-    if (isKept && process != 0 && connection->HasEnded()) {
-      auto& ended = mEnded[aAddress];
-      if (std::ranges::find(ended, process) == ended.end()) {
-        ended.push_back(process);
-      }
-    }
+    NoteEnd(aAddress, *connection, isKept);
   }
 }
 
@@ -225,20 +231,36 @@
     surplus.mExpiresAt = std::min(surplus.mExpiresAt, surplus.mUsualExpiry);
     surplus.mKeptUntil = std::min(surplus.mKeptUntil, surplus.mExpiresAt);
   }
-  Sweep(now);
 }
 
-void HttpPool::Impl::Sweep(Clock::time_point aNow)
+void HttpPool::Impl::Sweep()
 {
-  if (aNow - mSweptAt < kSweepInterval) {
-    return;
-  }
-  mSweptAt = aNow;
+  const std::lock_guard lock(mMutex);
+  const auto now = Clock::now();
   for (auto& [address, idle] : mIdle) {
-    std::erase_if(idle, [&](const IdleConnection& aIdle) {
-      return aNow >= aIdle.mExpiresAt;
+    std::erase_if(idle, [&, &address = address](const IdleConnection& aIdle) {
+      const PooledConnection& connection = *aIdle.mConnection;
+      if (now >= aIdle.mExpiresAt) {
+        return true;
+      }
+      if (connection.IsReusable()) {
+        return false;
+      }
+      NoteEnd(address, connection,
+              now < aIdle.mKeptUntil && connection.WasKept());
+      return true;
     });
   }
+  std::erase_if(mIdle, [](const auto& aItem) { return aItem.second.empty(); });
+}
+
+std::size_t HttpPool::Impl::IdleCount() const
+{
+  const std::lock_guard lock(mMutex);
+  return std::accumulate(mIdle.begin(), mIdle.end(), std::size_t{ 0 },
+                         [](std::size_t aSum, const auto& aItem) {
+                           return aSum + aItem.second.size();
+                         });
 }
 
 bool HttpPool::Impl::HasIdle(const Endpoint& aAddress) const
@@ -309,6 +331,16 @@
   return mImpl->Connects();
 }
 
+std::size_t HttpPool::IdleCount() const
+{
+  return mImpl->IdleCount();
+}
+
+void HttpPool::Sweep()
+{
+  mImpl->Sweep();
+}
+
 void HttpPool::DropIdle(const Endpoint& aAddress)
 {
   mImpl->DropIdle(aAddress);
--- a/packages/transport/tests/http_pool_test.cpp
+++ b/packages/transport/tests/http_pool_test.cpp
@@ -163,6 +163,60 @@
   }
 }
 
+// Guards against descriptors that idle connections to targets which ended hold
+// for good: their addresses are not used again.
+TEST_CASE("idle connections go with their peer, used again or not")
+{
+  asio::io_context context;
+  tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+  const Endpoint address{ "127.0.0.1", acceptor.local_endpoint().port() };
+  WorkerPool workers(1);
+  workers.Start();
+  HttpPool pool(HttpPoolOptions{ 64, std::chrono::minutes(10) });
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  std::vector<tcp::socket> sockets;
+  for (std::uint64_t n = 1; n <= 2; ++n) {
+    // The first connection has carried the second request already.
+    auto fetch =
+      asio::co_spawn(workers.At(0), Fetch(pool, address, 1), asio::use_future);
+    sockets.push_back(Serve(acceptor, head));
+    fetch.get();
+    CHECK(pool.IdleCount() == n);
+  }
+  pool.Sweep();
+  CHECK(pool.IdleCount() == 2);
+  auto again =
+    asio::co_spawn(workers.At(0), Fetch(pool, address, 2), asio::use_future);
+  Answer(sockets.back(), head);
+  again.get();
+  sockets.pop_back();
+  // The end arrives within a moment.
+  for (int n = 0; n < 1000 && pool.IdleCount() > 1; ++n) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    pool.Sweep();
+  }
+  CHECK(pool.IdleCount() == 1);
+  CHECK(pool.TakeEnded(address) == std::vector{ kProcess });
+}
+
+TEST_CASE("idle connections that are over their time are closed")
+{
+  asio::io_context context;
+  tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+  const Endpoint address{ "127.0.0.1", acceptor.local_endpoint().port() };
+  WorkerPool workers(1);
+  workers.Start();
+  HttpPool pool(HttpPoolOptions{ 64, std::chrono::microseconds(1) });
+  auto fetch =
+    asio::co_spawn(workers.At(0), Fetch(pool, address), asio::use_future);
+  const tcp::socket socket =
+    Serve(acceptor, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  fetch.get();
+  std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  pool.Sweep();
+  CHECK(pool.IdleCount() == 0);
+}
+
 // Guards against connections that are closed although the target would keep
 // them, and against requests on a connection that the target is closing.
 TEST_CASE("idle connections are kept as long as stated, less a margin")
