Requests in a transfer coding that is not read are refused

Cause: as for answers, a coding that the parser does not know was none for it.

Change: HttpServerConnection refuses such a request with 400, not run, and ends the connection, by the same HasReadableCoding as the check of answers.

Why it works: with an unknown coding nobody knows where the message ends.

Found by looking for the cause of answers that are none on related paths; not seen by callers.

--- a/packages/transport/src/http_connection.cpp
+++ b/packages/transport/src/http_connection.cpp
@@ -211,6 +211,15 @@
     co_await std::move(refusing);
     co_return false;
   }
+  if (!HasReadableCoding(head)) {
+    // What follows the head may be its body or another request.
+    mKeepAlive = false;
+    const Error error = MakeError(ErrorCode::Malformed, "http.read-request",
+                                  mPeerName, "unknown transfer coding");
+    auto refusing = RefuseRequest(error);
+    co_await std::move(refusing);
+    co_return false;
+  }
   TakeRequest();
   co_return true;
 }
--- a/packages/transport/src/http_grammar.cpp
+++ b/packages/transport/src/http_grammar.cpp
@@ -74,6 +74,14 @@
          });
 }
 
+bool HasReadableCoding(const http::fields& aFields)
+{
+  const auto codings = aFields.equal_range(http::field::transfer_encoding);
+  const auto count = std::distance(codings.first, codings.second);
+  return count == 0 || (count == 1 && boost::beast::iequals(
+                                        codings.first->value(), "chunked"));
+}
+
 Result<Unit> CheckFields(const http::fields& aFields, const std::string& aPeer)
 {
   for (const auto& field : aFields) {
@@ -99,12 +107,9 @@
   if (auto checked = CheckFields(aHead, aPeer); !checked) {
     return checked.GetError();
   }
-  const auto codings = aHead.equal_range(http::field::transfer_encoding);
-  const auto count = std::distance(codings.first, codings.second);
-  if (count > 1 || (count == 1 && !boost::beast::iequals(codings.first->value(),
-                                                         "chunked"))) {
-    return Flaw(aPeer, "transfer coding " + Quote(codings.first->value()) +
-                         (count > 1 ? " of " + std::to_string(count) : ""));
+  if (!HasReadableCoding(aHead)) {
+    return Flaw(aPeer, "transfer coding " +
+                         Quote(aHead[http::field::transfer_encoding]));
   }
   return isInterim ? ResponseHeadKind::Interim : ResponseHeadKind::Final;
 }
--- a/packages/transport/src/http_grammar.hpp
+++ b/packages/transport/src/http_grammar.hpp
@@ -49,6 +49,12 @@
  */
 bool MayBeSent(const HttpRequest& aRequest);
 
+/**
+ * True if a message has no transfer coding, or the one that is read: chunked
+ * alone. With another one its end is not known. Thread safety: any thread.
+ */
+bool HasReadableCoding(const boost::beast::http::fields& aFields);
+
 /** The same for fields alone, such as those behind the last chunk. */
 Result<Unit> CheckFields(const boost::beast::http::fields& aFields,
                          const std::string& aPeer);
--- a/packages/transport/tests/response_grammar_test.cpp
+++ b/packages/transport/tests/response_grammar_test.cpp
@@ -271,4 +271,43 @@
   CHECK(asio::read(socket, asio::buffer(&byte, 1), ec) == 0);
 }
 
+// Guards against a body that is run as a request: with a coding that is not
+// read, the next head seemed to begin right behind this one.
+TEST_CASE("a request in a transfer coding that is not read is refused")
+{
+  const std::string coding =
+    GENERATE("gzip", "xchunked", "gzip, chunked", "chunked;a=b",
+             "chunked\r\nTransfer-Encoding: chunked");
+  CAPTURE(coding);
+  WorkerPool workers(1);
+  int handled = 0;
+  HttpServer server(workers, HttpLimits{},
+                    [&](HttpExchange& aExchange) -> asio::awaitable<void> {
+                      ++handled;
+                      auto responding =
+                        aExchange.Respond(MakeResponse(200, "text/plain", ""));
+                      co_await std::move(responding);
+                    });
+  workers.Start();
+  REQUIRE(server.Listen(Endpoint{ "127.0.0.1", 0 }));
+  asio::io_context context;
+  tcp::socket socket(context);
+  socket.connect(
+    { asio::ip::make_address("127.0.0.1"), server.Address().mPort });
+  asio::write(socket, asio::buffer("POST /a HTTP/1.1\r\nHost: h\r\n"
+                                   "Transfer-Encoding: " +
+                                   coding +
+                                   "\r\n\r\n"
+                                   "GET /b HTTP/1.1\r\nHost: h\r\n\r\n"));
+  boost::system::error_code ec;
+  socket.shutdown(tcp::socket::shutdown_send, ec);
+  std::string answer;
+  asio::read(socket, asio::dynamic_buffer(answer), ec);
+  workers.Stop();
+  workers.Join();
+  CHECK(answer.starts_with("HTTP/1.1 400 "));
+  CHECK(answer.find("not-run") != std::string::npos);
+  CHECK(handled == 0);
+}
+
 } // namespace carobtide
