--- a/packages/fleet/include/carobtide/fleet/stream_origins.hpp
+++ b/packages/fleet/include/carobtide/fleet/stream_origins.hpp
@@ -183,7 +183,10 @@
   bool IsDecided() const;
 
   /** True if all have replied: asking again is of no use. */
-  bool IsAnswered() const { return mReplied.size() >= mMembers.size(); }
+  bool IsAnswered() const
+  {
+    return !mMembers.empty() && mReplied.size() == mMembers.size();
+  }
 
   /** Nothing if it is not certain from the replies so far. */
   std::optional<StreamOrigin> Result() const;
--- a/packages/fleet/tests/stream_origins_test.cpp
+++ b/packages/fleet/tests/stream_origins_test.cpp
@@ -194,6 +194,13 @@
     search.OnReply(kFirst, { std::nullopt, Seen({ kOld, kNew }, 120s) });
     CHECK_FALSE(search.Result());
   }
+  SECTION("this daemon just started and has heard of no member")
+  {
+    OriginSearch search(kService, Seen({ kOld }, 1s), {});
+    search.OnReply(kFirst, { std::nullopt, Seen({ kOld }, 120s) });
+    CHECK_FALSE(search.Result());
+    CHECK_FALSE(search.IsAnswered());
+  }
   SECTION("this daemon just started: a majority of three has to answer")
   {
     OriginSearch search(kService, Seen({ kOld }, 1s), kMembers);
--- a/packages/placement/src/residency_planner.cpp
+++ b/packages/placement/src/residency_planner.cpp
@@ -4,7 +4,6 @@
 #include <iterator>
 #include <limits>
 #include <numeric>
-#include <unordered_set>
 #include <utility>
 
 namespace carobtide {
@@ -86,45 +85,6 @@
   mEngines.insert_or_assign(last.mTarget, std::move(engine));
 }
 
-void ResidencyPlanner::OnForgotten(const TargetName& aTarget)
-{
-  mEngines.erase(aTarget);
-  mPendingLoads.erase(aTarget);
-}
-
-std::vector<TargetName> ResidencyPlanner::FindDiffering(
-  const std::vector<const FleetRecord*>& aRecords) const
-{
-  std::vector<TargetName> differing;
-  std::size_t known = 0;
-  for (const FleetRecord* record : aRecords) {
-    const Heartbeat& last = record->mLast;
-    const auto it = mEngines.find(last.mTarget);
-    const bool isEngine = last.mEngine && last.mPhase != TargetPhase::Gone;
-    const bool isTracked = it != mEngines.end();
-    known += isTracked ? 1 : 0;
-    if (isEngine != isTracked ||
-        (isTracked &&
-         (it->second.LastHeartbeat().mIncarnation != last.mIncarnation ||
-          it->second.LastHeartbeat().mPhase != last.mPhase ||
-          it->second.IsSilent() != record->mSilent))) {
-      differing.push_back(last.mTarget);
-    }
-  }
-  if (known < mEngines.size()) {
-    std::unordered_set<TargetName> names;
-    std::ranges::transform(
-      aRecords, std::inserter(names, names.end()),
-      [](const FleetRecord* aRecord) { return aRecord->mLast.mTarget; });
-    for (const auto& [name, engine] : mEngines) {
-      if (!names.contains(name)) {
-        differing.push_back(name);
-      }
-    }
-  }
-  return differing;
-}
-
 void ResidencyPlanner::OnDemand(Instant aNow, const DemandReport& aReport)
 {
   double slots = 0;
