Edges say how old their catalog is, who told of a newer one, and what became of each fetch

What was missing: after an acknowledgement, an edge wrote the version that came into force and nothing else. It did not say when it heard of the version and from whom, how long the fetch took, that a fetch failed and was begun again, nor how old its catalog may be.

Change, no decision is another one: CatalogProgress (sans-I/O) keeps what control daemons name and when they were asked. Lines catalog.announced, catalog.fetch-failed, catalog.behind, catalog.unconfirmed and catalog.confirmed; catalog.in-force names the sender, the announcer and its age, the times of fetch and reading; a digest joins catalog.put, and catalog.in-force at all daemons. Metrics catalog_known_version, catalog_lag_seconds, catalog_unconfirmed_seconds, catalog_fetches, catalog_fetch_failures. peer.connect says why no connection could be made.

--- a/packages/daemon/src/control_node_calls.cpp
+++ b/packages/daemon/src/control_node_calls.cpp
@@ -1,11 +1,13 @@
 // Calls of operators and targets to a control daemon.
 #include "carobtide/base/codec.hpp"
 #include "carobtide/daemon/logging.hpp"
+#include "catalog_digest.hpp"
 #include "clock.hpp"
 #include "control_node.hpp"
 
 #include <boost/asio/use_awaitable.hpp>
 
+#include <array>
 #include <utility>
 
 namespace carobtide {
@@ -132,8 +134,11 @@
   if (isCommitted) {
     mMetrics.Add(ControlCounter::CatalogsAcknowledged);
   }
+  const std::string digest = DigestOf(aText);
+  const std::array inputs{ LogInput{ "digest", digest } };
   LogFields fields;
   fields.mStep = "catalog.put";
+  fields.mInputs = inputs;
   const std::string message =
     "version " + std::to_string(*version) +
     (isCommitted ? " committed" : " not known to be committed");
--- a/packages/daemon/src/control_node_leader.cpp
+++ b/packages/daemon/src/control_node_leader.cpp
@@ -1,6 +1,7 @@
 // What a control daemon applies from the log and decides as leader.
 #include "carobtide/base/codec.hpp"
 #include "carobtide/daemon/logging.hpp"
+#include "catalog_digest.hpp"
 #include "clock.hpp"
 #include "control_node.hpp"
 #include "target_log.hpp"
@@ -76,8 +77,11 @@
   if (mPlanner) {
     mPlanner->SetCatalog(mCatalog);
   }
+  const std::string digest = DigestOf(text.mText);
+  const std::array inputs{ LogInput{ "digest", digest } };
   LogFields fields;
   fields.mStep = "catalog.in-force";
+  fields.mInputs = inputs;
   const std::string message = "version " + std::to_string(text.mVersion);
   fields.mMessage = message;
   Log(LogLevel::Info, fields);
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -97,6 +97,7 @@
   , mDispatcher(MakeDispatcherOptions(
       mSettings, mRandom(),
       [this](const Endpoint& aAddress) { return mPool.HasIdle(aAddress); }))
+  , mStartedAt(SteadyNow())
   , mHomes(mSettings.mPeerAddress, mSettings.mFailureDomain)
   , mNetwork(
       mWorkers,
@@ -248,9 +249,9 @@
     return static_cast<double>(mDispatcher.Waiting().Count(aClass));
   };
   return mMetrics.Render() + RenderGauges(MemoryGauges(*mMemory)) +
+         RenderGauges(CatalogGauges(now)) +
          RenderGauges({
            { "ready", IsReady() ? 1.0 : 0.0 },
-           { "catalog_version", static_cast<double>(mCatalogVersion) },
            { "oversized_requests",
              static_cast<double>(read.mOversizedRequests) },
            { "oversized_answers",
--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -10,6 +10,7 @@
 #include "edge_allowance.hpp"
 #include "edge_context.hpp"
 #include "memory_log.hpp"
+#include "metrics.hpp"
 #include "metrics_endpoint.hpp"
 #include "stop_schedule.hpp"
 
@@ -23,6 +24,13 @@
 
 class EdgeRequest;
 
+/** Fetches of catalogs since the daemon started. */
+struct CatalogFetchStats
+{
+  std::uint64_t mBegun = 0;
+  std::uint64_t mFailed = 0;
+};
+
 /**
  * Forwards requests to targets as the dispatcher decides; learns of targets
  * and catalogs from the control daemons.
@@ -64,11 +72,24 @@
                                              HttpResponse aResponse);
   // edge_node_fleet.cpp: what control daemons say, what others are told.
   boost::asio::awaitable<void> WatchCore(Endpoint aCore);
-  void OnWatchReply(const Endpoint& aCore, const WatchReply& aReply);
+  /** A control daemon answered a watch that was sent then. */
+  void OnWatchReply(Instant aSentAt, const Endpoint& aCore,
+                    const WatchReply& aReply);
   void WatchNewCores(const std::vector<Endpoint>& aCores);
   std::vector<Endpoint> SeedPeers() const;
+  // edge_node_catalog.cpp: the catalog that control daemons announce.
+  void OnCatalogVersion(Instant aSentAt, const Endpoint& aCore,
+                        std::uint64_t aVersion);
   boost::asio::awaitable<void> FetchCatalog(Endpoint aCore);
-  void TakeCatalog(const CatalogText& aText);
+  /** Puts a catalog into force that a daemon sent after so long. */
+  void TakeCatalog(const CatalogText& aText, const Endpoint& aFrom,
+                   Duration aTook);
+  /** Writes that the catalog is behind or unconfirmed, or no longer. */
+  void CheckCatalogAge(Instant aNow);
+  /** Since when no majority of control daemons has confirmed the catalog. */
+  Duration CatalogAge(Instant aNow) const;
+  std::vector<Gauge> CatalogGauges(Instant aNow) const;
+  // edge_node_fleet.cpp, on.
   void TakeTargets(const std::vector<TargetName>& aChanged);
   boost::asio::awaitable<void> EnsureAdapterAt(EnsureAdapter aWanted);
   boost::asio::awaitable<void> LoadLoop();
@@ -155,6 +176,13 @@
   /** When the next refused key is written at the earliest. */
   Instant mNextKeyLine;
   std::uint64_t mCatalogVersion = 0;
+  CatalogProgress mCatalogProgress;
+  CatalogFetchStats mFetches;
+  /** When the daemon started, for the age of what it never had. */
+  const Instant mStartedAt;
+  bool mIsCatalogUnconfirmed = false;
+  /** When a catalog that is behind is next written about. */
+  Instant mNextLagLine;
   bool mFetching = false;
   std::set<Endpoint> mCores;
   /** Addresses that were mentioned, and when last. */
--- /dev/null
+++ b/packages/daemon/src/edge_node_catalog.cpp
@@ -0,0 +1,191 @@
+// How an edge learns of a catalog, fetches it and puts it into force.
+#include "carobtide/base/codec.hpp"
+#include "carobtide/daemon/logging.hpp"
+#include "catalog_digest.hpp"
+#include "clock.hpp"
+#include "edge_node.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <utility>
+
+namespace carobtide {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+constexpr Duration kFetchTimeout = std::chrono::milliseconds(800);
+/** A newer catalog is known of for this long before a line says so. */
+constexpr Duration kLagLineAfter = std::chrono::seconds(1);
+constexpr Duration kLagLineInterval = std::chrono::seconds(1);
+/** Watches are answered within a second; this allows for two lost ones. */
+constexpr Duration kMaxConfirmedAge = std::chrono::seconds(4);
+
+std::int64_t Milliseconds(Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
+std::int64_t Signed(std::uint64_t aValue)
+{
+  return static_cast<std::int64_t>(aValue);
+}
+
+} // namespace
+
+void EdgeNode::OnCatalogVersion(Instant aSentAt, const Endpoint& aCore,
+                                std::uint64_t aVersion)
+{
+  if (mCatalogProgress.OnAnswer(SteadyNow(), aSentAt, aCore, aVersion)) {
+    const std::array inputs{
+      LogInput{ "version", Signed(aVersion) },
+      LogInput{ "in_force", Signed(mCatalogVersion) },
+    };
+    LogFields fields;
+    fields.mStep = "catalog.announced";
+    const std::string peer = aCore.ToString();
+    fields.mPeer = peer;
+    fields.mInputs = inputs;
+    Log(LogLevel::Info, fields);
+  }
+  if (aVersion > mCatalogVersion && !mFetching) {
+    mFetching = true;
+    asio::co_spawn(
+      mExecutor, [this, aCore] { return FetchCatalog(aCore); }, asio::detached);
+  }
+}
+
+awaitable<void> EdgeNode::FetchCatalog(Endpoint aCore)
+{
+  ++mFetches.mBegun;
+  const Instant begunAt = SteadyNow();
+  auto calling = mNetwork.Call(
+    aCore, static_cast<std::uint16_t>(FleetMessageType::GetCatalog), "",
+    kFetchTimeout);
+  const auto answer = co_await std::move(calling);
+  mFetching = false;
+  const Duration took = SteadyNow() - begunAt;
+  const auto text = answer ? Decode<CatalogText>(*answer, aCore.ToString())
+                           : Result<CatalogText>(answer.GetError());
+  if (text) {
+    TakeCatalog(*text, aCore, took);
+    co_return;
+  }
+  ++mFetches.mFailed;
+  LogError(text.GetError());
+  const std::array inputs{
+    LogInput{ "wanted", Signed(mCatalogProgress.Known()) },
+    LogInput{ "in_force", Signed(mCatalogVersion) },
+    LogInput{ "ms", Milliseconds(took) },
+    LogInput{ "lag_ms", Milliseconds(mCatalogProgress.Lag(SteadyNow())) },
+  };
+  LogFields fields;
+  fields.mStep = "catalog.fetch-failed";
+  const std::string peer = aCore.ToString();
+  fields.mPeer = peer;
+  fields.mInputs = inputs;
+  Log(LogLevel::Warning, fields);
+}
+
+void EdgeNode::TakeCatalog(const CatalogText& aText, const Endpoint& aFrom,
+                           Duration aTook)
+{
+  if (aText.mVersion <= mCatalogVersion) {
+    return;
+  }
+  auto catalog = mDialect->ReadCatalog(aText.mText);
+  if (!catalog) {
+    LogError(catalog.GetError());
+    return;
+  }
+  const Instant now = SteadyNow();
+  const auto announced = mCatalogProgress.AnnouncementOf(aText.mVersion);
+  mCatalogVersion = aText.mVersion;
+  mContext.mCatalogVersion = mCatalogVersion;
+  const auto shared = std::make_shared<const Catalog>(std::move(*catalog));
+  mRoutes = std::make_shared<const RouteMap>(shared);
+  mContext.mOrganisations =
+    std::make_shared<const OrganisationDirectory>(shared);
+  // Requests that wait are checked against the keys now in force.
+  mRoom.Notify();
+  mDispatcher.SetCatalog(shared);
+  mAllowance.SetCatalog(*shared);
+  mSoftware.SetWindow(LongestStream(*shared));
+  mCatalogProgress.OnInForce(mCatalogVersion);
+  const std::string digest = DigestOf(aText.mText);
+  const std::string announcer =
+    announced ? announced->mFrom.ToString() : std::string();
+  const std::array inputs{
+    LogInput{ "digest", digest },
+    LogInput{ "bytes", static_cast<std::int64_t>(aText.mText.size()) },
+    LogInput{ "announced_by", announcer },
+    LogInput{ "announced_ms_ago",
+              announced ? Milliseconds(now - announced->mAt) : 0 },
+    LogInput{ "fetch_ms", Milliseconds(aTook) },
+    LogInput{ "read_ms", Milliseconds(SteadyNow() - now) },
+  };
+  LogFields fields;
+  fields.mStep = "catalog.in-force";
+  const std::string peer = aFrom.ToString();
+  fields.mPeer = peer;
+  const std::string message = "version " + std::to_string(mCatalogVersion);
+  fields.mMessage = message;
+  fields.mInputs = inputs;
+  Log(LogLevel::Info, fields);
+}
+
+Duration EdgeNode::CatalogAge(Instant aNow) const
+{
+  return aNow -
+         mCatalogProgress.ConfirmedAt(mControl.Members()).value_or(mStartedAt);
+}
+
+void EdgeNode::CheckCatalogAge(Instant aNow)
+{
+  const Duration lag = mCatalogProgress.Lag(aNow);
+  const Duration age = CatalogAge(aNow);
+  const std::array inputs{
+    LogInput{ "known", Signed(mCatalogProgress.Known()) },
+    LogInput{ "in_force", Signed(mCatalogVersion) },
+    LogInput{ "lag_ms", Milliseconds(lag) },
+    LogInput{ "unconfirmed_ms", Milliseconds(age) },
+    LogInput{ "fetches", Signed(mFetches.mBegun) },
+    LogInput{ "failed", Signed(mFetches.mFailed) },
+  };
+  LogFields fields;
+  fields.mInputs = inputs;
+  if (lag >= kLagLineAfter && aNow >= mNextLagLine) {
+    mNextLagLine = aNow + kLagLineInterval;
+    fields.mStep = "catalog.behind";
+    Log(LogLevel::Warning, fields);
+  }
+  const bool isUnconfirmed = age >= kMaxConfirmedAge;
+  if (std::exchange(mIsCatalogUnconfirmed, isUnconfirmed) != isUnconfirmed) {
+    fields.mStep = isUnconfirmed ? "catalog.unconfirmed" : "catalog.confirmed";
+    Log(isUnconfirmed ? LogLevel::Warning : LogLevel::Info, fields);
+  }
+}
+
+std::vector<Gauge> EdgeNode::CatalogGauges(Instant aNow) const
+{
+  const auto seconds = [](Duration aTime) {
+    return std::chrono::duration<double>(aTime).count();
+  };
+  return {
+    { "catalog_version", static_cast<double>(mCatalogVersion) },
+    { "catalog_known_version", static_cast<double>(mCatalogProgress.Known()) },
+    { "catalog_lag_seconds", seconds(mCatalogProgress.Lag(aNow)) },
+    { "catalog_unconfirmed_seconds", seconds(CatalogAge(aNow)) },
+    { "catalog_fetches", static_cast<double>(mFetches.mBegun) },
+    { "catalog_fetch_failures", static_cast<double>(mFetches.mFailed) },
+  };
+}
+
+} // namespace carobtide
--- a/packages/daemon/src/edge_node_fleet.cpp
+++ b/packages/daemon/src/edge_node_fleet.cpp
@@ -31,7 +31,6 @@
 constexpr Duration kSourceTimeout = std::chrono::milliseconds(4000);
 /** An address that nobody mentions and that does not answer is dropped. */
 constexpr Duration kForgetCore = std::chrono::seconds(30);
-constexpr Duration kFetchTimeout = std::chrono::milliseconds(800);
 constexpr Duration kAdapterTimeout = std::chrono::milliseconds(350);
 /** A daemon without load reports this often that it has none. */
 constexpr Duration kIdleReportInterval = std::chrono::milliseconds(250);
@@ -115,7 +114,7 @@
       if (std::exchange(isLost, false)) {
         Log(LogLevel::Info, { "core.regained", aCore.ToString(), {}, {}, {} });
       }
-      OnWatchReply(aCore, *reply);
+      OnWatchReply(sentAt, aCore, *reply);
       if (isHome) {
         mDispatcher.SetRelays(reply->mRelays);
       }
@@ -134,6 +133,7 @@
       mMentioned.erase(aCore);
       mControl.Forget(aCore);
       mHomes.Forget(aCore);
+      mCatalogProgress.Forget(aCore);
       co_return;
     }
     asio::steady_timer timer(mExecutor, kWatchPause);
@@ -141,7 +141,8 @@
   }
 }
 
-void EdgeNode::OnWatchReply(const Endpoint& aCore, const WatchReply& aReply)
+void EdgeNode::OnWatchReply(Instant aSentAt, const Endpoint& aCore,
+                            const WatchReply& aReply)
 {
   mHomes.OnReply(SteadyNow(), aCore, aReply.mFailureDomain);
   mControl.OnReply(SteadyNow(), aCore, aReply);
@@ -168,11 +169,7 @@
     mEdges = aReply.mEdges;
     mDispatcher.SetDaemons(mEdges);
   }
-  if (aReply.mCatalogVersion > mCatalogVersion && !mFetching) {
-    mFetching = true;
-    asio::co_spawn(
-      mExecutor, [this, aCore] { return FetchCatalog(aCore); }, asio::detached);
-  }
+  OnCatalogVersion(aSentAt, aCore, aReply.mCatalogVersion);
 }
 
 void EdgeNode::TakeTargets(const std::vector<TargetName>& aChanged)
@@ -308,53 +305,6 @@
         "no home" });
 }
 
-awaitable<void> EdgeNode::FetchCatalog(Endpoint aCore)
-{
-  auto calling = mNetwork.Call(
-    aCore, static_cast<std::uint16_t>(FleetMessageType::GetCatalog), "",
-    kFetchTimeout);
-  const auto answer = co_await std::move(calling);
-  mFetching = false;
-  if (!answer) {
-    LogError(answer.GetError());
-    co_return;
-  }
-  auto text = Decode<CatalogText>(*answer, aCore.ToString());
-  if (text) {
-    TakeCatalog(*text);
-  } else {
-    LogError(text.GetError());
-  }
-}
-
-void EdgeNode::TakeCatalog(const CatalogText& aText)
-{
-  if (aText.mVersion <= mCatalogVersion) {
-    return;
-  }
-  auto catalog = mDialect->ReadCatalog(aText.mText);
-  if (!catalog) {
-    LogError(catalog.GetError());
-    return;
-  }
-  mCatalogVersion = aText.mVersion;
-  mContext.mCatalogVersion = mCatalogVersion;
-  const auto shared = std::make_shared<const Catalog>(std::move(*catalog));
-  mRoutes = std::make_shared<const RouteMap>(shared);
-  mContext.mOrganisations =
-    std::make_shared<const OrganisationDirectory>(shared);
-  // Requests that wait are checked against the keys now in force.
-  mRoom.Notify();
-  mDispatcher.SetCatalog(shared);
-  mAllowance.SetCatalog(*shared);
-  mSoftware.SetWindow(LongestStream(*shared));
-  LogFields fields;
-  fields.mStep = "catalog.in-force";
-  const std::string message = "version " + std::to_string(mCatalogVersion);
-  fields.mMessage = message;
-  Log(LogLevel::Info, fields);
-}
-
 awaitable<void> EdgeNode::EnsureAdapterAt(EnsureAdapter aWanted)
 {
   const Endpoint leader = mFleet.Leader();
@@ -463,6 +413,7 @@
     mGuard.Expire(SteadyNow());
     ReportCrashes();
     UpdateStreams();
+    CheckCatalogAge(SteadyNow());
     if (SteadyNow() >= mNextSweep) {
       mNextSweep = SteadyNow() + kSweepInterval;
       mPool.Sweep();
--- a/packages/transport/src/peer_channel.cpp
+++ b/packages/transport/src/peer_channel.cpp
@@ -78,6 +78,7 @@
   std::vector<asio::steady_timer*> mConnectWaiters;
   /** Of the last attempt to connect. */
   ErrorCode mConnectCode = ErrorCode::Unreachable;
+  std::string mConnectDetail;
 };
 
 void PeerDialer::Send(Frame aFrame)
@@ -115,7 +116,8 @@
 
 Error PeerDialer::ConnectError() const
 {
-  return MakeError(mConnectCode, "peer.connect", mAddress.ToString());
+  return MakeError(mConnectCode, "peer.connect", mAddress.ToString(),
+                   mConnectDetail);
 }
 
 awaitable<void> PeerDialer::Connect()
@@ -141,6 +143,7 @@
   mConnectCode = ec == asio::error::connection_refused
                    ? ErrorCode::ConnectRefused
                    : ErrorCode::Unreachable;
+  mConnectDetail = ec ? ec.message() : "no answer in time";
   const bool isConnected = endpoint && !ec && !mStopped && socket->is_open();
   if (isConnected) {
     mLink = std::make_shared<PeerLink>(std::move(*socket), mHandlers);
