Loops of both roles are run again after an exception, and failures are written

Suspected, not shown: what callers would see is an edge that never hears of a control daemon again (an old catalog, targets that are not known), or a control daemon without ticks.

Cause: watches, fetches and loops ran detached. An exception ended them without a line; mCores still held the control daemon, so that it was never watched again.

Change: SpawnLoop logs task.failed and runs the loop again after 200 ms; SpawnTask logs. All coroutines of EdgeNode and ControlNode that are not waited for go through them.

Measured: daemon tests "a loop that fails is run again until it returns" and "a task that fails ends alone" pass; no run of daemons has shown such an exception.

Related: those of transport and of the other daemon (daemon.cpp) still run detached.

--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -6,10 +6,9 @@
 #include "clock.hpp"
 #include "metrics.hpp"
 #include "server_close.hpp"
+#include "tasks.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -280,14 +279,11 @@
                               (mSettings.mFirstStart ? "yes" : "no");
   fields.mMessage = message;
   Log(LogLevel::Info, fields);
-  asio::co_spawn(
-    mExecutor, [this] { return TickLoop(); }, asio::detached);
-  asio::co_spawn(
-    mExecutor, [this] { return GreetingLoop(); }, asio::detached);
-  asio::co_spawn(
-    mExecutor, [this] { return LoadLoop(); }, asio::detached);
-  asio::co_spawn(
-    mExecutor, [this] { return CatchUpSoftware(); }, asio::detached);
+  SpawnLoop(mExecutor, "control.tick", [this] { return TickLoop(); });
+  SpawnLoop(mExecutor, "control.greeting", [this] { return GreetingLoop(); });
+  SpawnLoop(mExecutor, "control.load", [this] { return LoadLoop(); });
+  SpawnLoop(mExecutor, "control.software",
+            [this] { return CatchUpSoftware(); });
   return Success();
 }
 
@@ -299,8 +295,7 @@
 
 void ControlNode::RequestStop()
 {
-  asio::co_spawn(
-    mExecutor, [this] { return StopWhenAsked(); }, asio::detached);
+  SpawnTask(mExecutor, "control.stop", [this] { return StopWhenAsked(); });
 }
 
 awaitable<void> ControlNode::StopWhenAsked()
--- a/packages/daemon/src/control_node_leader.cpp
+++ b/packages/daemon/src/control_node_leader.cpp
@@ -5,10 +5,9 @@
 #include "clock.hpp"
 #include "control_node.hpp"
 #include "target_log.hpp"
+#include "tasks.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -242,9 +241,8 @@
 
 void ControlNode::Perform(const RequestEngineReport& aEffect)
 {
-  asio::co_spawn(
-    mExecutor, [this, ask = aEffect] { return FetchReport(ask); },
-    asio::detached);
+  SpawnTask(mExecutor, "control.fetch-report",
+            [this, ask = aEffect] { return FetchReport(ask); });
 }
 
 void ControlNode::Perform(const IssueOrder& aEffect)
@@ -264,9 +262,8 @@
     fields.mInputs = inputs;
   }
   Log(LogLevel::Info, fields);
-  asio::co_spawn(
-    mExecutor, [this, order = aEffect.mOrder] { return SendOrder(order); },
-    asio::detached);
+  SpawnTask(mExecutor, "control.send-order",
+            [this, order = aEffect.mOrder] { return SendOrder(order); });
 }
 
 void ControlNode::NoteTarget(const HttpResponseHead& aHead,
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -5,10 +5,9 @@
 #include "edge_request.hpp"
 #include "metrics.hpp"
 #include "server_close.hpp"
+#include "tasks.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -186,14 +185,10 @@
   }
   Log(LogLevel::Info, { "edge.start", {}, {}, {}, "watching the seeds" });
   asio::post(mExecutor, [this] { WatchNewCores(SeedPeers()); });
-  asio::co_spawn(
-    mExecutor, [this] { return LoadLoop(); }, asio::detached);
-  asio::co_spawn(
-    mExecutor, [this] { return DemandLoop(); }, asio::detached);
-  asio::co_spawn(
-    mExecutor, [this] { return PathLoop(); }, asio::detached);
-  asio::co_spawn(
-    mExecutor, [this] { return mAllowance.Run(); }, asio::detached);
+  SpawnLoop(mExecutor, "edge.load", [this] { return LoadLoop(); });
+  SpawnLoop(mExecutor, "edge.demand", [this] { return DemandLoop(); });
+  SpawnLoop(mExecutor, "edge.paths", [this] { return PathLoop(); });
+  SpawnLoop(mExecutor, "edge.allowance", [this] { return mAllowance.Run(); });
   return Success();
 }
 
@@ -394,8 +389,7 @@
 
 void EdgeNode::RequestStop()
 {
-  asio::co_spawn(
-    mExecutor, [this] { return StopWhenDone(); }, asio::detached);
+  SpawnTask(mExecutor, "edge.stop", [this] { return StopWhenDone(); });
 }
 
 void EdgeNode::LogStopEnd() const
--- a/packages/daemon/src/edge_node_fleet.cpp
+++ b/packages/daemon/src/edge_node_fleet.cpp
@@ -5,10 +5,9 @@
 #include "clock.hpp"
 #include "edge_node.hpp"
 #include "target_log.hpp"
+#include "tasks.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -80,8 +79,8 @@
   for (const Endpoint& core : aCores) {
     mMentioned[core] = SteadyNow();
     if (mCores.insert(core).second) {
-      asio::co_spawn(
-        mExecutor, [this, core] { return WatchCore(core); }, asio::detached);
+      SpawnLoop(mExecutor, "edge.watch",
+                [this, core] { return WatchCore(core); });
     }
   }
 }
@@ -214,12 +213,9 @@
   mFleet.NoteLimit(aProcess.mTarget, aProcess.mIncarnation, aLimit);
   std::string notice =
     Encode(LimitNotice{ aProcess.mTarget, aProcess.mIncarnation, aLimit });
-  asio::co_spawn(
-    mExecutor,
-    [this, notice = std::move(notice)] {
-      return SendNotice(FleetMessageType::LimitNotice, notice);
-    },
-    asio::detached);
+  SpawnTask(mExecutor, "edge.limit-notice", [this, notice = std::move(notice)] {
+    return SendNotice(FleetMessageType::LimitNotice, notice);
+  });
 }
 
 awaitable<bool> EdgeNode::ProbeOnce(TargetProcess aProcess, Endpoint aAddress)
@@ -241,7 +237,9 @@
   auto probing = ProbeOnce(aProcess, aAddress);
   const bool isPending = co_await std::move(probing);
   if (isPending) {
-    asio::co_spawn(mExecutor, ProbeLater(aProcess, aAddress), asio::detached);
+    SpawnTask(mExecutor, "edge.probe", [this, aProcess, aAddress] {
+      return ProbeLater(aProcess, aAddress);
+    });
   }
 }
 
@@ -269,12 +267,9 @@
   LogBlockChanges(changes.mBlocks);
   CrashNotice notice = mGuard.TakeNotice();
   if (!notice.IsEmpty()) {
-    asio::co_spawn(
-      mExecutor,
-      [this, encoded = Encode(notice)] {
-        return SendNotice(FleetMessageType::CrashNotice, encoded);
-      },
-      asio::detached);
+    SpawnTask(mExecutor, "edge.crash-notice", [this, encoded = Encode(notice)] {
+      return SendNotice(FleetMessageType::CrashNotice, encoded);
+    });
   }
 }
 
--- a/packages/daemon/src/edge_node_paths.cpp
+++ b/packages/daemon/src/edge_node_paths.cpp
@@ -4,10 +4,9 @@
 #include "clock.hpp"
 #include "edge_node.hpp"
 #include "edge_request.hpp"
+#include "tasks.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -54,8 +53,8 @@
   asio::steady_timer timer(mExecutor);
   while (true) {
     for (const PathCheck& check : mDispatcher.TakePathChecks(SteadyNow())) {
-      asio::co_spawn(
-        mExecutor, [this, check] { return CheckPath(check); }, asio::detached);
+      SpawnTask(mExecutor, "edge.check-path",
+                [this, check] { return CheckPath(check); });
     }
     timer.expires_after(kCheckInterval);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/packages/daemon/src/edge_node_streams.cpp
+++ b/packages/daemon/src/edge_node_streams.cpp
@@ -3,10 +3,9 @@
 #include "carobtide/daemon/logging.hpp"
 #include "clock.hpp"
 #include "edge_node.hpp"
+#include "tasks.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -91,8 +90,7 @@
 void EdgeNode::ReportStreams()
 {
   if (mStreams.HasNotice() && !std::exchange(mSendsStreams, true)) {
-    asio::co_spawn(
-      mExecutor, [this] { return SendStreams(); }, asio::detached);
+    SpawnLoop(mExecutor, "edge.streams", [this] { return SendStreams(); });
   }
 }
 
@@ -185,8 +183,10 @@
   // this daemon knows may be older than the stream, whatever its age.
   open->mUnanswered = mCores.size();
   for (const Endpoint& core : mCores) {
-    asio::co_spawn(mExecutor, QueryOrigin(core, Encode(aQuery), open),
-                   asio::detached);
+    SpawnTask(mExecutor, "edge.query-origin",
+              [this, core, query = Encode(aQuery), open] {
+                return QueryOrigin(core, query, open);
+              });
   }
   while (!open->mSearch.IsDecided() && open->mUnanswered > 0) {
     auto waiting = open->mReplied.Wait(kQueryTimeout);
