Descriptors are shared out by the process's limit, so that callers cannot use them up

What callers saw: an edge whose callers hold its descriptors answers 404 on a route that was added and acknowledged, and reaches no target, once its links to the control daemons have ended. With real processes on: 300 descriptors, control daemons away for 3 s, 404 for the 20 s that were watched.

Cause: connections of callers had a fixed bound of 4,096, whatever the process may have; those to targets had none. Descriptors that got free went to whoever connected first. At control the bound of 3,072 of 4,096 left 1,024 to 2,078 edges of the target size.

Change: ShareForEdge and ShareForControl derive bounds for clients, other edges, checks and targets from RLIMIT_NOFILE, looked at each second; the rest is for links between daemons, listeners and files. Connections to targets are as many as requests can be open, so that none has to fail. Beyond a bound the connection that has been idle for longest makes room (HttpServer, HttpPool). Metrics connections*, lines connections.idle-closed and connections.refused.

Why it works: the sum of the bounds is below the limit, so a link to a control daemon can be made whatever callers do.

--- a/packages/daemon/src/control_node.cpp
+++ b/packages/daemon/src/control_node.cpp
@@ -43,8 +43,6 @@
 constexpr int kMissedHeartbeats = 3;
 /** What is read from a body takes many times its size until it is checked. */
 constexpr Bytes kMaxBodyBytes = 4 * kMiB;
-/** Leaves descriptors to peers and to the log's files. */
-constexpr std::size_t kMaxConnections = 3072;
 
 /**
  * A lease and elections that a core at a third of its speed, stopped for a
@@ -70,7 +68,6 @@
   HttpLimits limits;
   limits.mMemory = std::move(aMemory);
   limits.mMaxBodyBytes = kMaxBodyBytes;
-  limits.mMaxConnections = kMaxConnections;
   return limits;
 }
 
@@ -182,10 +179,21 @@
   , mServer(mWorkers, MakeLimits(mMemory),
             [this](HttpExchange& aExchange) { return HandleCall(aExchange); })
   , mMetricsServer(mWorkers, [this] { return RenderMetrics(); })
+  , mConnections({ { "clients", [this] { return mServer.Counts(); } },
+                   { "engines", [this] { return mPool.Counts(); } } })
 {
+  ShareDescriptors();
   mPeers.SetSeeds(SeedPeers());
 }
 
+void ControlNode::ShareDescriptors()
+{
+  const DescriptorShares shares = ShareForControl(DescriptorLimit());
+  mServer.SetMaxConnections(shares.mClients);
+  mMetricsServer.SetMaxConnections(shares.mChecks);
+  mPool.SetMaxOpen(shares.mTargets);
+}
+
 std::vector<Endpoint> ControlNode::SeedPeers() const
 {
   std::vector<Endpoint> peers;
@@ -347,6 +355,8 @@
       if (now >= mNextSweep) {
         mNextSweep = now + kSweepInterval;
         mPool.Sweep();
+        ShareDescriptors();
+        mConnections.Check();
       }
       std::erase_if(mEdges, [&](const auto& aEdge) {
         const bool isLost = now - aEdge.second.mAskedAt > kEdgeTimeout;
@@ -410,7 +420,7 @@
   disk << "# TYPE carobtide_disk_seconds histogram\n";
   mReplica.DiskTimes().Render(disk, "disk_seconds", "");
   return mMetrics.Render() + disk.str() + RenderCapacities() +
-         RenderGauges(MemoryGauges(*mMemory)) +
+         mConnections.Render() + RenderGauges(MemoryGauges(*mMemory)) +
          RenderGauges({
            { "leading", mReplica.IsLeading() ? 1.0 : 0.0 },
            { "term", static_cast<double>(log.Term()) },
--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -10,6 +10,7 @@
 #include "carobtide/daemon/node.hpp"
 #include "carobtide/placement/residency_planner.hpp"
 #include "carobtide/transport.hpp"
+#include "connection_shares.hpp"
 #include "control_messages.hpp"
 #include "control_metrics.hpp"
 #include "engine_rates.hpp"
@@ -58,6 +59,8 @@
   Result<Unit> OpenReplica();
   Membership InitialMembership() const;
   std::vector<Endpoint> SeedPeers() const;
+  /** Shares out the descriptors that the process may have now. */
+  void ShareDescriptors();
   boost::asio::awaitable<void> TickLoop();
   boost::asio::awaitable<void> GreetingLoop();
   boost::asio::awaitable<void> LoadLoop();
@@ -206,6 +209,7 @@
   HttpPool mPool;
   HttpServer mServer;
   MetricsEndpoint mMetricsServer;
+  ConnectionShares mConnections;
 };
 
 } // namespace carobtide
--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -33,8 +33,6 @@
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 /** Pause asked of callers while no catalog is known. */
 constexpr Duration kNoCatalogPause = std::chrono::milliseconds(500);
-/** A VM has 4,200 descriptors; each connection keeps some KiB. */
-constexpr std::size_t kMaxConnections = 4096;
 /** A target that restarts in place is heard of within so many heartbeats. */
 constexpr int kMissedHeartbeats = 3;
 constexpr std::size_t kMostIdlePerTarget = 64;
@@ -49,7 +47,6 @@
 {
   HttpLimits limits;
   limits.mMemory = std::move(aMemory);
-  limits.mMaxConnections = kMaxConnections;
   return limits;
 }
 
@@ -158,7 +155,12 @@
       mWorkers, HttpLimits::ForSmallRequests(),
       [this](HttpExchange& aExchange) { return HandleReadiness(aExchange); })
   , mMetricsServer(mWorkers, [this] { return RenderMetrics(); })
+  , mConnections({ { "callers", [this] { return mCallers.Counts(); } },
+                   { "relayed", [this] { return mRelayed.Counts(); } },
+                   { "readiness", [this] { return mReadiness.Counts(); } },
+                   { "targets", [this] { return mPool.Counts(); } } })
 {
+  ShareDescriptors();
   // The route's deadline bounds what this daemon waits for; a VM of the edge
   // shares the budget with at least as many others as there are seeds.
   mDispatcher.SetDaemons(static_cast<std::uint32_t>(mSettings.mSeeds.size()) +
@@ -198,6 +200,16 @@
   mWorkers.Join();
 }
 
+void EdgeNode::ShareDescriptors()
+{
+  const DescriptorShares shares = ShareForEdge(DescriptorLimit());
+  mCallers.SetMaxConnections(shares.mClients);
+  mRelayed.SetMaxConnections(shares.mRelayed);
+  mReadiness.SetMaxConnections(shares.mChecks);
+  mMetricsServer.SetMaxConnections(shares.mChecks);
+  mPool.SetMaxOpen(shares.mTargets);
+}
+
 std::vector<Endpoint> EdgeNode::SeedPeers() const
 {
   std::vector<Endpoint> peers;
@@ -243,7 +255,8 @@
   const auto waiting = [this](WaitingClass aClass) {
     return static_cast<double>(mDispatcher.Waiting().Count(aClass));
   };
-  return mMetrics.Render() + RenderGauges(MemoryGauges(*mMemory)) +
+  return mMetrics.Render() + mConnections.Render() +
+         RenderGauges(MemoryGauges(*mMemory)) +
          RenderGauges(CatalogGauges(now)) +
          RenderGauges({
            { "ready", IsReady() ? 1.0 : 0.0 },
--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -7,6 +7,7 @@
 
 #include "carobtide/daemon/node.hpp"
 #include "carobtide/transport.hpp"
+#include "connection_shares.hpp"
 #include "edge_allowance.hpp"
 #include "edge_context.hpp"
 #include "memory_log.hpp"
@@ -151,6 +152,8 @@
   /** Tells what is open when the daemon decides to end. */
   void LogStopEnd() const;
   std::string RenderMetrics() const;
+  /** Shares out the descriptors that the process may have now. */
+  void ShareDescriptors();
   /** Counts the refusal and writes it, at most once per kKeyLineInterval. */
   void OnKeyRefused(Instant aNow, const CallerRequest& aCaller,
                     const Route& aRoute);
@@ -215,6 +218,7 @@
   HttpServer mRelayed;
   HttpServer mReadiness;
   MetricsEndpoint mMetricsServer;
+  ConnectionShares mConnections;
 };
 
 } // namespace carobtide
--- a/packages/daemon/src/edge_node_fleet.cpp
+++ b/packages/daemon/src/edge_node_fleet.cpp
@@ -412,6 +412,8 @@
     if (SteadyNow() >= mNextSweep) {
       mNextSweep = SteadyNow() + kSweepInterval;
       mPool.Sweep();
+      ShareDescriptors();
+      mConnections.Check();
     }
     const Endpoint leader = mFleet.Leader();
     if (!leader.mHost.empty()) {
--- a/packages/daemon/src/metrics_endpoint.hpp
+++ b/packages/daemon/src/metrics_endpoint.hpp
@@ -27,6 +27,9 @@
   /** Binds; does nothing without an address. */
   Result<Unit> Listen(const std::optional<Endpoint>& aAddress);
 
+  /** See HttpServer. */
+  void SetMaxConnections(std::size_t aMax) { mServer.SetMaxConnections(aMax); }
+
 private:
   boost::asio::awaitable<void> Handle(HttpExchange& aExchange);
 
--- a/packages/transport/include/carobtide/transport.hpp
+++ b/packages/transport/include/carobtide/transport.hpp
@@ -6,6 +6,8 @@
  * datagrams between daemons. Beast stays out of these headers.
  */
 
+#include "carobtide/transport/connection_counts.hpp"
+#include "carobtide/transport/descriptor_shares.hpp"
 #include "carobtide/transport/frame.hpp"
 #include "carobtide/transport/hold_account.hpp"
 #include "carobtide/transport/http_client.hpp"
--- a/packages/transport/include/carobtide/transport/http_client.hpp
+++ b/packages/transport/include/carobtide/transport/http_client.hpp
@@ -5,6 +5,7 @@
  * An HTTP/1.1 client connection and a pool of idle ones.
  */
 
+#include "carobtide/transport/connection_counts.hpp"
 #include "carobtide/transport/http_types.hpp"
 #include "carobtide/transport/memory_hold.hpp"
 
@@ -210,6 +211,14 @@
   /** Idle connections to all addresses. */
   std::size_t IdleCount() const;
 
+  /**
+   * Bounds the connections to all addresses from now on, in use or idle;
+   * unbounded at first. Beyond it a new connection takes the place of idle
+   * ones, or Acquire fails with Overloaded if all are in use.
+   */
+  void SetMaxOpen(std::size_t aMax);
+  ConnectionCounts Counts() const;
+
   /**
    * Closes idle connections that are over their time or that the peer has
    * ended, also to addresses that are not used again. Call once a second or so.
--- a/packages/transport/include/carobtide/transport/http_server.hpp
+++ b/packages/transport/include/carobtide/transport/http_server.hpp
@@ -5,6 +5,7 @@
  * An HTTP/1.1 server whose handlers are coroutines.
  */
 
+#include "carobtide/transport/connection_counts.hpp"
 #include "carobtide/transport/http_types.hpp"
 #include "carobtide/transport/memory_hold.hpp"
 #include "carobtide/transport/worker_pool.hpp"
@@ -41,7 +42,10 @@
   Duration mIdleTimeout = std::chrono::seconds(120);
   /** A client that takes no bytes for this long is cut off. */
   Duration mWriteTimeout = std::chrono::seconds(30);
-  /** More connections than this are refused at accept. */
+  /**
+   * Beyond this a new connection takes the place of the one that has been idle
+   * for longest, or is refused at accept if none is idle.
+   */
   std::size_t mMaxConnections = 16384;
 };
 
@@ -135,6 +139,10 @@
   /** Connections that are not closed yet, idle ones too. */
   std::size_t Connections() const;
 
+  /** Bounds connections from now on; idle ones beyond it are closed. */
+  void SetMaxConnections(std::size_t aMax);
+  ConnectionCounts Counts() const;
+
 private:
   class Impl;
   std::shared_ptr<Impl> mImpl;
--- a/packages/transport/src/http_connection.cpp
+++ b/packages/transport/src/http_connection.cpp
@@ -33,6 +33,7 @@
 
 namespace {
 
+constexpr std::chrono::steady_clock::rep kBusy = -1;
 constexpr std::size_t kReadChunkBytes = 8192;
 constexpr unsigned kHttpVersion = 11;
 /** Bytes and time that a client gets to read an answer sent early. */
@@ -90,6 +91,7 @@
       remote.address().to_string() + ":" + std::to_string(remote.port());
   }
   ++mCounters->mConnections;
+  SetIdle(true);
   HoldParties parties;
   parties.mReceiver = remote.address().to_string();
   mReader.HoldIn(MemoryHold(mLimits.mMemory, HoldKind::Request, parties),
@@ -100,6 +102,7 @@
 HttpServerConnection::~HttpServerConnection()
 {
   SetOpen(false);
+  SetGivesWay(false);
   --mCounters->mConnections;
 }
 
@@ -126,12 +129,12 @@
 {
   const auto self = shared_from_this();
   while (mKeepAlive && !mCounters->mStopping) {
-    mIdle = true;
+    SetIdle(true);
     const bool arrived = co_await WaitForRequest();
     if (!arrived) {
       break;
     }
-    mIdle = false;
+    SetIdle(false);
     SetOpen(true);
     const bool valid = co_await ReadRequest();
     if (!valid) {
@@ -431,6 +434,44 @@
   return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+void HttpServerConnection::SetIdle(bool aIsIdle)
+{
+  mIdle = aIsIdle;
+  mIdleSince = aIsIdle
+                 ? std::chrono::steady_clock::now().time_since_epoch().count()
+                 : kBusy;
+}
+
+std::optional<std::chrono::steady_clock::time_point>
+HttpServerConnection::IdleSince() const
+{
+  const auto since = mIdleSince.load();
+  if (since == kBusy || mGivesWay) {
+    return std::nullopt;
+  }
+  return std::chrono::steady_clock::time_point(
+    std::chrono::steady_clock::duration(since));
+}
+
+void HttpServerConnection::SetGivesWay(bool aGivesWay)
+{
+  if (mGivesWay.exchange(aGivesWay) != aGivesWay) {
+    mCounters->mGivingWay += aGivesWay ? 1 : -1;
+  }
+}
+
+void HttpServerConnection::GiveWayIfIdle()
+{
+  SetGivesWay(true);
+  asio::post(mStream.get_executor(), [self = shared_from_this()] {
+    if (self->mIdle) {
+      self->mStream.close();
+    } else {
+      self->SetGivesWay(false);
+    }
+  });
+}
+
 void HttpServerConnection::CloseIfIdle()
 {
   asio::post(mStream.get_executor(), [self = shared_from_this()] {
--- a/packages/transport/src/http_connection.hpp
+++ b/packages/transport/src/http_connection.hpp
@@ -16,6 +16,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -27,6 +28,8 @@
 struct HttpServerCounters
 {
   std::atomic<std::size_t> mConnections{ 0 };
+  /** Of these, the ones that make room for others and are not closed yet. */
+  std::atomic<std::size_t> mGivingWay{ 0 };
   /** From the first byte of a request to the last one of its answer. */
   std::atomic<std::size_t> mExchanges{ 0 };
   std::atomic<bool> mStopping{ false };
@@ -56,6 +59,12 @@
   /** Closes the connection if no exchange is open. From any thread. */
   void CloseIfIdle();
 
+  /** The same at once, to make room for another one. From any thread. */
+  void GiveWayIfIdle();
+
+  /** Since when no exchange is open; nothing if one is. From any thread. */
+  std::optional<std::chrono::steady_clock::time_point> IdleSince() const;
+
 private:
   /** How far the answer of the current exchange has got. */
   enum class AnswerState
@@ -91,6 +100,10 @@
   boost::asio::awaitable<void> WatchClient();
   void StopWatching();
   void TakeRequest();
+  /** Takes note of whether a request is waited for. */
+  void SetIdle(bool aIsIdle);
+  /** It makes room for another one, or was found in use after all. */
+  void SetGivesWay(bool aGivesWay);
   /** Counts the connection's exchange as open, or not any more. */
   void SetOpen(bool aIsOpen);
   /** Takes room for a body of which this much is read; false if none. */
@@ -112,6 +125,9 @@
   AnswerState mAnswer = AnswerState::None;
   bool mKeepAlive = true;
   bool mIdle = true;
+  /** Ticks of the steady clock; kBusy while an exchange is open. */
+  std::atomic<std::chrono::steady_clock::rep> mIdleSince;
+  std::atomic<bool> mGivesWay{ false };
   bool mIsOpen = false;
   bool mWatching = false;
   std::function<void()> mClientGone;
--- a/packages/transport/src/http_pool.cpp
+++ b/packages/transport/src/http_pool.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <iterator>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <numeric>
@@ -31,14 +32,44 @@
  * seconds only can be stated, so that its limit may be shorter than one.
  */
 constexpr Duration kUnstatedIdleTime = std::chrono::milliseconds(500);
+/** One idle connection of so many is closed at once where room is needed. */
+constexpr std::size_t kConnectionsPerClose = 32;
+
+/** Counts a connection as open for as long as it lives. */
+class OpenPlace
+{
+public:
+  using Count = std::shared_ptr<std::atomic<std::size_t>>;
+
+  explicit OpenPlace(Count aCount)
+    : mCount(std::move(aCount))
+  {
+    ++*mCount;
+  }
+  ~OpenPlace()
+  {
+    if (mCount) {
+      --*mCount;
+    }
+  }
+  OpenPlace(OpenPlace&&) = default;
+  OpenPlace& operator=(OpenPlace&&) = delete;
+  OpenPlace(const OpenPlace&) = delete;
+  OpenPlace& operator=(const OpenPlace&) = delete;
+
+private:
+  Count mCount;
+};
+
 /** A connection in use remembers its executor until it is released. */
 class PooledConnection final : public HttpConnection
 {
 public:
   PooledConnection(asio::any_io_executor aExecutor,
-                   std::unique_ptr<HttpConnection> aInner)
+                   std::unique_ptr<HttpConnection> aInner, OpenPlace aPlace)
     : mExecutor(std::move(aExecutor))
     , mInner(std::move(aInner))
+    , mPlace(std::move(aPlace))
   {
   }
 
@@ -100,6 +131,7 @@
 
   asio::any_io_executor mExecutor;
   std::unique_ptr<HttpConnection> mInner;
+  OpenPlace mPlace;
   std::vector<std::uint64_t> mRequests;
 };
 
@@ -131,6 +163,13 @@
   void Put(const Endpoint& aAddress, IdleConnection aIdle);
   bool HasIdle(const Endpoint& aAddress) const;
   void OnConnect() { ++mConnects; }
+  /** A place for a new connection; nothing if all are in use. */
+  std::optional<OpenPlace> TakePlace();
+  void SetMaxOpen(std::size_t aMax) { mMaxOpen = aMax; }
+  ConnectionCounts Counts() const
+  {
+    return { *mOpen, mMaxOpen, mIdleClosed, mRefused };
+  }
   std::uint64_t Connects() const { return mConnects; }
   std::size_t IdleCount() const;
   void Sweep();
@@ -147,8 +186,15 @@
   void NoteEnd(const Endpoint& aAddress, const PooledConnection& aConnection,
                bool aWasKept);
 
+  /** Closes idle connections whose time ends first. */
+  void CloseIdle();
+
   const HttpPoolOptions mOptions;
   std::atomic<std::uint64_t> mConnects = 0;
+  OpenPlace::Count mOpen = std::make_shared<std::atomic<std::size_t>>(0);
+  std::atomic<std::size_t> mMaxOpen = std::numeric_limits<std::size_t>::max();
+  std::atomic<std::uint64_t> mIdleClosed = 0;
+  std::atomic<std::uint64_t> mRefused = 0;
   /** Guards what follows. */
   mutable std::mutex mMutex;
   std::map<Endpoint, std::vector<IdleConnection>> mIdle;
@@ -167,6 +213,41 @@
   }
 }
 
+std::optional<OpenPlace> HttpPool::Impl::TakePlace()
+{
+  if (*mOpen >= mMaxOpen) {
+    CloseIdle();
+  }
+  if (*mOpen < mMaxOpen) {
+    return std::optional<OpenPlace>(std::in_place, mOpen);
+  }
+  ++mRefused;
+  return std::nullopt;
+}
+
+void HttpPool::Impl::CloseIdle()
+{
+  const std::lock_guard lock(mMutex);
+  std::vector<Clock::time_point> ends;
+  for (const auto& [address, idle] : mIdle) {
+    std::ranges::transform(idle, std::back_inserter(ends),
+                           &IdleConnection::mExpiresAt);
+  }
+  if (ends.empty()) {
+    return;
+  }
+  // Some more at once, as each search looks at all connections.
+  const std::size_t last =
+    std::min(ends.size() - 1, *mOpen / kConnectionsPerClose);
+  std::ranges::nth_element(ends,
+                           ends.begin() + static_cast<std::ptrdiff_t>(last));
+  for (auto& [address, idle] : mIdle) {
+    mIdleClosed += std::erase_if(idle, [&](const IdleConnection& aIdle) {
+      return aIdle.mExpiresAt <= ends[last];
+    });
+  }
+}
+
 std::unique_ptr<PooledConnection> HttpPool::Impl::Take(
   const Endpoint& aAddress, const asio::any_io_executor& aExecutor,
   std::optional<std::uint64_t> aRequestHash)
@@ -306,13 +387,19 @@
   const auto executor = co_await asio::this_coro::executor;
   auto pooled = mImpl->Take(aAddress, executor, aRequestHash);
   if (!pooled) {
+    auto place = mImpl->TakePlace();
+    if (!place) {
+      const std::string peer = aAddress.ToString();
+      co_return MakeError(ErrorCode::Overloaded, "http.connect", peer,
+                          "all connections are in use");
+    }
     auto connected = co_await ConnectHttp(aAddress, aTimeout);
     if (!connected) {
       co_return connected.GetError();
     }
     mImpl->OnConnect();
-    pooled =
-      std::make_unique<PooledConnection>(executor, std::move(*connected));
+    pooled = std::make_unique<PooledConnection>(executor, std::move(*connected),
+                                                std::move(*place));
   }
   if (aRequestHash) {
     pooled->OnRequest(*aRequestHash);
@@ -336,6 +423,16 @@
   return mImpl->IdleCount();
 }
 
+void HttpPool::SetMaxOpen(std::size_t aMax)
+{
+  mImpl->SetMaxOpen(aMax);
+}
+
+ConnectionCounts HttpPool::Counts() const
+{
+  return mImpl->Counts();
+}
+
 void HttpPool::Sweep()
 {
   mImpl->Sweep();
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -11,9 +11,12 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <mutex>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace carobtide {
 
@@ -25,6 +28,8 @@
 
 /** Pause after a failed accept, e.g. when file descriptors have run out. */
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(50);
+/** One idle connection of so many is closed at once where room is needed. */
+constexpr std::size_t kConnectionsPerClose = 32;
 
 } // namespace
 
@@ -48,6 +53,7 @@
     , mLimits(std::move(aLimits))
     , mHandler(std::move(aHandler))
     , mAcceptor(mPickExecutor())
+    , mMaxConnections(mLimits.mMaxConnections)
   {
     if (mLimits.mMemory == nullptr) {
       mLimits.mMemory = std::make_shared<MemoryRoom>();
@@ -58,6 +64,11 @@
   void EndConnections() { mCounters->mEnding = true; }
   void StopListening();
   void StopAccepting();
+  void SetMaxConnections(std::size_t aMax);
+  ConnectionCounts Counts() const
+  {
+    return { mCounters->mConnections, mMaxConnections, mIdleClosed, mRefused };
+  }
 
   tcp::acceptor& Acceptor() { return mAcceptor; }
   const HttpServerCounters& Counters() const { return *mCounters; }
@@ -65,6 +76,10 @@
 private:
   awaitable<void> AcceptLoop();
   void StartConnection(tcp::socket aSocket);
+  /** True if one more connection is within the bound. */
+  bool HasRoom() const;
+  /** Closes the connections that have been idle for longest. */
+  void CloseIdle();
 
   ExecutorPicker mPickExecutor;
   HttpLimits mLimits;
@@ -72,6 +87,9 @@
   tcp::acceptor mAcceptor;
   std::shared_ptr<HttpServerCounters> mCounters =
     std::make_shared<HttpServerCounters>();
+  std::atomic<std::size_t> mMaxConnections;
+  std::atomic<std::uint64_t> mIdleClosed{ 0 };
+  std::atomic<std::uint64_t> mRefused{ 0 };
   /** Guards mConnections. */
   std::mutex mMutex;
   std::unordered_map<HttpServerConnection*, std::weak_ptr<HttpServerConnection>>
@@ -124,8 +142,13 @@
       co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
       continue;
     }
-    if (mCounters->mConnections < mLimits.mMaxConnections) {
+    if (!HasRoom()) {
+      CloseIdle();
+    }
+    if (HasRoom()) {
       StartConnection(std::move(socket));
+    } else {
+      ++mRefused;
     }
   }
 }
@@ -149,6 +172,45 @@
     asio::detached);
 }
 
+bool HttpServer::Impl::HasRoom() const
+{
+  return mCounters->mConnections - mCounters->mGivingWay < mMaxConnections;
+}
+
+void HttpServer::Impl::CloseIdle()
+{
+  const std::lock_guard lock(mMutex);
+  using Item = std::pair<std::chrono::steady_clock::time_point,
+                         std::shared_ptr<HttpServerConnection>>;
+  std::vector<Item> idle;
+  for (const auto& [key, weak] : mConnections) {
+    auto connection = weak.lock();
+    if (const auto since =
+          connection ? connection->IdleSince() : std::nullopt) {
+      idle.emplace_back(*since, std::move(connection));
+    }
+  }
+  const std::size_t open = mCounters->mConnections - mCounters->mGivingWay;
+  const std::size_t max = mMaxConnections;
+  const std::size_t surplus = open > max ? open - max : 0;
+  // Some more at once, as each search looks at all connections.
+  const std::size_t count =
+    std::min(idle.size(), surplus + 1 + max / kConnectionsPerClose);
+  const auto end = idle.begin() + static_cast<std::ptrdiff_t>(count);
+  std::ranges::partial_sort(idle, end, {}, &Item::first);
+  std::for_each(idle.begin(), end,
+                [](const Item& aItem) { aItem.second->GiveWayIfIdle(); });
+  mIdleClosed += count;
+}
+
+void HttpServer::Impl::SetMaxConnections(std::size_t aMax)
+{
+  mMaxConnections = aMax;
+  if (!HasRoom()) {
+    CloseIdle();
+  }
+}
+
 void HttpServer::Impl::StopListening()
 {
   asio::post(mAcceptor.get_executor(), [self = shared_from_this()] {
@@ -228,4 +290,14 @@
   return mImpl->Counters().mConnections;
 }
 
+void HttpServer::SetMaxConnections(std::size_t aMax)
+{
+  mImpl->SetMaxConnections(aMax);
+}
+
+ConnectionCounts HttpServer::Counts() const
+{
+  return mImpl->Counts();
+}
+
 } // namespace carobtide
