An edge fetches a newer catalog for as long as its bytes arrive

What callers saw (CONFIG): routes that were added, and acknowledged, answered 404 at many edges, and ones that were dropped went on.

Cause: a fetch of the whole text had 800 ms. What arrived later was dropped, and the next fetch began from nothing at another control daemon while the reply that was given up still took up the link. Beyond what a link carries in that time an edge never had a newer catalog again; its watches were answered at once all the while, since the control daemons had news for it.

A loop looks every 100 ms whether a known version is in force. Calls between daemons time out when nothing of the reply arrives, and no longer while it does. Watches name the version that is known of. A catalog is in force once all parts have taken it.

--- a/packages/daemon/src/edge_node.cpp
+++ b/packages/daemon/src/edge_node.cpp
@@ -190,6 +190,7 @@
   SpawnLoop(mExecutor, "edge.load", [this] { return LoadLoop(); });
   SpawnLoop(mExecutor, "edge.demand", [this] { return DemandLoop(); });
   SpawnLoop(mExecutor, "edge.paths", [this] { return PathLoop(); });
+  SpawnLoop(mExecutor, "edge.catalog", [this] { return CatalogLoop(); });
   SpawnLoop(mExecutor, "edge.allowance", [this] { return mAllowance.Run(); });
   return Success();
 }
--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -81,10 +81,13 @@
   // edge_node_catalog.cpp: the catalog that control daemons announce.
   void OnCatalogVersion(Instant aSentAt, const Endpoint& aCore,
                         std::uint64_t aVersion);
+  /** Fetches a newer catalog if one is known of and that is due. */
+  void AdvanceCatalog();
+  boost::asio::awaitable<void> CatalogLoop();
   boost::asio::awaitable<void> FetchCatalog(Endpoint aCore);
   /** Puts a catalog into force that a daemon sent after so long. */
-  void TakeCatalog(const CatalogText& aText, const Endpoint& aFrom,
-                   Duration aTook);
+  Result<Unit> TakeCatalog(const CatalogText& aText, const Endpoint& aFrom,
+                           Duration aTook);
   /** Writes that the catalog is behind or unconfirmed, or no longer. */
   void CheckCatalogAge(Instant aNow);
   /** Since when no majority of control daemons has confirmed the catalog. */
@@ -186,7 +189,7 @@
   bool mIsCatalogUnconfirmed = false;
   /** When a catalog that is behind is next written about. */
   Instant mNextLagLine;
-  bool mFetching = false;
+  CatalogFetchPlan mFetchPlan;
   std::set<Endpoint> mCores;
   /** Addresses that were mentioned, and when last. */
   std::map<Endpoint, Instant> mMentioned;
--- a/packages/daemon/src/edge_node_catalog.cpp
+++ b/packages/daemon/src/edge_node_catalog.cpp
@@ -4,14 +4,16 @@
 #include "catalog_digest.hpp"
 #include "clock.hpp"
 #include "edge_node.hpp"
+#include "tasks.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <memory>
 #include <utility>
 
 namespace carobtide {
@@ -21,7 +23,9 @@
 
 namespace {
 
-constexpr Duration kFetchTimeout = std::chrono::milliseconds(800);
+/** A catalog of the largest size over a link of 7.5 Mbit/s, with a margin. */
+constexpr Duration kFetchTimeout = std::chrono::seconds(12);
+constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
 /** A newer catalog is known of for this long before a line says so. */
 constexpr Duration kLagLineAfter = std::chrono::seconds(1);
 constexpr Duration kLagLineInterval = std::chrono::seconds(1);
@@ -55,10 +59,28 @@
     fields.mInputs = inputs;
     Log(LogLevel::Info, fields);
   }
-  if (aVersion > mCatalogVersion && !mFetching) {
-    mFetching = true;
-    asio::co_spawn(
-      mExecutor, [this, aCore] { return FetchCatalog(aCore); }, asio::detached);
+  AdvanceCatalog();
+}
+
+void EdgeNode::AdvanceCatalog()
+{
+  const Instant now = SteadyNow();
+  const auto core = mFetchPlan.Next(now, mCatalogProgress.HoldersOfNewer());
+  if (core) {
+    mFetchPlan.OnBegun(now, *core);
+    SpawnTask(mExecutor, "edge.fetch-catalog",
+              [this, core = *core] { return FetchCatalog(core); });
+  }
+}
+
+awaitable<void> EdgeNode::CatalogLoop()
+{
+  asio::steady_timer timer(mExecutor);
+  while (true) {
+    AdvanceCatalog();
+    CheckCatalogAge(SteadyNow());
+    timer.expires_after(kCheckInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
 }
 
@@ -66,20 +88,27 @@
 {
   ++mFetches.mBegun;
   const Instant begunAt = SteadyNow();
+  bool isTaken = false;
+  // Also if what follows ends by an exception.
+  const auto end = [this, &aCore, &isTaken](void*) {
+    mFetchPlan.OnEnded(SteadyNow(), aCore, isTaken);
+    mFetches.mFailed += isTaken ? 0 : 1;
+  };
+  const std::unique_ptr<void, decltype(end)> ending(this, end);
   auto calling = mNetwork.Call(
     aCore, static_cast<std::uint16_t>(FleetMessageType::GetCatalog), "",
     kFetchTimeout);
   const auto answer = co_await std::move(calling);
-  mFetching = false;
   const Duration took = SteadyNow() - begunAt;
   const auto text = answer ? Decode<CatalogText>(*answer, aCore.ToString())
                            : Result<CatalogText>(answer.GetError());
-  if (text) {
-    TakeCatalog(*text, aCore, took);
+  const auto taken =
+    text ? TakeCatalog(*text, aCore, took) : Result<Unit>(text.GetError());
+  isTaken = taken.HasValue();
+  if (isTaken) {
     co_return;
   }
-  ++mFetches.mFailed;
-  LogError(text.GetError());
+  LogError(taken.GetError());
   const std::array inputs{
     LogInput{ "wanted", Signed(mCatalogProgress.Known()) },
     LogInput{ "in_force", Signed(mCatalogVersion) },
@@ -94,31 +123,32 @@
   Log(LogLevel::Warning, fields);
 }
 
-void EdgeNode::TakeCatalog(const CatalogText& aText, const Endpoint& aFrom,
-                           Duration aTook)
+Result<Unit> EdgeNode::TakeCatalog(const CatalogText& aText,
+                                   const Endpoint& aFrom, Duration aTook)
 {
   if (aText.mVersion <= mCatalogVersion) {
-    return;
+    return Success();
   }
   auto catalog = mDialect->ReadCatalog(aText.mText);
   if (!catalog) {
-    LogError(catalog.GetError());
-    return;
+    return catalog.GetError();
   }
   const Instant now = SteadyNow();
   const auto announced = mCatalogProgress.AnnouncementOf(aText.mVersion);
-  mCatalogVersion = aText.mVersion;
-  mContext.mCatalogVersion = mCatalogVersion;
   const auto shared = std::make_shared<const Catalog>(std::move(*catalog));
-  mRoutes = std::make_shared<const RouteMap>(shared);
-  mContext.mOrganisations =
-    std::make_shared<const OrganisationDirectory>(shared);
-  // Requests that wait are checked against the keys now in force.
-  mRoom.Notify();
+  auto routes = std::make_shared<const RouteMap>(shared);
+  auto organisations = std::make_shared<const OrganisationDirectory>(shared);
   mDispatcher.SetCatalog(shared);
   mAllowance.SetCatalog(*shared);
   mSoftware.SetWindow(LongestStream(*shared));
+  mRoutes = std::move(routes);
+  mContext.mOrganisations = std::move(organisations);
+  // Last: what has taken only a part of it has to be given it again.
+  mCatalogVersion = aText.mVersion;
+  mContext.mCatalogVersion = mCatalogVersion;
   mCatalogProgress.OnInForce(mCatalogVersion);
+  // Requests that wait are checked against the keys now in force.
+  mRoom.Notify();
   const std::string digest = DigestOf(aText.mText);
   const std::string announcer =
     announced ? announced->mFrom.ToString() : std::string();
@@ -139,6 +169,7 @@
   fields.mMessage = message;
   fields.mInputs = inputs;
   Log(LogLevel::Info, fields);
+  return Success();
 }
 
 Duration EdgeNode::CatalogAge(Instant aNow) const
--- a/packages/daemon/src/edge_node_fleet.cpp
+++ b/packages/daemon/src/edge_node_fleet.cpp
@@ -94,7 +94,8 @@
     request.mFrom = mSettings.mPeerAddress;
     request.mFailureDomain = mSettings.mFailureDomain;
     mFleet.FillRequest(aCore, request);
-    request.mCatalogVersion = mCatalogVersion;
+    // One that is known of is fetched apart from watches.
+    request.mCatalogVersion = mCatalogProgress.Known();
     request.mIsHome = mHomes.Select(SteadyNow()) == aCore;
     request.mRelay = RelayAddress();
     request.mUnreachable = mDispatcher.UnreachableShare();
@@ -408,7 +409,6 @@
     mGuard.Expire(SteadyNow());
     ReportCrashes();
     UpdateStreams();
-    CheckCatalogAge(SteadyNow());
     if (SteadyNow() >= mNextSweep) {
       mNextSweep = SteadyNow() + kSweepInterval;
       mPool.Sweep();
--- a/packages/fleet/include/carobtide/fleet.hpp
+++ b/packages/fleet/include/carobtide/fleet.hpp
@@ -7,6 +7,7 @@
  */
 
 #include "carobtide/fleet/block_list.hpp"
+#include "carobtide/fleet/catalog_fetch_plan.hpp"
 #include "carobtide/fleet/catalog_progress.hpp"
 #include "carobtide/fleet/content_board.hpp"
 #include "carobtide/fleet/control_watch.hpp"
--- a/packages/fleet/include/carobtide/fleet/catalog_progress.hpp
+++ b/packages/fleet/include/carobtide/fleet/catalog_progress.hpp
@@ -57,6 +57,9 @@
   std::optional<CatalogAnnouncement> AnnouncementOf(
     std::uint64_t aVersion) const;
 
+  /** Who named a higher version than ours last, and which. */
+  std::map<Endpoint, std::uint64_t> HoldersOfNewer() const;
+
   /** For how long a newer version than the one in force is known of. */
   Duration Lag(Instant aNow) const;
 
--- a/packages/fleet/src/catalog_progress.cpp
+++ b/packages/fleet/src/catalog_progress.cpp
@@ -63,6 +63,17 @@
   return it == mAnnounced.end() ? std::nullopt : std::optional(it->second);
 }
 
+std::map<Endpoint, std::uint64_t> CatalogProgress::HoldersOfNewer() const
+{
+  std::map<Endpoint, std::uint64_t> holders;
+  for (const auto& [address, core] : mCores) {
+    if (core.mVersion > mInForce) {
+      holders.emplace(address, core.mVersion);
+    }
+  }
+  return holders;
+}
+
 Duration CatalogProgress::Lag(Instant aNow) const
 {
   return mAnnounced.empty() ? Duration::zero()
--- a/packages/transport/include/carobtide/transport/peer_channel.hpp
+++ b/packages/transport/include/carobtide/transport/peer_channel.hpp
@@ -26,6 +26,9 @@
 using PeerMessageHandler = std::function<void(
   std::uint16_t aType, const std::string& aPayload, const std::string& aPeer)>;
 
+/** Told that a part of a reply has arrived. Must not block. */
+using PeerProgressHandler = std::function<void()>;
+
 /**
  * The TCP and UDP side of one daemon towards its peers.
  *
@@ -51,12 +54,13 @@
    * Calls a peer and waits for its reply. Errors: ConnectRefused, nothing
    * listens there; Unreachable, no connection for another reason; in both cases
    * nothing was sent. ConnectionLost and Timeout: the peer may have been
-   * called.
+   * called. The timeout bounds the time in which nothing of the reply arrives;
+   * a long one may take 12 s on the whole. aOnProgress is called on the
+   * connection's worker each time a part of a long reply has arrived.
    */
-  boost::asio::awaitable<Result<std::string>> Call(Endpoint aPeer,
-                                                   std::uint16_t aType,
-                                                   std::string aPayload,
-                                                   Duration aTimeout);
+  boost::asio::awaitable<Result<std::string>> Call(
+    Endpoint aPeer, std::uint16_t aType, std::string aPayload,
+    Duration aTimeout, PeerProgressHandler aOnProgress = {});
 
   /** Sends a one-way frame over TCP; may be lost. */
   void Send(const Endpoint& aPeer, std::uint16_t aType, std::string aPayload);
--- a/packages/transport/src/peer_channel.cpp
+++ b/packages/transport/src/peer_channel.cpp
@@ -58,7 +58,8 @@
   void Send(Frame aFrame);
 
   awaitable<Result<std::string>> Call(std::uint16_t aType, std::string aPayload,
-                                      Duration aTimeout);
+                                      Duration aTimeout,
+                                      PeerProgressHandler aOnProgress);
   void Close();
 
 private:
@@ -169,7 +170,8 @@
 
 awaitable<Result<std::string>> PeerDialer::Call(std::uint16_t aType,
                                                 std::string aPayload,
-                                                Duration aTimeout)
+                                                Duration aTimeout,
+                                                PeerProgressHandler aOnProgress)
 {
   const auto self = shared_from_this();
   const auto deadline = std::chrono::steady_clock::now() + aTimeout;
@@ -186,7 +188,7 @@
   }
   const auto left = std::chrono::duration_cast<Duration>(
     deadline - std::chrono::steady_clock::now());
-  auto call = mLink->Call(aType, std::move(aPayload), left);
+  auto call = mLink->Call(aType, std::move(aPayload), left, aOnProgress);
   auto reply = co_await std::move(call);
   co_return reply;
 }
@@ -428,16 +430,16 @@
   return Endpoint{ local.address().to_string(), local.port() };
 }
 
-awaitable<Result<std::string>> PeerNetwork::Call(Endpoint aPeer,
-                                                 std::uint16_t aType,
-                                                 std::string aPayload,
-                                                 Duration aTimeout)
+awaitable<Result<std::string>> PeerNetwork::Call(
+  Endpoint aPeer, std::uint16_t aType, std::string aPayload, Duration aTimeout,
+  PeerProgressHandler aOnProgress)
 {
   const auto dialer = mImpl->DialerFor(aPeer);
   // Hops to the dialer's worker and back. Named values, since g++ 12 destroys
   // temporaries of a `co_await` expression twice.
-  auto body = [dialer, aType, payload = std::move(aPayload), aTimeout] {
-    return dialer->Call(aType, payload, aTimeout);
+  auto body = [dialer, aType, payload = std::move(aPayload), aTimeout,
+               progress = std::move(aOnProgress)] {
+    return dialer->Call(aType, payload, aTimeout, progress);
   };
   auto call =
     asio::co_spawn(dialer->Executor(), std::move(body), use_awaitable);
--- a/packages/transport/src/peer_link.cpp
+++ b/packages/transport/src/peer_link.cpp
@@ -28,6 +28,9 @@
 /** Bytes of a frame that are read at once. */
 constexpr std::size_t kReadBytes = 65536;
 
+/** A reply that arrives takes no longer: the largest one at 2.7 Mbit/s. */
+constexpr auto kMaxTransferTime = std::chrono::seconds(12);
+
 /** Frames beyond this are dropped rather than queued. */
 constexpr std::size_t kMaxQueueBytes = 16 * 1024 * 1024;
 
@@ -74,6 +77,7 @@
     if (ec) {
       co_return TransportError(ec, "peer.read-payload", mPeerName);
     }
+    NoteProgress(frame);
   }
   const auto checked = CheckFramePayload(*header, frame.mPayload);
   if (!checked) {
@@ -82,6 +86,20 @@
   co_return frame;
 }
 
+void PeerLink::NoteProgress(const Frame& aFrame)
+{
+  const auto it = (aFrame.mType & kReplyFlag) != 0
+                    ? mPending.find(aFrame.mCorrelation)
+                    : mPending.end();
+  if (it == mPending.end()) {
+    return;
+  }
+  it->second->mProgressAt = std::chrono::steady_clock::now();
+  if (*it->second->mOnProgress) {
+    (*it->second->mOnProgress)();
+  }
+}
+
 awaitable<void> PeerLink::ReadLoop()
 {
   const auto self = shared_from_this();
@@ -159,18 +177,29 @@
   mWriting = false;
 }
 
-awaitable<Result<std::string>> PeerLink::Call(std::uint16_t aType,
-                                              std::string aPayload,
-                                              Duration aTimeout)
+awaitable<Result<std::string>> PeerLink::Call(
+  std::uint16_t aType, std::string aPayload, Duration aTimeout,
+  const PeerProgressHandler& aOnProgress)
 {
   const auto self = shared_from_this();
   const std::uint64_t correlation = mNextCorrelation++;
   asio::steady_timer timer(mSocket.get_executor(), aTimeout);
-  PendingCall pending{ &timer, std::nullopt };
+  const auto latest = std::chrono::steady_clock::now() + kMaxTransferTime;
+  PendingCall pending{ &timer, &aOnProgress, std::nullopt, std::nullopt };
   mPending.emplace(correlation, &pending);
   Enqueue(aType, correlation, aPayload);
-  boost::system::error_code ec;
-  co_await timer.async_wait(redirect_error(use_awaitable, ec));
+  bool isOver = false;
+  while (!isOver) {
+    boost::system::error_code ec;
+    co_await timer.async_wait(redirect_error(use_awaitable, ec));
+    // A reply that is arriving is not begun again from nothing.
+    const auto limit =
+      std::min(latest, pending.mProgressAt.value_or(latest - kMaxTransferTime) +
+                         aTimeout);
+    isOver = pending.mReply || !mOpen || !pending.mProgressAt ||
+             limit <= std::chrono::steady_clock::now();
+    timer.expires_at(limit);
+  }
   mPending.erase(correlation);
   co_return FinishCall(pending);
 }
--- a/packages/transport/src/peer_link.hpp
+++ b/packages/transport/src/peer_link.hpp
@@ -12,7 +12,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -52,9 +54,9 @@
                std::string_view aPayload);
 
   /** Sends a call and waits for its reply. */
-  boost::asio::awaitable<Result<std::string>> Call(std::uint16_t aType,
-                                                   std::string aPayload,
-                                                   Duration aTimeout);
+  boost::asio::awaitable<Result<std::string>> Call(
+    std::uint16_t aType, std::string aPayload, Duration aTimeout,
+    const PeerProgressHandler& aOnProgress);
 
   bool IsOpen() const { return mOpen; }
   void Close();
@@ -64,10 +66,15 @@
   struct PendingCall
   {
     boost::asio::steady_timer* mTimer = nullptr;
+    const PeerProgressHandler* mOnProgress = nullptr;
     std::optional<std::string> mReply;
+    /** When a part of the reply arrived last. */
+    std::optional<std::chrono::steady_clock::time_point> mProgressAt;
   };
 
   boost::asio::awaitable<Result<Frame>> ReadFrame();
+  /** A part of a frame has arrived. */
+  void NoteProgress(const Frame& aFrame);
   boost::asio::awaitable<void> WriteLoop();
   boost::asio::awaitable<void> AnswerCall(Frame aFrame);
   Result<std::string> FinishCall(PendingCall& aPending) const;
--- a/packages/transport/tests/peer_channel_test.cpp
+++ b/packages/transport/tests/peer_channel_test.cpp
@@ -11,6 +11,7 @@
 
 #include <future>
 #include <string>
+#include <thread>
 
 using namespace carobtide;
 namespace asio = boost::asio;
@@ -143,3 +144,46 @@
   CHECK(answer.empty());
   CHECK(a.Call(b.Network().Address(), "hello"));
 }
+
+// Guards against replies that are given up while they arrive, and then asked
+// for again from nothing: catalogs on narrow links.
+TEST_CASE("a long reply may take longer than the timeout while it arrives")
+{
+  Node caller;
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context,
+                                   { asio::ip::make_address("127.0.0.1"), 0 });
+  const Endpoint address{ "127.0.0.1", acceptor.local_endpoint().port() };
+  const std::string payload(8 * 65536, 'x');
+  bool isHalf = false;
+  SECTION("whole") {}
+  SECTION("in part")
+  {
+    isHalf = true;
+  }
+  std::thread peer([&] {
+    auto socket = acceptor.accept();
+    std::string head(kFrameHeaderBytes, '\0');
+    asio::read(socket, asio::buffer(head));
+    const auto header = DecodeFrameHeader(head);
+    const std::string reply =
+      EncodeFrame(kEchoType | 0x8000, header->mCorrelation, payload);
+    boost::system::error_code ec;
+    for (std::size_t at = 0; at < reply.size() / (isHalf ? 2 : 1);
+         at += 65536) {
+      asio::write(socket, asio::buffer(reply.substr(at, 65536)), ec);
+      std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+    asio::read(socket, asio::buffer(head), ec);
+  });
+  const auto reply = caller.Call(address, "", std::chrono::milliseconds(1000));
+  if (isHalf) {
+    REQUIRE_FALSE(reply);
+    CHECK(reply.Code() == ErrorCode::Timeout);
+  } else {
+    REQUIRE(reply);
+    CHECK(*reply == payload);
+  }
+  caller.Network().Stop();
+  peer.join();
+}
