Catalogs go to edges deflated

A fetch that goes on brings a catalog of 4,200 routes and 147 models over a link of 7.5 Mbit/s in more than a second for each change; in quick succession an edge stays behind by two of them.

Cause: each edge fetches the whole text for each version, and the text repeats itself.

Change: an edge says in its call that it reads deflated catalogs; a control daemon deflates a text once for all that ask (zlib, package zlib1g-dev). Calls and replies of the build before are as they were: it sends no payload and gets plain text, and it answers in plain text whatever it is asked.

--- a/packages/catalog/include/carobtide/catalog.hpp
+++ b/packages/catalog/include/carobtide/catalog.hpp
@@ -7,6 +7,7 @@
  */
 
 #include "carobtide/catalog/catalog.hpp"
+#include "carobtide/catalog/catalog_pack.hpp"
 #include "carobtide/catalog/catalog_register.hpp"
 #include "carobtide/catalog/organisation.hpp"
 #include "carobtide/catalog/organisation_directory.hpp"
--- a/packages/daemon/src/control_node.hpp
+++ b/packages/daemon/src/control_node.hpp
@@ -104,6 +104,7 @@
                                                  std::string aPeer);
   void OnPeerMessage(std::uint16_t aType, const std::string& aPayload,
                      const std::string& aPeer);
+  std::string CatalogReply(CatalogEncoding aEncoding);
   boost::asio::awaitable<std::string> OnWatch(WatchRequest aRequest);
   boost::asio::awaitable<std::string> OnEnsureAdapter(EnsureAdapter aWanted);
   boost::asio::awaitable<ProposeReply> Execute(CatalogCommand aCommand);
@@ -164,6 +165,9 @@
   PeerDirectory mPeers;
   TargetDirectory mTargets;
   CatalogRegister mCatalogs;
+  /** The reply with this version, made once for all that ask. */
+  std::string mDeflatedCatalog;
+  std::uint64_t mDeflatedVersion = 0;
   std::shared_ptr<const Catalog> mCatalog;
   ReplicaHost mReplica;
   ReplicaId mReplicaId;
--- a/packages/daemon/src/control_node_peers.cpp
+++ b/packages/daemon/src/control_node_peers.cpp
@@ -66,7 +66,7 @@
       break;
     }
     case FleetMessageType::GetCatalog: {
-      std::string reply = Encode(mCatalogs.Current());
+      std::string reply = CatalogReply(ReadCatalogCall(aPayload));
       co_return reply;
     }
     case FleetMessageType::EnsureAdapter: {
@@ -119,6 +119,19 @@
   co_return nothing;
 }
 
+std::string ControlNode::CatalogReply(CatalogEncoding aEncoding)
+{
+  const CatalogText& text = mCatalogs.Current();
+  if (aEncoding == CatalogEncoding::Plain) {
+    return EncodeCatalogReply(text, aEncoding);
+  }
+  if (mDeflatedVersion != text.mVersion) {
+    mDeflatedCatalog = EncodeCatalogReply(text, aEncoding);
+    mDeflatedVersion = text.mVersion;
+  }
+  return mDeflatedCatalog;
+}
+
 void ControlNode::OnPeerMessage(std::uint16_t aType,
                                 const std::string& aPayload,
                                 const std::string& aPeer)
--- a/packages/daemon/src/edge_node_catalog.cpp
+++ b/packages/daemon/src/edge_node_catalog.cpp
@@ -1,5 +1,4 @@
 // How an edge learns of a catalog, fetches it and puts it into force.
-#include "carobtide/base/codec.hpp"
 #include "carobtide/daemon/logging.hpp"
 #include "catalog_digest.hpp"
 #include "clock.hpp"
@@ -96,11 +95,12 @@
   };
   const std::unique_ptr<void, decltype(end)> ending(this, end);
   auto calling = mNetwork.Call(
-    aCore, static_cast<std::uint16_t>(FleetMessageType::GetCatalog), "",
-    kFetchTimeout);
+    aCore, static_cast<std::uint16_t>(FleetMessageType::GetCatalog),
+    EncodeCatalogCall(CatalogEncoding::Deflated), kFetchTimeout,
+    [this, aCore] { mFetchPlan.OnProgress(SteadyNow(), aCore); });
   const auto answer = co_await std::move(calling);
   const Duration took = SteadyNow() - begunAt;
-  const auto text = answer ? Decode<CatalogText>(*answer, aCore.ToString())
+  const auto text = answer ? ReadCatalogReply(*answer, aCore.ToString())
                            : Result<CatalogText>(answer.GetError());
   const auto taken =
     text ? TakeCatalog(*text, aCore, took) : Result<Unit>(text.GetError());
