Fetches of catalogs are counted, begun and ended in one place

CatalogFetchPlan counts fetches and failures; OpenFetch ends one for it on every way out. The time of reading a catalog in catalog.in-force includes decoding its text.

--- a/packages/daemon/src/edge_node.hpp
+++ b/packages/daemon/src/edge_node.hpp
@@ -25,13 +25,6 @@
 
 class EdgeRequest;
 
-/** Fetches of catalogs since the daemon started. */
-struct CatalogFetchStats
-{
-  std::uint64_t mBegun = 0;
-  std::uint64_t mFailed = 0;
-};
-
 /**
  * Forwards requests to targets as the dispatcher decides; learns of targets
  * and catalogs from the control daemons.
@@ -78,22 +71,6 @@
                     const WatchReply& aReply);
   void WatchNewCores(const std::vector<Endpoint>& aCores);
   std::vector<Endpoint> SeedPeers() const;
-  // edge_node_catalog.cpp: the catalog that control daemons announce.
-  void OnCatalogVersion(Instant aSentAt, const Endpoint& aCore,
-                        std::uint64_t aVersion);
-  /** Fetches a newer catalog if one is known of and that is due. */
-  void AdvanceCatalog();
-  boost::asio::awaitable<void> CatalogLoop();
-  boost::asio::awaitable<void> FetchCatalog(Endpoint aCore);
-  /** Puts a catalog into force that a daemon sent after so long. */
-  Result<Unit> TakeCatalog(const CatalogText& aText, const Endpoint& aFrom,
-                           Duration aTook);
-  /** Writes that the catalog is behind or unconfirmed, or no longer. */
-  void CheckCatalogAge(Instant aNow);
-  /** Since when no majority of control daemons has confirmed the catalog. */
-  Duration CatalogAge(Instant aNow) const;
-  std::vector<Gauge> CatalogGauges(Instant aNow) const;
-  // edge_node_fleet.cpp, on.
   void TakeTargets(const std::vector<TargetName>& aChanged);
   boost::asio::awaitable<void> EnsureAdapterAt(EnsureAdapter aWanted);
   boost::asio::awaitable<void> LoadLoop();
@@ -121,6 +98,21 @@
   /** Repeats an encoded notice until a home has confirmed it. */
   boost::asio::awaitable<void> SendNotice(FleetMessageType aType,
                                           std::string aNotice);
+  // edge_node_catalog.cpp: the catalog that control daemons announce.
+  void OnCatalogVersion(Instant aSentAt, const Endpoint& aCore,
+                        std::uint64_t aVersion);
+  /** Fetches a newer catalog if one is known of and that is due. */
+  void AdvanceCatalog();
+  boost::asio::awaitable<void> CatalogLoop();
+  boost::asio::awaitable<void> FetchCatalog(Endpoint aCore);
+  /** Puts a catalog into force that a daemon sent after so long. */
+  Result<Unit> TakeCatalog(const CatalogText& aText, const Endpoint& aFrom,
+                           Duration aTook);
+  /** Writes that the catalog is behind or unconfirmed, or no longer. */
+  void CheckCatalogAge(Instant aNow);
+  /** Since when no majority of control daemons has confirmed the catalog. */
+  Duration CatalogAge(Instant aNow) const;
+  std::vector<Gauge> CatalogGauges(Instant aNow) const;
   // edge_node_paths.cpp: which targets this daemon reaches, and requests of
   // daemons that reach fewer.
   boost::asio::awaitable<void> HandleRelayed(HttpExchange& aExchange);
@@ -183,7 +175,6 @@
   Instant mNextKeyLine;
   std::uint64_t mCatalogVersion = 0;
   CatalogProgress mCatalogProgress;
-  CatalogFetchStats mFetches;
   /** When the daemon started, for the age of what it never had. */
   const Instant mStartedAt;
   bool mIsCatalogUnconfirmed = false;
--- a/packages/daemon/src/edge_node_catalog.cpp
+++ b/packages/daemon/src/edge_node_catalog.cpp
@@ -41,6 +41,27 @@
   return static_cast<std::int64_t>(aValue);
 }
 
+/** Has the plan know when a fetch ends, also if it does by an exception. */
+class OpenFetch
+{
+public:
+  OpenFetch(CatalogFetchPlan& aPlan, const Endpoint& aCore)
+    : mPlan(aPlan)
+    , mCore(aCore)
+  {
+  }
+  ~OpenFetch() { mPlan.OnEnded(SteadyNow(), mCore, mIsTaken); }
+  OpenFetch(const OpenFetch&) = delete;
+  OpenFetch& operator=(const OpenFetch&) = delete;
+
+  void SetTaken() { mIsTaken = true; }
+
+private:
+  CatalogFetchPlan& mPlan;
+  const Endpoint mCore;
+  bool mIsTaken = false;
+};
+
 } // namespace
 
 void EdgeNode::OnCatalogVersion(Instant aSentAt, const Endpoint& aCore,
@@ -85,15 +106,8 @@
 
 awaitable<void> EdgeNode::FetchCatalog(Endpoint aCore)
 {
-  ++mFetches.mBegun;
+  OpenFetch fetch(mFetchPlan, aCore);
   const Instant begunAt = SteadyNow();
-  bool isTaken = false;
-  // Also if what follows ends by an exception.
-  const auto end = [this, &aCore, &isTaken](void*) {
-    mFetchPlan.OnEnded(SteadyNow(), aCore, isTaken);
-    mFetches.mFailed += isTaken ? 0 : 1;
-  };
-  const std::unique_ptr<void, decltype(end)> ending(this, end);
   auto calling = mNetwork.Call(
     aCore, static_cast<std::uint16_t>(FleetMessageType::GetCatalog),
     EncodeCatalogCall(CatalogEncoding::Deflated), kFetchTimeout,
@@ -104,8 +118,8 @@
                            : Result<CatalogText>(answer.GetError());
   const auto taken =
     text ? TakeCatalog(*text, aCore, took) : Result<Unit>(text.GetError());
-  isTaken = taken.HasValue();
-  if (isTaken) {
+  if (taken) {
+    fetch.SetTaken();
     co_return;
   }
   LogError(taken.GetError());
@@ -129,11 +143,11 @@
   if (aText.mVersion <= mCatalogVersion) {
     return Success();
   }
+  const Instant now = SteadyNow();
   auto catalog = mDialect->ReadCatalog(aText.mText);
   if (!catalog) {
     return catalog.GetError();
   }
-  const Instant now = SteadyNow();
   const auto announced = mCatalogProgress.AnnouncementOf(aText.mVersion);
   const auto shared = std::make_shared<const Catalog>(std::move(*catalog));
   auto routes = std::make_shared<const RouteMap>(shared);
@@ -187,8 +201,8 @@
     LogInput{ "in_force", Signed(mCatalogVersion) },
     LogInput{ "lag_ms", Milliseconds(lag) },
     LogInput{ "unconfirmed_ms", Milliseconds(age) },
-    LogInput{ "fetches", Signed(mFetches.mBegun) },
-    LogInput{ "failed", Signed(mFetches.mFailed) },
+    LogInput{ "fetches", Signed(mFetchPlan.Begun()) },
+    LogInput{ "failed", Signed(mFetchPlan.Failed()) },
   };
   LogFields fields;
   fields.mInputs = inputs;
@@ -214,8 +228,8 @@
     { "catalog_known_version", static_cast<double>(mCatalogProgress.Known()) },
     { "catalog_lag_seconds", seconds(mCatalogProgress.Lag(aNow)) },
     { "catalog_unconfirmed_seconds", seconds(CatalogAge(aNow)) },
-    { "catalog_fetches", static_cast<double>(mFetches.mBegun) },
-    { "catalog_fetch_failures", static_cast<double>(mFetches.mFailed) },
+    { "catalog_fetches", static_cast<double>(mFetchPlan.Begun()) },
+    { "catalog_fetch_failures", static_cast<double>(mFetchPlan.Failed()) },
   };
 }
 
--- a/packages/fleet/include/carobtide/fleet/catalog_fetch_plan.hpp
+++ b/packages/fleet/include/carobtide/fleet/catalog_fetch_plan.hpp
@@ -41,6 +41,9 @@
   void OnEnded(Instant aNow, const Endpoint& aCore, bool aIsTaken);
 
   std::size_t UnderWay() const { return mProgress.size(); }
+  /** Fetches since construction. */
+  std::uint64_t Begun() const { return mBegun; }
+  std::uint64_t Failed() const { return mFailed; }
 
 private:
   struct Failures
@@ -55,6 +58,8 @@
   /** Fetches under way, and when something of them arrived last. */
   std::map<Endpoint, Instant> mProgress;
   std::map<Endpoint, Failures> mFailures;
+  std::uint64_t mBegun = 0;
+  std::uint64_t mFailed = 0;
 };
 
 } // namespace carobtide
--- a/packages/fleet/src/catalog_fetch_plan.cpp
+++ b/packages/fleet/src/catalog_fetch_plan.cpp
@@ -70,6 +70,7 @@
 void CatalogFetchPlan::OnBegun(Instant aNow, const Endpoint& aCore)
 {
   mProgress[aCore] = aNow;
+  ++mBegun;
 }
 
 void CatalogFetchPlan::OnProgress(Instant aNow, const Endpoint& aCore)
@@ -89,6 +90,7 @@
   }
   Failures& failures = mFailures[aCore];
   ++failures.mInARow;
+  ++mFailed;
   failures.mLastAt = aNow;
 }
 
